--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+BIN := $(CURDIR)/bin
+SEED ?= 1
+N ?= 200000
+
+.PHONY: build test lint fuzz mutants bench capacity generate tools
+
+build:
+	go build -o $(BIN)/egretwall .
+
+tools: $(BIN)/staticcheck
+
+$(BIN)/staticcheck: tools/go.mod
+	cd tools && GOBIN=$(BIN) go install tool
+
+lint: tools
+	@test -z "$$($(BIN)/gofumpt -l . | grep -v '\.pb\.go$$')" || { $(BIN)/gofumpt -l .; exit 1; }
+	go vet ./...
+	$(BIN)/staticcheck ./...
+
+test: lint
+	go test -race -timeout 9m ./...
+
+generate: tools
+	PATH=$(BIN):$$PATH protoc -I internal/linkpb --go_out=internal/linkpb --go_opt=paths=source_relative \
+		--go-grpc_out=internal/linkpb --go-grpc_opt=paths=source_relative link.proto
--- /dev/null
+++ b/internal/admitter/queue_test.go
@@ -0,0 +1,63 @@
+package admitter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/egretwall/egretwall/pkg/configurator"
+)
+
+func TestUrgentGoesFirstAndLowUrgencyAges(t *testing.T) {
+	q := New(Config{Bound: 10})
+	q.Push(Item{ID: "night", Caller: "n", Rank: 2, Due: 60 * time.Second})
+	q.Push(Item{ID: "early", Caller: "a", Rank: 0, Due: time.Second})
+	q.Push(Item{ID: "late", Caller: "a", Rank: 0, Due: 61 * time.Second})
+	var order []string
+	for q.Len() > 0 {
+		i, _ := q.Pop()
+		order = append(order, i.ID)
+	}
+	require.Equal(t, []string{"early", "night", "late"}, order)
+}
+
+func TestCallersShareAClass(t *testing.T) {
+	q := New(Config{Bound: 10})
+	for _, id := range []string{"a1", "a2", "a3"} {
+		q.Push(Item{ID: id, Caller: "a", Due: time.Second})
+	}
+	q.Push(Item{ID: "b1", Caller: "b", Due: time.Second + time.Millisecond})
+	i, _ := q.Pop()
+	require.Equal(t, "a1", i.ID)
+	i, _ = q.Pop()
+	require.Equal(t, "b1", i.ID)
+}
+
+func TestQueueNeverLosesAnAttempt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(Config{Bound: 5})
+		in := map[string]bool{}
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			id := rapid.StringMatching("[a-h]").Draw(t, "id")
+			switch rapid.IntRange(0, 2).Draw(t, "op") {
+			case 0:
+				due := time.Duration(rapid.IntRange(0, 100).Draw(t, "due"))
+				ok := q.Push(Item{ID: id, Caller: configurator.CallerName(id), Due: due})
+				require.Equal(t, !in[id] && len(in) < 5, ok)
+				if ok {
+					in[id] = true
+				}
+			case 1:
+				require.Equal(t, in[id], q.Remove(id))
+				delete(in, id)
+			case 2:
+				i, ok := q.Pop()
+				require.Equal(t, len(in) > 0, ok)
+				delete(in, i.ID)
+			}
+			require.Equal(t, len(in), q.Len())
+		}
+	})
+}
--- /dev/null
+++ b/internal/command/agent.go
@@ -0,0 +1,35 @@
+package command
+
+import (
+	"context"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/egretwall/egretwall/internal/authenticator"
+	"github.com/egretwall/egretwall/internal/driver"
+	"github.com/egretwall/egretwall/internal/loader"
+	"github.com/egretwall/egretwall/pkg/configurator"
+)
+
+var agentCommand = Command{
+	Name: "agent",
+	Help: "Run the agent of one upstream.",
+	Bind: func(c *kingpin.CmdClause) Action {
+		flags := bindProcess(c)
+		return func(ctx context.Context, s Streams) error {
+			return runProcess(ctx, s, flags,
+				func() (loader.AgentSettings, error) { return loader.Agent(*flags.settings) },
+				func(a loader.AgentSettings) platformSettings { return platformSettings{a.Log, a.List, a.TLS} },
+				newAgent,
+			)
+		}
+	},
+}
+
+func newAgent(a loader.AgentSettings, log driver.Log, list driver.List, tls *authenticator.Authenticator, logger zerolog.Logger) (process, error) {
+	return driver.NewAgent(driver.AgentConfig{
+		Upstream: configurator.UpstreamName(a.Upstream), Address: a.Address, Admin: a.Admin, Engine: a.Engine, Retention: a.Retention.Duration(),
+		Log: log, List: list, TLS: tls, Logger: logger, Seed: a.Seed,
+	})
+}
--- /dev/null
+++ b/internal/demonstrator/cluster_test.go
@@ -0,0 +1,167 @@
+package demonstrator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretwall/egretwall/internal/faker"
+	"github.com/egretwall/egretwall/internal/observer"
+	"github.com/egretwall/egretwall/pkg/configurator"
+)
+
+const testToken = "test-token"
+
+// testConfiguration describes a small deployment: three runners and two
+// instances of a plain service in three failure domains.
+func testConfiguration() configurator.Configuration {
+	cfg := configurator.Configuration{
+		Name: "test", Window: 60_000, Store: configurator.Store{Rate: 100, Active: 9, Transit: 70},
+		Classes: []configurator.Class{
+			{Name: "desk", Rank: 0, First: 1000, Gap: 100, Whole: 10_000},
+			{Name: "night", Rank: 1, First: 5000, Gap: 1000, Whole: 30_000},
+		},
+		Models:   []configurator.Model{{Name: "m1", Bytes: 40, Copies: 2}, {Name: "m2", Bytes: 30, Copies: 2}},
+		Adapters: []configurator.Adapter{{Name: "m1.a", Model: "m1", Bytes: 1}},
+		Callers:  []configurator.Caller{{Name: "desk", Key: configurator.HashKey(testToken), Class: "desk", Limit: 1000}},
+	}
+	for i, d := range []configurator.DomainName{"a", "b", "c"} {
+		cfg.Upstreams = append(cfg.Upstreams, configurator.Upstream{
+			Name: configurator.UpstreamName("r" + string(d)), Role: configurator.Runner, Domain: d, Address: "127.0.0.1:1",
+			Accelerators: 1, Memory: 100, Slots: 16, Fenced: i != 1, Lease: 500, Flight: 300,
+		})
+	}
+	for _, d := range []configurator.DomainName{"a", "b"} {
+		cfg.Upstreams = append(cfg.Upstreams, configurator.Upstream{
+			Name: configurator.UpstreamName("s" + string(d)), Role: configurator.Service, Service: "billing", Domain: d, Address: "127.0.0.1:1", Slots: 16,
+		})
+	}
+	return cfg
+}
+
+func startTest(t *testing.T, change func(*Config)) *Cluster {
+	cfg := Config{
+		Configuration: testConfiguration(), Entries: 2, Retention: time.Hour, Seed: 1, Logger: testLogger(),
+		Speed: 1000, Prefill: 20 * time.Millisecond, Gap: 5 * time.Millisecond, Work: 5 * time.Millisecond,
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	c, err := Start(cfg)
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	require.NoError(t, c.WaitReady(ctx, nil))
+	return c
+}
+
+func post(t *testing.T, e *Entry, path, body string, headers ...string) (*http.Response, string) {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+e.Address+path, strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+testToken)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	res, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	return res, string(data)
+}
+
+func chat(model string, stream bool) string {
+	data, _ := json.Marshal(map[string]any{
+		"model": model, "stream": stream, "max_tokens": 5, "messages": []map[string]string{{"role": "user", "content": "hello"}},
+	})
+	return string(data)
+}
+
+func expected(model string, n int) string {
+	return strings.Join(faker.Words(configurator.ModelName(model), `[{"content":"hello","role":"user"}]`, n), "")
+}
+
+func TestWholePath(t *testing.T) {
+	c := startTest(t, nil)
+	for _, model := range []string{"m1", "m2", "m1.a"} {
+		res, body := post(t, c.Entries[0], "/v1/chat/completions", chat(model, false))
+		require.Equal(t, 200, res.StatusCode, body)
+		var answer faker.Body
+		require.NoError(t, json.Unmarshal([]byte(body), &answer))
+		require.Equal(t, expected(model, 5), answer.Choices[0].Message.Content)
+		require.NotEmpty(t, res.Header.Get("Egretwall-Id"))
+	}
+	res, body := post(t, c.Entries[1], "/v1/chat/completions", chat("m1.a", true))
+	require.Equal(t, 200, res.StatusCode, body)
+	require.True(t, strings.HasSuffix(body, "data: [DONE]\n\n"), body)
+	require.Equal(t, expected("m1.a", 5), streamText(t, body))
+}
+
+func streamText(t *testing.T, body string) string {
+	var text strings.Builder
+	for _, line := range strings.Split(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok || data == "[DONE]" {
+			continue
+		}
+		var ev faker.Body
+		require.NoError(t, json.Unmarshal([]byte(data), &ev), data)
+		require.Len(t, ev.Choices, 1, data)
+		text.WriteString(ev.Choices[0].Delta.Content)
+	}
+	return text.String()
+}
+
+func TestRepeatedKeyGetsTheFirstAnswer(t *testing.T) {
+	c := startTest(t, nil)
+	res, first := post(t, c.Entries[0], "/svc/billing/invoices", "invoice-1", "Idempotency-Key", "k1")
+	require.Equal(t, 200, res.StatusCode, first)
+	res, second := post(t, c.Entries[1], "/svc/billing/invoices", "invoice-1", "Idempotency-Key", "k1")
+	require.Equal(t, 200, res.StatusCode, second)
+	require.Equal(t, first, second)
+	res, body := post(t, c.Entries[1], "/svc/billing/invoices", "invoice-2", "Idempotency-Key", "k1")
+	require.Equal(t, 409, res.StatusCode, body)
+	require.Equal(t, "no", res.Header.Get("Egretwall-Ran"))
+	total := 0
+	for _, a := range c.Agents {
+		if a.Booking != nil {
+			total += a.Booking.Runs()["invoice-1"] + a.Booking.Runs()["invoice-2"]
+		}
+	}
+	require.Equal(t, 1, total)
+}
+
+func TestRefusalsNameTheirReason(t *testing.T) {
+	c := startTest(t, nil)
+	res, body := post(t, c.Entries[0], "/v1/chat/completions", chat("nobody", false))
+	require.Equal(t, 404, res.StatusCode)
+	require.Contains(t, body, `"code":"missing"`)
+	require.Equal(t, "no", res.Header.Get("Egretwall-Ran"))
+	res, _ = post(t, c.Entries[0], "/v1/chat/completions", `{"model": 3}`)
+	require.Equal(t, 400, res.StatusCode)
+	res, _ = post(t, c.Entries[0], "/v1/chat/completions", chat("m1", false), "Authorization", "Bearer wrong")
+	require.Equal(t, 401, res.StatusCode)
+	res, _ = post(t, c.Entries[0], "/v1/chat/completions", chat("m1", false), "Egretwall-Class", "nosuch")
+	require.Equal(t, 400, res.StatusCode)
+}
+
+// testLogger writes logs when EGRETWALL_LOG is set.
+func testLogger() zerolog.Logger {
+	if os.Getenv("EGRETWALL_LOG") == "" {
+		return zerolog.Nop()
+	}
+	log, err := observer.NewLogger(os.Stderr, "info")
+	if err != nil {
+		panic(err)
+	}
+	return log
+}
--- /dev/null
+++ b/internal/demonstrator/report.go
@@ -0,0 +1,308 @@
+package demonstrator
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/faker"
+	"github.com/egretwall/egretwall/pkg/configurator"
+)
+
+// outcome is what a caller saw of a request.
+type outcome string
+
+const (
+	whole   outcome = "whole"
+	notRun  outcome = "not run" // refused, and stated not to have run
+	unknown outcome = "unknown" // failed, and stated to have run perhaps
+	broken  outcome = "broken"  // the connection to the entry broke
+	cut     outcome = "cut"     // ended early as if it were whole
+	mixed   outcome = "mixed"   // holds parts of another answer
+)
+
+// sample is one request as its caller saw it.
+type sample struct {
+	class   configurator.ClassName
+	service bool
+	outcome outcome
+	begun   time.Time
+	first   time.Duration // zero unless streamed
+	gaps    []time.Duration
+	took    time.Duration
+}
+
+// booking is what a caller knows about a call that must not run twice.
+type booking struct {
+	body   string
+	keyed  bool
+	whole  bool
+	maybe  bool // an attempt was answered as unknown, or its connection broke
+	denied bool // an attempt was answered as not run
+}
+
+func (b *booking) add(o outcome) {
+	switch o {
+	case whole:
+		b.whole = true
+	case notRun:
+		b.denied = true
+	default:
+		b.maybe = true
+	}
+}
+
+// ClassReport is what the callers of an urgency class saw.
+type ClassReport struct {
+	Class   configurator.ClassName `json:"class"`
+	Sent    int                    `json:"sent"`
+	Whole   int                    `json:"whole"`
+	NotRun  int                    `json:"notrun"`
+	Unknown int                    `json:"unknown"`
+	Broken  int                    `json:"broken"` // connections to a killed entry
+	Within  int                    `json:"within"` // whole and within the target
+	First50 float64                `json:"first50"`
+	First95 float64                `json:"first95"` // ms
+	Gap50   float64                `json:"gap50"`
+	Gap95   float64                `json:"gap95"`
+
+	target configurator.Class
+	first  *hdrhistogram.Histogram
+	gap    *hdrhistogram.Histogram
+}
+
+// RunnerReport is what a runner's engine saw.
+type RunnerReport struct {
+	Upstream configurator.UpstreamName `json:"upstream"`
+	faker.EngineStats
+}
+
+// Report is the outcome of Drive.
+type Report struct {
+	Classes      []*ClassReport           `json:"classes"`
+	Runners      []RunnerReport           `json:"runners"`
+	Moves        faker.Moves              `json:"moves"`
+	Accelerators int                      `json:"accelerators"`
+	Attainment   float64                  `json:"attainment"` // share of requests within target, per accelerator
+	Share        float64                  `json:"share"`      // of requests within target
+	Bookings     int                      `json:"bookings"`
+	Doubles      int                      `json:"doubles"` // calls that ran twice
+	Lies         int                      `json:"lies"`    // calls that ran although answered as not run
+	Missed       int                      `json:"missed"`  // calls answered as whole that did not run
+	Cut          int                      `json:"cut"`
+	Mixed        int                      `json:"mixed"`
+	Over         int64                    `json:"over"` // overcommitted bytes of accelerator memory
+	Unreachable  []configurator.ModelName `json:"unreachable"`
+	Faults       map[string]int           `json:"faults"`
+	Appends      int                      `json:"appends"`
+	Seconds      float64                  `json:"seconds"`
+
+	mu       sync.Mutex
+	bookings []booking
+}
+
+// Range of the latency histograms.
+const (
+	maxLatency = int64(15 * time.Minute / time.Microsecond)
+	digits     = 3
+)
+
+func newReport(cfg configurator.Configuration) *Report {
+	r := &Report{Faults: map[string]int{}, Unreachable: []configurator.ModelName{}}
+	for _, c := range cfg.Classes {
+		r.Classes = append(r.Classes, &ClassReport{
+			Class: c.Name, target: c, first: hdrhistogram.New(1, maxLatency, digits), gap: hdrhistogram.New(1, maxLatency, digits),
+		})
+	}
+	for _, u := range cfg.Upstreams {
+		r.Accelerators += u.Accelerators
+	}
+	return r
+}
+
+func (r *Report) add(s sample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := slices.IndexFunc(r.Classes, func(c *ClassReport) bool { return c.Class == s.class })
+	c := r.Classes[i]
+	c.Sent++
+	switch s.outcome {
+	case whole:
+		c.Whole++
+	case notRun:
+		c.NotRun++
+	case unknown:
+		c.Unknown++
+	case broken:
+		c.Broken++
+	case cut:
+		r.Cut++
+	case mixed:
+		r.Mixed++
+	}
+	var sum time.Duration
+	for _, g := range s.gaps {
+		sum += g
+		_ = c.gap.RecordValue(g.Microseconds())
+	}
+	if s.first > 0 {
+		_ = c.first.RecordValue(s.first.Microseconds())
+	}
+	within := s.outcome == whole && s.took <= c.target.Whole.Duration() && s.first <= c.target.First.Duration()
+	if len(s.gaps) > 0 {
+		within = within && sum/time.Duration(len(s.gaps)) <= c.target.Gap.Duration()
+	}
+	if within {
+		c.Within++
+	}
+}
+
+func (r *Report) book(b booking) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bookings = append(r.bookings, b)
+}
+
+func (r *Report) unreachable(m configurator.ModelName) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Unreachable = append(r.Unreachable, m)
+}
+
+func (r *Report) fault(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Faults[name]++
+}
+
+// line sums up the requests so far.
+func (r *Report) line() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var t ClassReport
+	for _, c := range r.Classes {
+		t.Sent += c.Sent
+		t.Whole += c.Whole
+		t.NotRun += c.NotRun
+		t.Unknown += c.Unknown
+		t.Broken += c.Broken
+	}
+	return fmt.Sprintf("answered %d: whole %d, not run %d, unknown %d, broken %d", t.Sent, t.Whole, t.NotRun, t.Unknown, t.Broken)
+}
+
+// finish compares what callers were told with what the upstreams saw.
+func (r *Report) finish(c *Cluster, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := map[string]int{}
+	for _, a := range c.Agents {
+		if a.Booking != nil {
+			for body, n := range a.Booking.Runs() {
+				runs[body] += n
+			}
+			continue
+		}
+		stats := a.Engine.Stats()
+		r.Runners = append(r.Runners, RunnerReport{a.Upstream.Name, stats})
+		r.Over += max(0, int64(stats.Peak-stats.Memory))
+		r.Moves.Loads += stats.Moves.Loads
+		r.Moves.Unloads += stats.Moves.Unloads
+		r.Moves.Adapters += stats.Moves.Adapters
+		r.Moves.Refused += stats.Moves.Refused
+		r.Moves.Stale += stats.Moves.Stale
+	}
+	r.Bookings = len(r.bookings)
+	for _, b := range r.bookings {
+		n := runs[b.body]
+		switch {
+		case n > 1:
+			r.Doubles++
+		case n > 0 && b.denied && !b.maybe && !b.whole:
+			r.Lies++
+		case n == 0 && b.whole:
+			r.Missed++
+		}
+	}
+	sent, within := 0, 0
+	for _, k := range r.Classes {
+		sent += k.Sent
+		within += k.Within
+		k.First50, k.First95 = quantiles(k.first)
+		k.Gap50, k.Gap95 = quantiles(k.gap)
+	}
+	r.Share = float64(within) / float64(max(1, sent))
+	r.Attainment = r.Share / float64(max(1, r.Accelerators))
+	r.Appends = c.Log.Appends()
+	r.Seconds = took.Seconds()
+}
+
+func quantiles(h *hdrhistogram.Histogram) (float64, float64) {
+	return float64(h.ValueAtQuantile(50)) / 1000, float64(h.ValueAtQuantile(95)) / 1000
+}
+
+// Err tells which promises were broken, and is nil if none were.
+func (r *Report) Err() error {
+	var failed []string
+	note := func(n int64, what string) {
+		if n > 0 {
+			failed = append(failed, fmt.Sprintf("%d %s", n, what))
+		}
+	}
+	note(int64(r.Doubles), "calls ran twice")
+	note(int64(r.Lies), "calls ran although answered as not run")
+	note(int64(r.Missed), "calls answered as whole did not run")
+	note(int64(r.Cut), "answers were cut")
+	note(int64(r.Mixed), "answers were mixed")
+	note(r.Over, "bytes of memory were overcommitted")
+	note(int64(len(r.Unreachable)), "models were unreachable")
+	if len(failed) == 0 {
+		return nil
+	}
+	return classifier.New(classifier.Internal, "promises were broken: %s", strings.Join(failed, ", "))
+}
+
+// PrintJSON writes the report as JSON.
+func (r *Report) PrintJSON(w io.Writer) {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(r)
+}
+
+// Print writes the report as text.
+func (r *Report) Print(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(w, "class\tsent\twhole\tnot run\tunknown\tbroken\twithin target\tfirst p50\tp95 ms\tgap p50\tp95 ms\t")
+	for _, c := range r.Classes {
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%.1f%%\t%.1f\t%.1f\t%.1f\t%.1f\t\n", c.Class, c.Sent, c.Whole, c.NotRun, c.Unknown, c.Broken,
+			100*float64(c.Within)/float64(max(1, c.Sent)), c.First50, c.First95, c.Gap50, c.Gap95)
+	}
+	_ = w.Flush()
+	_, _ = fmt.Fprintf(out, "attainment: %.1f%% within target on %d accelerators, %.3f%% per accelerator\n", 100*r.Share, r.Accelerators, 100*r.Attainment)
+	_, _ = fmt.Fprintf(out, "moves: %d loads, %d unloads, %d adapters; the store refused %d, old numbers %d; log appends %d in %.0f s\n",
+		r.Moves.Loads, r.Moves.Unloads, r.Moves.Adapters, r.Moves.Refused, r.Moves.Stale, r.Appends, r.Seconds)
+	_, _ = fmt.Fprintf(out, "non-idempotent calls: %d, run twice %d, run though answered as not run %d, whole but not run %d\n", r.Bookings, r.Doubles, r.Lies, r.Missed)
+	_, _ = fmt.Fprintf(out, "answers: cut %d, mixed %d; unreachable models: %d\n", r.Cut, r.Mixed, len(r.Unreachable))
+	peak, size := configurator.Bytes(0), configurator.Bytes(0)
+	for _, k := range r.Runners {
+		if size == 0 || float64(k.Peak)/float64(k.Memory) > float64(peak)/float64(size) {
+			peak, size = k.Peak, k.Memory
+		}
+	}
+	_, _ = fmt.Fprintf(out, "accelerator memory: fullest runner at %.1f of %.1f GB, overcommitted %d bytes\n", float64(peak)/1e9, float64(size)/1e9, r.Over)
+	if len(r.Faults) > 0 {
+		names := make([]string, 0, len(r.Faults))
+		for f, n := range r.Faults {
+			names = append(names, fmt.Sprintf("%s %d", f, n))
+		}
+		slices.Sort(names)
+		_, _ = fmt.Fprintf(out, "faults: %s\n", strings.Join(names, ", "))
+	}
+}
--- /dev/null
+++ b/internal/driver/entry.go
@@ -0,0 +1,138 @@
+package driver
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/egretwall/egretwall/internal/acceptor"
+	"github.com/egretwall/egretwall/internal/authenticator"
+	"github.com/egretwall/egretwall/internal/linker"
+	"github.com/egretwall/egretwall/internal/observer"
+	"github.com/egretwall/egretwall/internal/reducer"
+	"github.com/egretwall/egretwall/pkg/configurator"
+)
+
+// EntryConfig describes an entry and its surroundings.
+type EntryConfig struct {
+	Name    string
+	Domain  configurator.DomainName
+	Address string        // for callers
+	Admin   string        // for operators
+	Notice  time.Duration // time for the balancer to notice that the entry is leaving
+	Log     Log
+	List    List
+	TLS     *authenticator.Authenticator
+	Logger  zerolog.Logger
+	Seed    uint64
+	Hooks   reducer.Hooks
+}
+
+// Entry is a running entry.
+type Entry struct {
+	cfg      EntryConfig
+	reducer  *reducer.Entry
+	loop     *loop
+	platform *platform
+	client   *linker.Client
+	acceptor *acceptor.Acceptor
+	admin    *observer.Admin
+	leaving  atomic.Bool
+	ids      atomic.Uint64
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// NewEntry listens on the addresses of an entry.
+func NewEntry(cfg EntryConfig) (*Entry, error) {
+	e := &Entry{cfg: cfg}
+	incarnation := reducer.Incarnation(rand.Uint64()) // must differ between runs with one seed
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.reducer = reducer.NewEntry(reducer.EntryConfig{ID: reducer.EntryID(cfg.Name), Domain: cfg.Domain, Seed: cfg.Seed, Hooks: cfg.Hooks})
+	e.loop = newLoop(e.reducer.Reduce, e.run)
+	creds := cfg.TLS.Client()
+	e.platform = newPlatform(cfg.Log, cfg.List, creds, cfg.Seed)
+	e.platform.post = e.loop.post
+	e.client = linker.NewClient(linker.ClientConfig{Entry: reducer.EntryID(cfg.Name), Incarnation: incarnation, Credentials: creds, Post: e.loop.post})
+	prefix := fmt.Sprintf("%s-%08x", cfg.Name, uint32(incarnation))
+	newID := func() reducer.RequestID {
+		return reducer.RequestID(fmt.Sprintf("%s-%d", prefix, e.ids.Add(1)))
+	}
+	var err error
+	if e.acceptor, err = acceptor.New(acceptor.Config{Address: cfg.Address, Post: e.loop.post, NewID: newID}); err != nil {
+		return nil, err
+	}
+	e.admin, err = observer.NewAdmin(observer.AdminConfig{Address: cfg.Admin, Health: func() bool { return !e.leaving.Load() }, Dump: e.Dump})
+	return e, err
+}
+
+// Address returns where callers connect.
+func (e *Entry) Address() string { return e.acceptor.Address() }
+
+// Admin returns where operators connect.
+func (e *Entry) Admin() string { return e.admin.Address() }
+
+// Dump returns the state of the entry, and nil when it has stopped.
+func (e *Entry) Dump() any {
+	var state any
+	if !e.loop.inspect(func() { state = e.reducer.Dump(e.loop.now()) }) {
+		return nil
+	}
+	return state
+}
+
+// Run serves until the entry has drained or ctx ends. Stop drains it.
+func (e *Entry) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, e.cancel)
+	defer stop()
+	defer e.cancel()
+	e.platform.start(e.ctx)
+	go func() { _ = e.acceptor.Run(e.ctx) }()
+	go func() { _ = e.admin.Run(e.ctx) }()
+	e.loop.serve(e.ctx)
+	e.cfg.Log.Close()
+	e.cfg.List.Close()
+	return nil
+}
+
+// Stop takes no new caller once the balancer had time to notice, and ends Run
+// when all open requests are answered.
+func (e *Entry) Stop() {
+	if e.leaving.Swap(true) {
+		return
+	}
+	go func() {
+		sleep(e.ctx, e.cfg.Notice)
+		_ = e.acceptor.Shutdown(e.ctx)
+		e.loop.post(reducer.Drain{})
+	}()
+}
+
+// run carries out an effect.
+func (e *Entry) run(effect reducer.Effect) {
+	switch ef := effect.(type) {
+	case reducer.SendUp:
+		e.client.Send(ef.Peer, ef.Epoch, ef.Up)
+	case reducer.Dial:
+		e.client.Dial(e.ctx, ef)
+	case reducer.Hangup:
+		e.client.Hangup(ef.Peer, ef.Epoch)
+	case reducer.Reply:
+		e.acceptor.Deliver(ef.ID, ef)
+	case reducer.Push:
+		e.acceptor.Deliver(ef.ID, ef)
+	case reducer.Close:
+		e.acceptor.Deliver(ef.ID, ef)
+	case reducer.Install:
+		e.acceptor.Install(ef.State)
+		e.platform.installed()
+	case reducer.Note:
+		observer.Log(e.cfg.Logger, ef)
+	case reducer.Stop:
+		e.cancel()
+	}
+}
--- /dev/null
+++ b/internal/faker/engine.go
@@ -0,0 +1,443 @@
+package faker
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/egretwall/egretwall/internal/forwarder"
+	"github.com/egretwall/egretwall/internal/reserver"
+	"github.com/egretwall/egretwall/pkg/configurator"
+)
+
+// EngineConfig describes a model engine.
+type EngineConfig struct {
+	Upstream configurator.Upstream
+	Bases    map[configurator.ModelName]configurator.ModelName // base of each model and adapter
+	Store    *Store
+	Prefill  time.Duration // time to the first token
+	Gap      time.Duration // time between two tokens
+}
+
+// beatPeriod spaces the comments that keep a stream alive.
+const beatPeriod = 150 * time.Millisecond
+
+// defaultTokens is the length of an answer without max_tokens.
+const defaultTokens = 24
+
+// Engine is a model runner's engine. It answers with a text that follows from
+// model and prompt, so that any cut, mixed or doubled answer shows.
+type Engine struct {
+	cfg EngineConfig
+
+	mu        sync.Mutex
+	number    reserver.Number
+	residents map[configurator.ModelName]configurator.Bytes
+	loading   map[configurator.ModelName]configurator.Bytes
+	active    int
+	peak      configurator.Bytes
+	busy      time.Duration // time with at least one request running
+	busyFrom  time.Time
+	moves     Moves
+	delay     func() OrderFate
+	cancelled int
+	dead      bool
+}
+
+// Moves counts what an engine was ordered to do.
+type Moves struct {
+	Loads    int `json:"loads"`
+	Unloads  int `json:"unloads"`
+	Adapters int `json:"adapters"`
+	Refused  int `json:"refused"` // loads that the store refused
+	Stale    int `json:"stale"`   // orders refused for an old number
+}
+
+// OrderFate is what happens to an order on its way.
+type OrderFate struct {
+	Lost       bool          // never arrives
+	Late       time.Duration // arrives late; its answer is lost
+	AnswerLost bool
+}
+
+// NewEngine returns an engine with empty memory.
+func NewEngine(cfg EngineConfig) *Engine {
+	return &Engine{
+		cfg:       cfg,
+		residents: map[configurator.ModelName]configurator.Bytes{},
+		loading:   map[configurator.ModelName]configurator.Bytes{},
+	}
+}
+
+// BreakOrders sets what happens to orders; nil lets them pass.
+func (e *Engine) BreakOrders(fate func() OrderFate) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.delay = fate
+}
+
+// Kill makes the engine lose its memory and refuse everything until Start.
+func (e *Engine) Kill() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dead = true
+	clear(e.residents)
+	clear(e.loading)
+}
+
+// Start ends a Kill.
+func (e *Engine) Start() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dead = false
+}
+
+// EngineStats is what an engine has seen.
+type EngineStats struct {
+	Memory    configurator.Bytes `json:"memory"`
+	Peak      configurator.Bytes `json:"peak"` // highest use of memory
+	Busy      time.Duration      `json:"busy"`
+	Moves     Moves              `json:"moves"`
+	Cancelled int                `json:"cancelled"`
+	Active    int                `json:"active"`
+}
+
+// Stats returns what the engine has seen.
+func (e *Engine) Stats() EngineStats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return EngineStats{e.cfg.Upstream.Memory, e.peak, e.busy, e.moves, e.cancelled, e.active}
+}
+
+// ServeHTTP answers completions, orders and questions for the state.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	dead := e.dead
+	e.mu.Unlock()
+	if dead {
+		panic(http.ErrAbortHandler)
+	}
+	switch r.URL.Path {
+	case "/state":
+		writeJSON(w, e.report())
+	case "/orders":
+		e.order(w, r)
+	default:
+		e.complete(w, r)
+	}
+}
+
+func (e *Engine) report() reserver.Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return reserver.Report{Number: e.number, Residents: itemsOf(e.residents), Loading: itemsOf(e.loading), Active: e.active}
+}
+
+func itemsOf(m map[configurator.ModelName]configurator.Bytes) []reserver.Item {
+	items := make([]reserver.Item, 0, len(m))
+	for name, b := range m {
+		items = append(items, reserver.Item{Model: name, Bytes: b})
+	}
+	slices.SortFunc(items, func(a, b reserver.Item) int { return strings.Compare(string(a.Model), string(b.Model)) })
+	return items
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o forwarder.OrderBody
+	if json.NewDecoder(r.Body).Decode(&o) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	delay := e.delay
+	e.mu.Unlock()
+	if delay != nil {
+		fate := delay()
+		if fate.Lost {
+			panic(http.ErrAbortHandler)
+		}
+		if fate.Late > 0 {
+			time.AfterFunc(fate.Late, func() { e.land(o) })
+			panic(http.ErrAbortHandler)
+		}
+		if fate.AnswerLost {
+			e.land(o)
+			panic(http.ErrAbortHandler)
+		}
+	}
+	status, verdict := e.land(o)
+	w.WriteHeader(status)
+	writeJSON(w, verdict)
+}
+
+// land carries out an order.
+func (e *Engine) land(o forwarder.OrderBody) (int, forwarder.Verdict) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.dead {
+		return http.StatusServiceUnavailable, forwarder.Verdict{Number: e.number}
+	}
+	if e.cfg.Upstream.Fenced && o.Number < e.number {
+		e.moves.Stale++
+		return http.StatusConflict, forwarder.Verdict{Number: e.number}
+	}
+	e.number = max(e.number, o.Number)
+	status := http.StatusOK
+	switch o.Op {
+	case reserver.Load:
+		status = e.load(o)
+	case reserver.Unload:
+		e.unload(o.Model)
+	}
+	return status, forwarder.Verdict{Number: e.number}
+}
+
+func (e *Engine) load(o forwarder.OrderBody) int {
+	if e.residents[o.Model] > 0 || e.loading[o.Model] > 0 {
+		return http.StatusOK
+	}
+	adapter := e.cfg.Bases[o.Model] != o.Model
+	if adapter && e.residents[e.cfg.Bases[o.Model]] == 0 {
+		return http.StatusTooManyRequests
+	}
+	took, ok := e.cfg.Store.Begin(o.Bytes, adapter)
+	if !ok {
+		e.moves.Refused++
+		return http.StatusTooManyRequests
+	}
+	if adapter {
+		e.moves.Adapters++
+	} else {
+		e.moves.Loads++
+	}
+	e.loading[o.Model] = o.Bytes
+	e.measure()
+	time.AfterFunc(took, func() { e.loaded(o, adapter) })
+	return http.StatusOK
+}
+
+func (e *Engine) loaded(o forwarder.OrderBody, adapter bool) {
+	e.cfg.Store.End(adapter)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.loading[o.Model] == 0 {
+		return // unloaded or killed meanwhile
+	}
+	delete(e.loading, o.Model)
+	e.residents[o.Model] = o.Bytes
+	e.measure()
+}
+
+// unload frees a model and the adapters that depend on it.
+func (e *Engine) unload(m configurator.ModelName) {
+	if e.residents[m] > 0 {
+		e.moves.Unloads++
+	}
+	for name := range e.residents {
+		if name == m || e.cfg.Bases[m] == m && e.cfg.Bases[name] == m {
+			delete(e.residents, name)
+		}
+	}
+	delete(e.loading, m)
+}
+
+// measure notes the highest use of memory.
+func (e *Engine) measure() {
+	var used configurator.Bytes
+	for _, b := range e.residents {
+		used += b
+	}
+	for _, b := range e.loading {
+		used += b
+	}
+	e.peak = max(e.peak, used)
+}
+
+// Completion is the part of a request that the stand-in reads.
+type Completion struct {
+	Model     configurator.ModelName `json:"model"`
+	Messages  json.RawMessage        `json:"messages"`
+	Prompt    json.RawMessage        `json:"prompt"`
+	Stream    bool                   `json:"stream"`
+	MaxTokens int                    `json:"max_tokens"`
+	Resume    *forwarder.Resume      `json:"resume"`
+}
+
+// Words returns the text that an engine answers to a prompt.
+func Words(m configurator.ModelName, prompt string, n int) []string {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(string(m) + "\x00" + prompt))
+	seed := h.Sum64()
+	words := make([]string, n)
+	for i := range words {
+		seed = seed*6364136223846793005 + 1442695040888963407
+		words[i] = fmt.Sprintf("w%d-%04x ", i, seed>>48)
+	}
+	return words
+}
+
+func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	var c Completion
+	if json.NewDecoder(r.Body).Decode(&c) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if c.MaxTokens <= 0 {
+		c.MaxTokens = defaultTokens
+	}
+	if !e.begin(c.Model) {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	defer e.end()
+	words := Words(c.Model, string(c.Messages)+string(c.Prompt), c.MaxTokens)
+	chat := strings.HasPrefix(r.URL.Path, "/v1/chat")
+	if c.Stream {
+		e.stream(w, r, c, words, chat)
+		return
+	}
+	pause(r, e.cfg.Prefill+time.Duration(len(words))*e.cfg.Gap)
+	if r.Context().Err() != nil {
+		e.noteCancelled()
+		return
+	}
+	writeJSON(w, Answer(c.Model, strings.Join(words, ""), chat))
+}
+
+func (e *Engine) begin(m configurator.ModelName) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.residents[m] == 0 || e.residents[e.cfg.Bases[m]] == 0 {
+		return false
+	}
+	if e.active == 0 {
+		e.busyFrom = time.Now()
+	}
+	e.active++
+	return true
+}
+
+func (e *Engine) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.active--
+	if e.active == 0 {
+		e.busy += time.Since(e.busyFrom)
+	}
+}
+
+func (e *Engine) noteCancelled() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancelled++
+}
+
+// stream sends one word per event, and comments while there is none to send.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, c Completion, words []string, chat bool) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher, _ := w.(http.Flusher)
+	flusher.Flush()
+	if !e.quiet(w, r, flusher, e.cfg.Prefill) {
+		return
+	}
+	if c.Resume != nil {
+		words = words[min(int(c.Resume.Tokens), len(words)):]
+	}
+	for i, word := range words {
+		if i > 0 && !e.quiet(w, r, flusher, e.cfg.Gap) {
+			return
+		}
+		data, err := json.Marshal(Event(c.Model, word, chat))
+		if err != nil {
+			return
+		}
+		_, _ = fmt.Fprintf(w, "data: %s\n\n", data)
+		flusher.Flush()
+	}
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
+// quiet waits and keeps the stream alive; it returns false when the request
+// was cancelled.
+func (e *Engine) quiet(w http.ResponseWriter, r *http.Request, flusher http.Flusher, d time.Duration) bool {
+	for d > 0 {
+		step := min(d, beatPeriod)
+		pause(r, step)
+		d -= step
+		if r.Context().Err() != nil || e.isDead() {
+			e.noteCancelled()
+			if e.isDead() {
+				panic(http.ErrAbortHandler)
+			}
+			return false
+		}
+		if d > 0 {
+			_, _ = fmt.Fprint(w, ": beat\n\n")
+			flusher.Flush()
+		}
+	}
+	return true
+}
+
+func (e *Engine) isDead() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dead
+}
+
+// Choice is a choice of an OpenAI answer or event.
+type Choice struct {
+	Index        int      `json:"index"`
+	Text         string   `json:"text,omitempty"`
+	Message      *Message `json:"message,omitempty"`
+	Delta        *Message `json:"delta,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// Message is a chat message.
+type Message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// Body is an OpenAI answer or event.
+type Body struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+}
+
+// Answer returns a whole answer.
+func Answer(m configurator.ModelName, text string, chat bool) Body {
+	stop := "stop"
+	if chat {
+		return Body{"cmpl", "chat.completion", string(m), []Choice{{Message: &Message{"assistant", text}, FinishReason: &stop}}}
+	}
+	return Body{"cmpl", "text_completion", string(m), []Choice{{Text: text, FinishReason: &stop}}}
+}
+
+// Event returns one event of a stream.
+func Event(m configurator.ModelName, word string, chat bool) Body {
+	if chat {
+		return Body{"cmpl", "chat.completion.chunk", string(m), []Choice{{Delta: &Message{Content: word}}}}
+	}
+	return Body{"cmpl", "text_completion", string(m), []Choice{{Text: word}}}
+}
+
+// Residents lists what the engine holds.
+func (e *Engine) Residents() []configurator.ModelName {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	names := make([]configurator.ModelName, 0, len(e.residents))
+	for m := range e.residents {
+		names = append(names, m)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/faker/store.go
@@ -0,0 +1,75 @@
+package faker
+
+import (
+	"sync"
+	"time"
+
+	"github.com/egretwall/egretwall/pkg/configurator"
+)
+
+// StoreConfig describes the weight store.
+type StoreConfig struct {
+	Limits  configurator.Store
+	Speed   float64       // bytes a second of one load at full speed
+	Adapter time.Duration // load time of an adapter at full speed
+}
+
+// Store is the weight store: it refuses loads above its rate and slows down
+// when more run at once than its limits say.
+type Store struct {
+	cfg StoreConfig
+
+	mu      sync.Mutex
+	tokens  float64
+	filled  time.Time
+	active  int
+	transit int
+}
+
+// NewStore returns an idle store.
+func NewStore(cfg StoreConfig) *Store {
+	return &Store{cfg: cfg, tokens: 1, filled: time.Now()}
+}
+
+// storeBurst is the number of loads that may start at once after a pause.
+const storeBurst = 4
+
+// Begin starts a load. It returns the time that the load takes and false when
+// the store refuses it; End must follow.
+func (s *Store) Begin(b configurator.Bytes, adapter bool) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if adapter {
+		s.transit++
+		return slowed(s.cfg.Adapter, s.transit, s.cfg.Limits.Transit), true
+	}
+	now := time.Now()
+	s.tokens = min(storeBurst, s.tokens+now.Sub(s.filled).Seconds()*s.cfg.Limits.Rate)
+	s.filled = now
+	if s.tokens < 1 {
+		return 0, false
+	}
+	s.tokens--
+	s.active++
+	full := time.Duration(float64(b) / s.cfg.Speed * float64(time.Second))
+	return slowed(full, s.active, s.cfg.Limits.Active), true
+}
+
+// slowed stretches a load time in proportion to the excess over a limit.
+func slowed(full time.Duration, n, limit int) time.Duration {
+	if n <= limit {
+		return full
+	}
+	return time.Duration(float64(full) * float64(n) / float64(limit))
+}
+
+// End finishes a load.
+func (s *Store) End(adapter bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if adapter {
+		s.transit--
+		return
+	}
+	s.active--
+}
--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,180 @@
+package follower
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/egretwall/egretwall/internal/recorder"
+	"github.com/egretwall/egretwall/pkg/configurator"
+)
+
+func base() configurator.Configuration {
+	return configurator.Configuration{
+		Name: "test", Window: 60_000,
+		Store:   configurator.Store{Rate: 1, Active: 1, Transit: 1},
+		Classes: []configurator.Class{{Name: "desk", First: 1, Gap: 1, Whole: 1}},
+		Models:  []configurator.Model{{Name: "m0", Bytes: 40, Copies: 1}},
+		Upstreams: []configurator.Upstream{
+			runner("r0", "a"), runner("r1", "b"),
+		},
+	}
+}
+
+func runner(name, domain string) configurator.Upstream {
+	return configurator.Upstream{
+		Name: configurator.UpstreamName(name), Role: configurator.Runner, Domain: configurator.DomainName(domain),
+		Address: "127.0.0.1:1", Accelerators: 1, Memory: 100, Slots: 1, Lease: 1, Flight: 1,
+	}
+}
+
+// testLog is an in-memory log that drops its first records on request.
+type testLog struct {
+	first   recorder.Offset
+	records []recorder.Record
+}
+
+func (l *testLog) append(r recorder.Record) {
+	r.Offset = recorder.Offset(len(l.records))
+	r.Time = int64(r.Offset)
+	l.records = append(l.records, r)
+}
+
+func (l *testLog) read(from recorder.Offset, n int) recorder.Batch {
+	start := max(from, l.first)
+	end := min(int(start)+n, len(l.records))
+	return recorder.Batch{First: l.first, Next: recorder.Offset(end), Records: l.records[start:end]}
+}
+
+func change(base configurator.Version, id string, puts map[string]any, drops ...configurator.Key) recorder.Record {
+	c := configurator.Change{ID: id, Base: base, Puts: configurator.Items{}, Drops: drops}
+	for k, v := range puts {
+		data, _ := json.Marshal(v)
+		c.Puts[configurator.Key(k)] = data
+	}
+	return recorder.Record{ID: id, Kind: recorder.Change, Change: &c}
+}
+
+func first() recorder.Record {
+	c := configurator.Diff("first", configurator.State{}, base())
+	return recorder.Record{ID: "first", Kind: recorder.Change, Change: &c}
+}
+
+func stateRecord(f *Follower) recorder.Record {
+	data, hash := f.State().Snapshot()
+	return recorder.Record{ID: "state", Kind: recorder.State, State: &recorder.Snapshot{Data: data, Hash: hash}}
+}
+
+func TestOneOfTwoConflictingChangesIsAccepted(t *testing.T) {
+	log := &testLog{}
+	log.append(first())
+	log.append(change(1, "a", map[string]any{"moves": 1}))
+	log.append(change(1, "b", map[string]any{"moves": 2}))
+	log.append(change(1, "c", map[string]any{"window": 5000}))
+	f := New()
+	require.True(t, f.Apply(0, log.read(0, 10)))
+	v := f.Report().Verdicts
+	require.True(t, v[1].Accepted)
+	require.False(t, v[2].Accepted)
+	require.Equal(t, []configurator.Key{"moves"}, v[2].Conflict)
+	require.True(t, v[3].Accepted, "a change of other keys does not conflict")
+	require.EqualValues(t, 3, f.State().Version)
+}
+
+func TestChangesThatAreInfeasibleTogetherAreRefused(t *testing.T) {
+	log := &testLog{}
+	log.append(first())
+	log.append(change(1, "a", map[string]any{"models/m1": configurator.Model{Name: "m1", Bytes: 50, Copies: 1}}))
+	log.append(change(1, "b", map[string]any{"models/m2": configurator.Model{Name: "m2", Bytes: 50, Copies: 1}}))
+	f := New()
+	f.Apply(0, log.read(0, 10))
+	v := f.Report().Verdicts
+	require.True(t, v[1].Accepted)
+	require.False(t, v[2].Accepted, "90 and 50 bytes do not fit on one runner of 100")
+	require.NotEmpty(t, v[2].Problems)
+}
+
+func TestDamagedSnapshotIsRefused(t *testing.T) {
+	f := New()
+	f.Apply(0, (&testLog{records: []recorder.Record{first()}}).read(0, 1))
+	data, hash := f.State().Snapshot()
+	_, err := New().Adopt(0, data[:len(data)-1], hash)
+	require.Error(t, err)
+}
+
+// converge drives several followers over one log: batches of random size,
+// restarts, dropped records, repeated states and peers. It reports a version
+// that fell and a version that two followers hold with different content.
+func converge(t *rapid.T, revert bool) error {
+	log := &testLog{}
+	log.append(first())
+	followers := make([]*Follower, 3)
+	seen := make([]configurator.Version, 3)
+	sums := map[configurator.Version]uint64{}
+	for i := range followers {
+		followers[i] = New()
+	}
+	for n := range rapid.IntRange(1, 80).Draw(t, "steps") {
+		i := rapid.IntRange(0, 2).Draw(t, "who")
+		f := followers[i]
+		now := time.Duration(n)
+		switch rapid.SampledFrom([]string{"read", "read", "change", "restart", "drop", "state", "peer"}).Draw(t, "step") {
+		case "read":
+			f.Apply(now, log.read(f.Next(), rapid.IntRange(1, 5).Draw(t, "n")))
+		case "change":
+			key := rapid.SampledFrom([]string{"moves", "window"}).Draw(t, "key")
+			behind := configurator.Version(rapid.IntRange(0, 1).Draw(t, "behind"))
+			version := f.State().Version
+			log.append(change(version-min(behind, version), fmt.Sprint(n), map[string]any{key: 2000 + n}))
+		case "restart":
+			followers[i], seen[i] = New(), 0
+		case "drop":
+			if f.State().Version > 0 {
+				log.append(stateRecord(f))
+				log.first = min(log.first+3, recorder.Offset(f.State().Offset))
+			}
+		case "state":
+			if f.State().Version > 0 {
+				log.append(stateRecord(f))
+			}
+		case "peer":
+			if revert {
+				f.Revert()
+			}
+			data, hash := followers[rapid.IntRange(0, 2).Draw(t, "peer")].State().Snapshot()
+			_, err := f.Adopt(now, data, hash)
+			if err != nil {
+				return err
+			}
+		}
+		state := followers[i].State()
+		if state.Version < seen[i] {
+			return fmt.Errorf("version fell from %d to %d", seen[i], state.Version)
+		}
+		seen[i] = state.Version
+		sum := state.Sum()
+		if known, ok := sums[state.Version]; ok && known != sum {
+			return fmt.Errorf("version %d has two contents", state.Version)
+		}
+		sums[state.Version] = sum
+	}
+	return nil
+}
+
+func TestFollowersAgreeAndNeverRevert(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		require.NoError(t, converge(t, false))
+	})
+}
+
+func TestRevertingConfigurationIsCaught(t *testing.T) {
+	caught := false
+	rapid.Check(t, func(t *rapid.T) {
+		caught = caught || converge(t, true) != nil
+	})
+	require.True(t, caught)
+}
--- /dev/null
+++ b/internal/generator/questionnaire.go
@@ -0,0 +1,158 @@
+// Package generator turns the answers of a questionnaire into a configuration.
+//
+// Usage:
+//
+//	q, problems := generator.Parse(data)
+//	cfg, problems := generator.Generate(q)
+//
+// The same answers give the same bytes.
+package generator
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/egretwall/egretwall/internal/decoder"
+	"github.com/egretwall/egretwall/pkg/configurator"
+)
+
+// Questionnaire holds a team's answers. Sizes are in gigabytes of 10^9 bytes.
+type Questionnaire struct {
+	Deployment string         `json:"deployment"`
+	Moves      string         `json:"moves"`  // how costly a move is: cheap or dear
+	Memory     int64          `json:"memory"` // minutes for which an idempotency key is remembered
+	Store      StoreAnswer    `json:"store"`
+	Classes    []ClassAnswer  `json:"classes"`
+	Models     []ModelAnswer  `json:"models"`
+	Runners    []RunnerAnswer `json:"runners"`
+	Services   []RunnerAnswer `json:"services"`
+	Callers    []CallerAnswer `json:"callers"`
+}
+
+// StoreAnswer describes the weight store.
+type StoreAnswer struct {
+	Rate    float64 `json:"rate"`    // model loads per second
+	Active  int     `json:"active"`  // model loads at once
+	Transit int     `json:"transit"` // adapters at once
+}
+
+// ClassAnswer describes how urgent a kind of work is.
+type ClassAnswer struct {
+	Name  string  `json:"name"`
+	First float64 `json:"first"` // seconds to the first token
+	Gap   float64 `json:"gap"`   // seconds between two tokens
+	Whole float64 `json:"whole"` // seconds to the whole answer
+}
+
+// ModelAnswer describes a model and its adapters.
+type ModelAnswer struct {
+	Name     string   `json:"name"`
+	Size     float64  `json:"size"`               // gigabytes
+	Copies   int      `json:"copies"`             // runners that always hold it
+	Adapters []string `json:"adapters,omitempty"` // adapter names
+	Part     float64  `json:"part,omitempty"`     // gigabytes of one adapter
+}
+
+// RunnerAnswer describes one upstream.
+type RunnerAnswer struct {
+	Name         string  `json:"name"`
+	Service      string  `json:"service,omitempty"`
+	Domain       string  `json:"domain"`
+	Address      string  `json:"address"` // IP number and port of its agent
+	Accelerators int     `json:"accelerators,omitempty"`
+	Size         float64 `json:"size,omitempty"` // gigabytes for weights
+	Slots        int     `json:"slots"`
+	Fenced       bool    `json:"fenced,omitempty"`
+}
+
+// CallerAnswer describes a caller.
+type CallerAnswer struct {
+	Name  string `json:"name"`
+	Key   string `json:"key"` // bearer token; only its hash is kept
+	Class string `json:"class"`
+	Early bool   `json:"early,omitempty"`
+	Limit int    `json:"limit"`
+}
+
+// Weights of one move against attainment, by answer.
+const (
+	cheapMove = 0.1
+	dearMove  = 1.0
+)
+
+// Defaults for what the questionnaire does not ask.
+const (
+	leaseMillis  = 10_000
+	flightMillis = 5_000
+	minuteMillis = 60_000
+)
+
+const gigabyte = 1e9
+
+// Parse decodes a questionnaire.
+func Parse(data []byte) (Questionnaire, []decoder.Problem) {
+	var q Questionnaire
+	problems := decoder.Decode(data, &q)
+	return q, problems
+}
+
+// Generate derives the configuration and returns every mistake in it.
+func Generate(q Questionnaire) (configurator.Configuration, []decoder.Problem) {
+	cfg := configurator.Configuration{
+		Name:   q.Deployment,
+		Window: configurator.Millis(q.Memory * minuteMillis),
+		Store:  configurator.Store(q.Store),
+	}
+	var problems []decoder.Problem
+	switch q.Moves {
+	case "cheap":
+		cfg.Moves = cheapMove
+	case "dear":
+		cfg.Moves = dearMove
+	default:
+		problems = append(problems, decoder.Problem{Path: "$.moves", Text: fmt.Sprintf("expected cheap or dear, found %q", q.Moves)})
+	}
+	for i, c := range q.Classes {
+		cfg.Classes = append(cfg.Classes, configurator.Class{
+			Name: configurator.ClassName(c.Name), Rank: i,
+			First: millis(c.First), Gap: millis(c.Gap), Whole: millis(c.Whole),
+		})
+	}
+	for _, m := range q.Models {
+		addModel(&cfg, m)
+	}
+	for _, r := range q.Runners {
+		cfg.Upstreams = append(cfg.Upstreams, configurator.Upstream{
+			Name: configurator.UpstreamName(r.Name), Role: configurator.Runner, Domain: configurator.DomainName(r.Domain), Address: r.Address,
+			Accelerators: r.Accelerators, Memory: size(r.Size), Slots: r.Slots, Fenced: r.Fenced, Lease: leaseMillis, Flight: flightMillis,
+		})
+	}
+	for _, r := range q.Services {
+		cfg.Upstreams = append(cfg.Upstreams, configurator.Upstream{
+			Name: configurator.UpstreamName(r.Name), Role: configurator.Service, Service: configurator.ServiceName(r.Service),
+			Domain: configurator.DomainName(r.Domain), Address: r.Address, Slots: r.Slots,
+		})
+	}
+	for _, c := range q.Callers {
+		cfg.Callers = append(cfg.Callers, configurator.Caller{
+			Name: configurator.CallerName(c.Name), Key: configurator.HashKey(c.Key), Class: configurator.ClassName(c.Class), Early: c.Early, Limit: c.Limit,
+		})
+	}
+	return cfg, append(problems, configurator.Check(cfg)...)
+}
+
+func addModel(cfg *configurator.Configuration, m ModelAnswer) {
+	name := configurator.ModelName(m.Name)
+	cfg.Models = append(cfg.Models, configurator.Model{Name: name, Bytes: size(m.Size), Copies: m.Copies})
+	for _, a := range m.Adapters {
+		cfg.Adapters = append(cfg.Adapters, configurator.Adapter{Name: configurator.ModelName(a), Model: name, Bytes: size(m.Part)})
+	}
+}
+
+func size(gigabytes float64) configurator.Bytes {
+	return configurator.Bytes(math.Round(gigabytes * gigabyte))
+}
+
+func millis(seconds float64) configurator.Millis {
+	return configurator.Millis(math.Round(seconds * 1000))
+}
--- /dev/null
+++ b/internal/reducer/agent.go
@@ -0,0 +1,385 @@
+package reducer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/egretwall/egretwall/internal/admitter"
+	"github.com/egretwall/egretwall/internal/claimer"
+	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/follower"
+	"github.com/egretwall/egretwall/internal/linkpb"
+	"github.com/egretwall/egretwall/internal/placer"
+	"github.com/egretwall/egretwall/internal/reserver"
+	"github.com/egretwall/egretwall/internal/router"
+	"github.com/egretwall/egretwall/pkg/configurator"
+)
+
+// AgentConfig describes an agent.
+type AgentConfig struct {
+	Upstream    configurator.UpstreamName
+	Incarnation Incarnation
+	Retention   time.Duration // for which the log keeps records
+	Seed        uint64
+	Hooks       Hooks
+}
+
+// Agent decides for one agent. Every request and every order to its upstream
+// passes through it. It is not safe for concurrent use.
+type Agent struct {
+	cfg      AgentConfig
+	now      time.Duration
+	out      []Effect
+	follower *follower.Follower
+	router   *router.Router
+	upstream configurator.Upstream // zero until it is configured
+	roster   roster
+	homes    placer.Placement
+	sizes    map[configurator.ModelName]configurator.Bytes
+	bases    map[configurator.ModelName]configurator.ModelName
+
+	entries  map[EntryID]*entryLink
+	attempts map[AttemptID]*attempt
+	queue    *admitter.Queue
+	cold     []*attempt // wait for a model to load
+	active   int
+	service  time.Duration // smoothed time that an attempt holds a slot
+	draining bool
+	stopped  bool
+
+	claims  *claimer.Table
+	claim   claiming
+	lease   leasing
+	ledger  *reserver.Ledger
+	balance balancing
+	keeper  keeping
+
+	Counters AgentCounters
+}
+
+// AgentCounters counts what an agent has done since it started.
+type AgentCounters struct {
+	Taken    int `json:"taken"`
+	Passed   int `json:"passed"`
+	Whole    int `json:"whole"`
+	NotRun   int `json:"notrun"`
+	Unknown  int `json:"unknown"`
+	Replayed int `json:"replayed"` // repeated keys that got the first answer
+	Stale    int `json:"stale"`
+	Loads    int `json:"loads"`
+	Unloads  int `json:"unloads"`
+	Appends  int `json:"appends"`
+}
+
+// entryLink is an agent's view of an entry.
+type entryLink struct {
+	incarnation Incarnation
+	epoch       Epoch
+	up          bool
+	swept       bool // attempts were forgotten while it was out of reach
+	heard       time.Duration
+	sent        time.Duration
+	lostAt      time.Duration
+	open        int
+	load        linkpb.Load // last one sent
+	loadAt      time.Duration
+}
+
+// NewAgent returns the reducer of an agent without a configuration.
+func NewAgent(cfg AgentConfig) *Agent {
+	a := &Agent{
+		cfg:      cfg,
+		follower: follower.New(),
+		router:   router.New(cfg.Seed),
+		entries:  map[EntryID]*entryLink{},
+		attempts: map[AttemptID]*attempt{},
+		queue:    admitter.New(admitter.Config{Bound: queueBound}),
+		claims:   claimer.New(0),
+		claim:    claiming{runs: map[claimer.Key]*keyedRun{}, tokens: appendBurst},
+		balance:  balancing{used: map[configurator.ModelName]time.Duration{}, busy: map[configurator.ModelName]int{}, looks: map[configurator.UpstreamName]look{}},
+	}
+	if cfg.Hooks.RevertVersion {
+		a.follower.Revert()
+	}
+	return a
+}
+
+// Reduce applies an event that happened at time now.
+func (a *Agent) Reduce(now time.Duration, event Event) []Effect {
+	a.now = now
+	a.out = a.out[:0]
+	switch ev := event.(type) {
+	case Tick:
+		a.tick()
+	case Opened:
+		a.opened(ev)
+	case Closed:
+		a.closed(ev)
+	case Told:
+		a.told(ev)
+	case Began:
+		a.began(ev)
+	case Piece:
+		a.piece(ev)
+	case Finished:
+		a.finished(ev)
+	case Reported:
+		a.reported(ev)
+	case Ordered:
+		a.ordered(ev)
+	case Looked:
+		a.looked(ev)
+	case Appended:
+		a.appended(ev)
+	case Read:
+		a.read(ev)
+	case Learned:
+		a.learn(ev.Document)
+	case Listed:
+		if a.roster.update(now, a.follower.State().Config.Upstreams, ev) {
+			a.survey()
+		}
+	case Drain:
+		a.drain()
+	}
+	a.finishDrain()
+	return a.out
+}
+
+func (a *Agent) emit(effect Effect) {
+	a.out = append(a.out, effect)
+}
+
+func (a *Agent) isRunner() bool {
+	return a.upstream.Role == configurator.Runner
+}
+
+func (a *Agent) drain() {
+	if a.draining {
+		return
+	}
+	a.draining = true
+	a.emit(Note{Name: "draining"})
+	for _, t := range a.cold {
+		if t.state == stateCold && t.submit.Key == "" {
+			a.refuse(t, classifier.Leaving)
+		}
+	}
+	a.sendLoads(true)
+}
+
+// finishDrain stops the process once all attempts have been handed over.
+func (a *Agent) finishDrain() {
+	if !a.draining || a.stopped || len(a.attempts) > 0 {
+		return
+	}
+	a.stopped = true
+	a.emit(Stop{})
+}
+
+func (a *Agent) tick() {
+	a.tickEntries()
+	a.expireQueued()
+	a.tickClaims()
+	if a.isRunner() {
+		a.tickLease()
+		a.tickBalance()
+	}
+	a.tickKeeper()
+	a.pump()
+}
+
+func (a *Agent) learn(doc *linkpb.Document) {
+	changed, err := a.follower.Adopt(a.now, doc.Snapshot, doc.Hash)
+	if err != nil {
+		a.emit(Note{Name: "document refused", Kind: classifier.Invalid, Text: err.Error()})
+		return
+	}
+	a.install(changed)
+}
+
+// install rebuilds what depends on the configuration.
+func (a *Agent) install(changed bool) {
+	if !changed {
+		return
+	}
+	cfg := &a.follower.State().Config
+	u, ok := cfg.Upstream(a.cfg.Upstream)
+	if ok {
+		a.upstream = u
+		if a.ledger == nil && u.Role == configurator.Runner {
+			a.ledger = reserver.New(reserver.Config{
+				Capacity: u.Memory, Fenced: u.Fenced, Flight: u.Flight.Duration(), Forget: a.cfg.Hooks.ForgetOrders,
+			})
+		}
+	}
+	a.claims.SetWindow(cfg.Window.Duration())
+	a.sizes = map[configurator.ModelName]configurator.Bytes{}
+	a.bases = map[configurator.ModelName]configurator.ModelName{}
+	for _, m := range cfg.Models {
+		a.sizes[m.Name], a.bases[m.Name] = m.Bytes, m.Name
+	}
+	for _, ad := range cfg.Adapters {
+		a.sizes[ad.Name], a.bases[ad.Name] = ad.Bytes, ad.Model
+	}
+	a.survey()
+	state := *a.follower.State()
+	a.emit(Install{&state})
+	a.emit(Note{Name: "configuration in force", Text: cfg.Name})
+}
+
+// survey places the models on the runners that are not gone.
+func (a *Agent) survey() {
+	a.homes = placer.Place(&a.follower.State().Config, func(u configurator.UpstreamName) bool {
+		return u == a.cfg.Upstream || a.roster.placeable(u)
+	})
+}
+
+// opened starts a connection of an entry. Older connections of the entry are
+// not listened to any more.
+func (a *Agent) opened(ev Opened) {
+	l := a.entries[ev.Entry]
+	if l == nil {
+		l = &entryLink{}
+		a.entries[ev.Entry] = l
+	}
+	if l.incarnation == ev.Incarnation && ev.Epoch <= l.epoch {
+		a.Counters.Stale++
+		return
+	}
+	if l.incarnation != ev.Incarnation {
+		a.orphan(l)
+		l = &entryLink{}
+		a.entries[ev.Entry] = l
+	}
+	l.incarnation, l.epoch, l.up = ev.Incarnation, ev.Epoch, true
+	l.heard, l.sent = a.now, a.now
+	a.sendHolds(ev.Entry, l)
+	a.sendLoad(ev.Entry, l, true)
+	a.compareVersions(ev.Entry, l, ev.Version)
+}
+
+func (a *Agent) closed(ev Closed) {
+	l := a.entries[ev.Entry]
+	if l == nil || l.epoch != ev.Epoch || !l.up {
+		return
+	}
+	l.up = false
+	l.lostAt = a.now
+}
+
+func (a *Agent) send(entry EntryID, l *entryLink, down *linkpb.Down) {
+	if l.up {
+		a.emit(SendDown{entry, l.epoch, down})
+	}
+}
+
+// tickEntries beats, and forgets entries that stay out of reach.
+func (a *Agent) tickEntries() {
+	for _, id := range a.entryIDs() {
+		l := a.entries[id]
+		if !l.up {
+			if l.open > 0 && a.now-l.lostAt > orphanAfter {
+				a.orphan(l)
+			}
+			continue
+		}
+		a.sendLoad(id, l, false)
+		period := idlePeriod
+		if l.open > 0 {
+			period = beatPeriod
+		}
+		if a.now-l.sent >= period {
+			l.sent = a.now
+			a.send(id, l, &linkpb.Down{Kind: &linkpb.Down_Beat{Beat: &linkpb.Beat{Version: uint64(a.follower.State().Version)}}})
+		}
+		if l.open > 0 && a.now-l.heard > orphanAfter {
+			l.up, l.lostAt = false, a.now
+		}
+	}
+}
+
+func (a *Agent) entryIDs() []EntryID {
+	ids := make([]EntryID, 0, len(a.entries))
+	for id := range a.entries {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (a *Agent) sendLoads(force bool) {
+	for _, id := range a.entryIDs() {
+		a.sendLoad(id, a.entries[id], force)
+	}
+}
+
+// loadPeriod spaces the load summaries that go to one entry.
+const loadPeriod = 200 * time.Millisecond
+
+func (a *Agent) sendLoad(id EntryID, l *entryLink, force bool) {
+	queued, active := uint32(a.queue.Len()+len(a.cold)), uint32(a.active)
+	leaving := a.draining || a.unfit()
+	same := l.load.Queued == queued && l.load.Active == active && l.load.Leaving == leaving
+	urgent := l.load.Leaving != leaving
+	if !force && (same || !urgent && (l.open == 0 || a.now-l.loadAt < loadPeriod)) {
+		return
+	}
+	l.load.Queued, l.load.Active, l.load.Leaving = queued, active, leaving
+	l.loadAt, l.sent = a.now, a.now
+	a.send(id, l, &linkpb.Down{Kind: &linkpb.Down_Load{Load: &linkpb.Load{Queued: queued, Active: active, Leaving: leaving}}})
+}
+
+func (a *Agent) sendHolds(id EntryID, l *entryLink) {
+	if a.ledger == nil {
+		return
+	}
+	holds := &linkpb.Holds{Free: int64(a.ledger.Free())}
+	for _, m := range a.ledger.Residents() {
+		holds.Residents = append(holds.Residents, string(m))
+	}
+	a.send(id, l, &linkpb.Down{Kind: &linkpb.Down_Holds{Holds: holds}})
+}
+
+// compareVersions hands the configuration to an entry that lags.
+func (a *Agent) compareVersions(id EntryID, l *entryLink, theirs configurator.Version) {
+	if theirs >= a.follower.State().Version {
+		return
+	}
+	data, hash := a.follower.State().Snapshot()
+	a.send(id, l, &linkpb.Down{Kind: &linkpb.Down_Document{Document: &linkpb.Document{Snapshot: data, Hash: hash}}})
+}
+
+func (a *Agent) told(ev Told) {
+	l := a.entries[ev.Entry]
+	if l == nil || l.epoch != ev.Epoch || !l.up {
+		a.Counters.Stale++
+		return
+	}
+	l.heard = a.now
+	switch m := ev.Up.Kind.(type) {
+	case *linkpb.Up_Submit:
+		a.take(ev.Entry, l, m.Submit)
+	case *linkpb.Up_Cancel:
+		a.cancel(AttemptID(m.Cancel.Attempt))
+	case *linkpb.Up_Ack:
+		a.acked(AttemptID(m.Ack.Attempt), m.Ack.Next)
+	case *linkpb.Up_Resume:
+		a.resume(ev.Entry, l, AttemptID(m.Resume.Attempt), m.Resume.Next)
+	case *linkpb.Up_Beat:
+		a.compareVersions(ev.Entry, l, configurator.Version(m.Beat.Version))
+	case *linkpb.Up_Document:
+		a.learn(m.Document)
+	}
+}
+
+func (a *Agent) read(ev Read) {
+	changed := a.follower.Apply(a.now, ev.Batch)
+	a.install(changed)
+	for _, r := range ev.Batch.Records {
+		a.readClaims(r)
+		a.readLease(r)
+		a.keeper.read(r)
+	}
+	a.lease.sawLog(ev.Batch)
+}
--- /dev/null
+++ b/internal/reducer/balancing.go
@@ -0,0 +1,354 @@
+package reducer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/egretwall/egretwall/internal/linkpb"
+	"github.com/egretwall/egretwall/internal/reserver"
+	"github.com/egretwall/egretwall/pkg/configurator"
+)
+
+// Limits on a runner's engine.
+const (
+	engineSilent = 1500 * time.Millisecond // refuses new work without a report for so long
+	touchAfter   = time.Second             // settles a lost order with a higher number
+)
+
+// balancing is an agent's state about what its runner holds.
+type balancing struct {
+	asking   bool
+	askedAt  time.Duration
+	goodAt   time.Duration // last report
+	good     bool
+	tickAt   time.Duration
+	pause    time.Duration // after a refused load
+	loadFrom time.Duration // no load order before
+	used     map[configurator.ModelName]time.Duration
+	busy     map[configurator.ModelName]int // attempts running
+	looks    map[configurator.UpstreamName]look
+}
+
+// look is what another runner held at a time.
+type look struct {
+	at      time.Duration
+	asked   time.Duration
+	holding map[configurator.ModelName]bool
+}
+
+// pin counts the running attempts of a model and of its adapter.
+func (b *balancing) pin(t *attempt, n int) {
+	if m := configurator.ModelName(t.submit.Model); m != "" {
+		b.busy[m] += n
+	}
+}
+
+// ready tells whether attempts of a model or adapter can run.
+func (a *Agent) ready(m configurator.ModelName) bool {
+	if a.ledger == nil {
+		return true
+	}
+	base := a.bases[m]
+	return a.holdsFirmly(m) && (base == m || a.holdsFirmly(base))
+}
+
+func (a *Agent) holdsFirmly(m configurator.ModelName) bool {
+	return a.ledger.Resident(m) && !a.ledger.Unloading(m)
+}
+
+// unfit tells whether the runner can't take new work although the agent runs.
+func (a *Agent) unfit() bool {
+	if !a.isRunner() {
+		return false
+	}
+	return a.lease.superseded || !a.balance.good || a.now-a.balance.goodAt > engineSilent
+}
+
+func (a *Agent) reported(ev Reported) {
+	a.balance.asking = false
+	if ev.Err != nil || a.ledger == nil {
+		return
+	}
+	a.balance.good = true
+	a.balance.goodAt = a.now
+	before := a.ledger.Residents()
+	a.ledger.Observe(ev.Report, ev.Asked)
+	if a.lease.touch > 0 && ev.Report.Number >= a.lease.touch && !a.lease.superseded {
+		a.lease.clean = true
+	}
+	a.warm()
+	if slices.Equal(before, a.ledger.Residents()) {
+		return
+	}
+	for _, id := range a.entryIDs() {
+		a.sendHolds(id, a.entries[id])
+	}
+}
+
+func (a *Agent) ordered(ev Ordered) {
+	if a.ledger == nil {
+		return
+	}
+	switch ev.Outcome {
+	case Taken:
+		a.balance.pause = 0
+	case Refused:
+		a.ledger.Refuse(ev.Number)
+		a.delayLoads()
+		if ev.Highest > ev.Number {
+			a.raiseCounter(ev.Highest)
+		}
+	case Unsent:
+		a.ledger.Refuse(ev.Number)
+		a.delayLoads()
+	case Unknown:
+		a.ledger.Lose(ev.Number)
+		a.delayLoads()
+	}
+}
+
+// raiseCounter steps over a number that the engine has seen under this lease.
+func (a *Agent) raiseCounter(highest reserver.Number) {
+	if uint64(highest)>>counterBits == uint64(a.lease.offset) {
+		a.lease.counter = uint64(highest) & (1<<counterBits - 1)
+	}
+}
+
+func (a *Agent) delayLoads() {
+	a.balance.pause = min(max(2*a.balance.pause, loadPause), loadLimit)
+	a.balance.loadFrom = a.now + a.router.Jitter(a.balance.pause)
+}
+
+func (a *Agent) looked(ev Looked) {
+	if ev.Err != nil {
+		return
+	}
+	l := look{at: a.now, asked: a.balance.looks[ev.Upstream].asked, holding: map[configurator.ModelName]bool{}}
+	for _, m := range ev.Residents {
+		l.holding[m] = true
+	}
+	a.balance.looks[ev.Upstream] = l
+}
+
+func (a *Agent) tickBalance() {
+	b := &a.balance
+	if !b.asking && a.now-b.askedAt >= askPeriod {
+		b.asking, b.askedAt = true, a.now
+		a.emit(Ask{})
+	}
+	if a.now-b.tickAt < balancePeriod || a.ledger == nil {
+		return
+	}
+	b.tickAt = a.now
+	if !a.mayOrder() || !a.ledger.Known() || a.draining {
+		return
+	}
+	a.settle()
+	if a.now < b.loadFrom {
+		return
+	}
+	a.loadNext()
+	a.loadAdapters()
+}
+
+// settle gives the engine a higher number when an order was lost, so that a
+// later report proves that it can't land any more.
+func (a *Agent) settle() {
+	if !a.upstream.Fenced || a.ledger.Unresolved() == 0 || a.now-max(a.lease.touched, a.ledger.OldestOrder()) < touchAfter {
+		return
+	}
+	a.lease.touched = a.now
+	a.emit(Order{Number: a.lease.number(), Op: reserver.Touch})
+}
+
+// loadNext orders the most wanted base model that is missing, one at a time.
+func (a *Agent) loadNext() {
+	for _, m := range a.wanted() {
+		if a.ledger.Loading(m) || a.ledger.Pending(m) && !a.ledger.Resident(m) {
+			return
+		}
+	}
+	for _, m := range a.wanted() {
+		if a.ledger.Resident(m) {
+			continue
+		}
+		if a.ledger.Free() < a.sizes[m] {
+			if !a.makeRoom(m) {
+				continue
+			}
+			return
+		}
+		a.load(m)
+		return
+	}
+}
+
+// wanted lists base models: those that attempts wait for, then the home copies
+// of this runner, first copies first.
+func (a *Agent) wanted() []configurator.ModelName {
+	var models []configurator.ModelName
+	add := func(m configurator.ModelName) {
+		if m != "" && !slices.Contains(models, m) {
+			models = append(models, m)
+		}
+	}
+	for _, t := range a.coldByUrgency() {
+		add(a.bases[configurator.ModelName(t.submit.Model)])
+	}
+	cfg := &a.follower.State().Config
+	for copyIndex := range 4 {
+		for _, m := range cfg.Models {
+			homes := a.homes[m.Name]
+			if copyIndex < len(homes) && homes[copyIndex] == a.cfg.Upstream {
+				add(m.Name)
+			}
+		}
+	}
+	return models
+}
+
+func (a *Agent) coldByUrgency() []*attempt {
+	cold := slices.DeleteFunc(slices.Clone(a.cold), func(t *attempt) bool { return t.state != stateCold })
+	slices.SortStableFunc(cold, func(x, y *attempt) int { return cmp.Compare(x.class.Rank, y.class.Rank) })
+	return cold
+}
+
+func (a *Agent) load(m configurator.ModelName) {
+	n := a.lease.number()
+	if !a.ledger.Load(a.now, n, m, a.sizes[m]) {
+		return
+	}
+	a.Counters.Loads++
+	a.balance.used[m] = a.now
+	a.emit(Order{Number: n, Op: reserver.Load, Model: m, Bytes: a.sizes[m], Before: a.before()})
+}
+
+func (a *Agent) unload(m configurator.ModelName) {
+	n := a.lease.number()
+	if !a.ledger.Unload(a.now, n, m) {
+		return
+	}
+	a.Counters.Unloads++
+	a.emit(Order{Number: n, Op: reserver.Unload, Model: m, Before: a.before()})
+}
+
+// loadAdapters orders missing adapters of resident models, those that attempts
+// wait for first.
+func (a *Agent) loadAdapters() {
+	var names []configurator.ModelName
+	for _, t := range a.coldByUrgency() {
+		names = append(names, configurator.ModelName(t.submit.Model))
+	}
+	cfg := &a.follower.State().Config
+	for _, ad := range cfg.Adapters {
+		if slices.Contains(a.homes[ad.Model], a.cfg.Upstream) {
+			names = append(names, ad.Name)
+		}
+	}
+	under := 0
+	for _, ad := range cfg.Adapters {
+		if a.ledger.Loading(ad.Name) || a.ledger.Pending(ad.Name) {
+			under++
+		}
+	}
+	for _, m := range names {
+		if under >= maxAdapters {
+			return
+		}
+		base := a.bases[m]
+		if base == m || !a.holdsFirmly(base) || a.ledger.Resident(m) || a.ledger.Loading(m) || a.ledger.Pending(m) || a.ledger.Free() < a.sizes[m] {
+			continue
+		}
+		a.load(m)
+		under++
+	}
+}
+
+// makeRoom unloads what is needed least until m fits, and tells whether
+// unloads are under way.
+func (a *Agent) makeRoom(m configurator.ModelName) bool {
+	free := a.ledger.Free()
+	victims := a.victims()
+	for _, v := range victims {
+		free += a.sizes[v]
+	}
+	if free < a.sizes[m] {
+		return false
+	}
+	free = a.ledger.Free()
+	for _, v := range victims {
+		if free >= a.sizes[m] {
+			break
+		}
+		free += a.sizes[v]
+		a.unload(v)
+	}
+	return true
+}
+
+// victims lists the base models that may be unloaded, least recently used
+// first: no home copies, nothing in use, and never the last copy.
+func (a *Agent) victims() []configurator.ModelName {
+	var list []configurator.ModelName
+	for _, m := range a.ledger.Residents() {
+		base, known := a.bases[m]
+		if known && base != m || slices.Contains(a.homes[m], a.cfg.Upstream) || a.inUse(m) || a.ledger.Pending(m) {
+			continue
+		}
+		if known && !a.heldElsewhere(m) {
+			continue
+		}
+		list = append(list, m)
+	}
+	slices.SortStableFunc(list, func(x, y configurator.ModelName) int { return cmp.Compare(a.balance.used[x], a.balance.used[y]) })
+	return list
+}
+
+// inUse tells whether attempts run or wait for a model or one of its adapters.
+func (a *Agent) inUse(base configurator.ModelName) bool {
+	for m, n := range a.balance.busy {
+		if n > 0 && a.bases[m] == base {
+			return true
+		}
+	}
+	return slices.ContainsFunc(a.cold, func(t *attempt) bool {
+		return t.state == stateCold && a.bases[configurator.ModelName(t.submit.Model)] == base
+	})
+}
+
+// heldElsewhere tells whether a home of m has lately been seen to hold it, and
+// asks its homes otherwise.
+func (a *Agent) heldElsewhere(m configurator.ModelName) bool {
+	for _, u := range a.homes[m] {
+		if l := a.balance.looks[u]; l.holding[m] && a.now-l.at < lookLife {
+			return true
+		}
+	}
+	for _, u := range a.homes[m] {
+		l := a.balance.looks[u]
+		if l.asked > 0 && a.now-l.asked < lookLife/4 {
+			continue
+		}
+		l.asked = a.now
+		a.balance.looks[u] = l
+		up, _ := a.follower.State().Config.Upstream(u)
+		a.emit(Look{u, up.Address})
+	}
+	return false
+}
+
+// Holds describes what the runner holds, for other agents.
+func (a *Agent) Holds() *linkpb.Holds {
+	holds := &linkpb.Holds{}
+	if a.ledger == nil {
+		return holds
+	}
+	holds.Free = int64(a.ledger.Free())
+	for _, m := range a.ledger.Residents() {
+		if !a.ledger.Unloading(m) {
+			holds.Residents = append(holds.Residents, string(m))
+		}
+	}
+	return holds
+}
--- /dev/null
+++ b/pkg/configurator/state.go
@@ -0,0 +1,254 @@
+package configurator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/egretwall/egretwall/internal/decoder"
+)
+
+// Version counts accepted changes; it only rises.
+type Version uint64
+
+// Key names one item of a configuration, such as "models/tariff-nl".
+type Key string
+
+// Items is a configuration split into its items.
+type Items map[Key]json.RawMessage
+
+// Change is what an operator publishes: the items to write and to drop,
+// derived from the configuration of version Base.
+type Change struct {
+	ID    string  `json:"id"`
+	Base  Version `json:"base"`
+	Puts  Items   `json:"puts,omitempty"`
+	Drops []Key   `json:"drops,omitempty"`
+}
+
+// Verdict tells what the acceptance rule decided about a change.
+type Verdict struct {
+	ID       string            `json:"id"`
+	Accepted bool              `json:"accepted"`
+	Version  Version           `json:"version"`            // version in force after the verdict
+	Conflict []Key             `json:"conflict,omitempty"` // keys written since the change's base
+	Problems []decoder.Problem `json:"problems,omitempty"`
+}
+
+// State is the accepted configuration together with what the acceptance rule
+// needs: the version that last wrote each key. The zero State is version 0.
+type State struct {
+	Version Version         `json:"version"`
+	Offset  uint64          `json:"offset"` // all log records below it are taken into account
+	Items   Items           `json:"items"`
+	Written map[Key]Version `json:"written"`
+
+	Config Configuration `json:"-"`
+}
+
+// Split returns the items of cfg.
+func Split(cfg Configuration) Items {
+	items := Items{}
+	items.put("name", cfg.Name)
+	items.put("moves", cfg.Moves)
+	items.put("window", cfg.Window)
+	items.put("store", cfg.Store)
+	for _, v := range cfg.Classes {
+		items.put("classes/"+Key(v.Name), v)
+	}
+	for _, v := range cfg.Models {
+		items.put("models/"+Key(v.Name), v)
+	}
+	for _, v := range cfg.Adapters {
+		items.put("adapters/"+Key(v.Name), v)
+	}
+	for _, v := range cfg.Upstreams {
+		items.put("upstreams/"+Key(v.Name), v)
+	}
+	for _, v := range cfg.Callers {
+		items.put("callers/"+Key(v.Name), v)
+	}
+	return items
+}
+
+func (i Items) put(k Key, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // configuration types can always be encoded
+	}
+	i[k] = data
+}
+
+// Join assembles a configuration from its items, ordered by key.
+func Join(items Items) (Configuration, []decoder.Problem) {
+	var cfg Configuration
+	var problems []decoder.Problem
+	for _, k := range sorted(items) {
+		section, _, _ := strings.Cut(string(k), "/")
+		for _, p := range joinItem(&cfg, section, items[k]) {
+			p.Path = string(k) + strings.TrimPrefix(p.Path, "$")
+			problems = append(problems, p)
+		}
+	}
+	return cfg, problems
+}
+
+func joinItem(cfg *Configuration, section string, data []byte) []decoder.Problem {
+	switch section {
+	case "name":
+		return scalar(data, &cfg.Name)
+	case "moves":
+		return scalar(data, &cfg.Moves)
+	case "window":
+		return scalar(data, &cfg.Window)
+	case "store":
+		return decoder.Decode(data, &cfg.Store)
+	case "classes":
+		return extend(&cfg.Classes, data)
+	case "models":
+		return extend(&cfg.Models, data)
+	case "adapters":
+		return extend(&cfg.Adapters, data)
+	case "upstreams":
+		return extend(&cfg.Upstreams, data)
+	case "callers":
+		return extend(&cfg.Callers, data)
+	}
+	return []decoder.Problem{{Path: "$", Text: "unknown key, remove it"}}
+}
+
+func scalar(data []byte, v any) []decoder.Problem {
+	if err := json.Unmarshal(data, v); err != nil {
+		return []decoder.Problem{{Path: "$", Text: err.Error()}}
+	}
+	return nil
+}
+
+func extend[T any](list *[]T, data []byte) []decoder.Problem {
+	var v T
+	problems := decoder.Decode(data, &v)
+	*list = append(*list, v)
+	return problems
+}
+
+// Diff returns the change that leads from base to cfg.
+func Diff(id string, base State, cfg Configuration) Change {
+	next := Split(cfg)
+	c := Change{ID: id, Base: base.Version, Puts: Items{}}
+	for _, k := range sorted(next) {
+		if !bytes.Equal(base.Items[k], next[k]) {
+			c.Puts[k] = next[k]
+		}
+	}
+	for _, k := range sorted(base.Items) {
+		if _, ok := next[k]; !ok {
+			c.Drops = append(c.Drops, k)
+		}
+	}
+	return c
+}
+
+// Apply decides about c. A change is accepted when none of its keys was
+// written after its base and the result is valid and feasible. The receiver
+// stays as it is.
+func (s State) Apply(c Change) (State, Verdict) {
+	v := Verdict{ID: c.ID, Version: s.Version}
+	if c.Base > s.Version {
+		v.Problems = []decoder.Problem{{Path: "$.base", Text: fmt.Sprintf("version %d is in force, base the change on it", s.Version)}}
+		return s, v
+	}
+	for _, k := range c.keys() {
+		if s.Written[k] > c.Base {
+			v.Conflict = append(v.Conflict, k)
+		}
+	}
+	if len(v.Conflict) > 0 {
+		return s, v
+	}
+	next := s.with(c)
+	cfg, problems := Join(next.Items)
+	if len(problems) == 0 {
+		problems = Check(cfg)
+	}
+	if len(problems) > 0 {
+		v.Problems = problems
+		return s, v
+	}
+	next.Config = cfg
+	v.Accepted = true
+	v.Version = next.Version
+	return next, v
+}
+
+func (s State) with(c Change) State {
+	next := State{Version: s.Version + 1, Offset: s.Offset, Items: Items{}, Written: map[Key]Version{}}
+	for k, data := range s.Items {
+		next.Items[k] = data
+	}
+	for k, v := range s.Written {
+		next.Written[k] = v
+	}
+	for k, data := range c.Puts {
+		next.Items[k] = data
+		next.Written[k] = next.Version
+	}
+	for _, k := range c.Drops {
+		delete(next.Items, k)
+		next.Written[k] = next.Version
+	}
+	return next
+}
+
+func (c Change) keys() []Key {
+	keys := append([]Key{}, c.Drops...)
+	keys = append(keys, sorted(c.Puts)...)
+	sort.Slice(keys, func(i, j int) bool { return keys[i] < keys[j] })
+	return keys
+}
+
+// Snapshot returns the encoded state and its hash.
+func (s State) Snapshot() ([]byte, uint64) {
+	data, err := json.Marshal(s)
+	if err != nil {
+		panic(err) // items come from valid JSON
+	}
+	return data, xxhash.Sum64(data)
+}
+
+// Sum is a hash of the accepted configuration. It is the same for all
+// processes that hold the same version.
+func (s State) Sum() uint64 {
+	s.Offset = 0
+	_, hash := s.Snapshot()
+	return hash
+}
+
+// Restore decodes a snapshot and verifies its hash.
+func Restore(data []byte, hash uint64) (State, error) {
+	var s State
+	if xxhash.Sum64(data) != hash {
+		return s, fmt.Errorf("snapshot does not match its hash, fetch it again")
+	}
+	if err := json.Unmarshal(data, &s); err != nil {
+		return s, fmt.Errorf("decode snapshot: %w", err)
+	}
+	cfg, problems := Join(s.Items)
+	if len(problems) > 0 {
+		return s, fmt.Errorf("snapshot of version %d is invalid: %s", s.Version, problems[0])
+	}
+	s.Config = cfg
+	return s, nil
+}
+
+func sorted(items Items) []Key {
+	keys := make([]Key, 0, len(items))
+	for k := range items {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i] < keys[j] })
+	return keys
+}
