--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -51,6 +51,7 @@
 
 	mu    sync.Mutex
 	boxes map[reducer.RequestID]*mailbox
+	conns map[net.Conn]bool
 }
 
 // table holds what the acceptor needs from the configuration.
@@ -67,7 +68,7 @@
 	if err != nil {
 		return nil, classifier.Wrap(classifier.Invalid, err, "listen on %s", cfg.Address)
 	}
-	a := &Acceptor{cfg: cfg, listener: listener, boxes: map[reducer.RequestID]*mailbox{}}
+	a := &Acceptor{cfg: cfg, listener: listener, boxes: map[reducer.RequestID]*mailbox{}, conns: map[net.Conn]bool{}}
 	a.table.Store(&table{})
 	r := router.New()
 	r.POST("/v1/chat/completions", a.complete)
@@ -79,7 +80,7 @@
 	a.server = &fasthttp.Server{
 		Handler: r.Handler, ErrorHandler: a.badRequest,
 		MaxRequestBodySize: maxBody, ReadBufferSize: maxHeader, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		Concurrency: maxConns, NoDefaultServerHeader: true, CloseOnShutdown: true,
+		ConnState: a.track, Concurrency: maxConns, NoDefaultServerHeader: true, CloseOnShutdown: true,
 	}
 	return a, nil
 }
@@ -89,13 +90,34 @@
 	return a.listener.Addr().String()
 }
 
-// Run serves until ctx ends; open requests are finished.
+// Run serves until ctx ends, which cuts the connections that are still open.
 func (a *Acceptor) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = a.server.Shutdown() })
+	stop := context.AfterFunc(ctx, a.cut)
 	defer stop()
 	return a.server.Serve(a.listener)
 }
 
+func (a *Acceptor) cut() {
+	_ = a.listener.Close()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for conn := range a.conns {
+		_ = conn.Close()
+	}
+}
+
+// track keeps the set of open connections.
+func (a *Acceptor) track(conn net.Conn, state fasthttp.ConnState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch state {
+	case fasthttp.StateNew:
+		a.conns[conn] = true
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		delete(a.conns, conn)
+	}
+}
+
 // Shutdown takes no new connection and returns when open requests have been
 // answered.
 func (a *Acceptor) Shutdown(ctx context.Context) error {
--- a/internal/demonstrator/client.go
+++ b/internal/demonstrator/client.go
@@ -29,6 +29,7 @@
 const (
 	bookingTries = 3
 	bookingPause = 300 * time.Millisecond
+	hungAfter    = 3 * time.Second // past the deadline of the class
 )
 
 func newClient(c *Cluster, r *Report) *client {
@@ -81,9 +82,11 @@
 func (c *client) callModel(ctx context.Context, m modelCall) bool {
 	body, want := m.body()
 	seen := sample{class: m.caller.Class, begun: time.Now()}
+	ctx, cancel := c.patience(ctx, m.caller)
+	defer cancel()
 	res, err := c.do(ctx, "/v1/chat/completions", m.token, body, "")
 	if err != nil {
-		seen.outcome = broken
+		seen.outcome = brokenOr(ctx, broken)
 		c.report.add(seen)
 		return false
 	}
@@ -100,6 +103,7 @@
 		text = c.readWhole(res.Body, &seen)
 	}
 	seen.took = time.Since(seen.begun)
+	seen.outcome = brokenOr(ctx, seen.outcome)
 	if seen.outcome == whole && text != want {
 		seen.outcome = mixed
 		if strings.HasPrefix(want, text) {
@@ -110,6 +114,20 @@
 	return seen.outcome == whole
 }
 
+// patience ends a request that has no answer well after its deadline.
+func (c *client) patience(ctx context.Context, caller configurator.Caller) (context.Context, context.CancelFunc) {
+	class, _ := c.cluster.cfg.Configuration.Class(caller.Class)
+	return context.WithTimeout(ctx, class.Whole.Duration()+hungAfter)
+}
+
+// brokenOr returns o, or that the request hung when patience has ended.
+func brokenOr(ctx context.Context, o outcome) outcome {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return hung
+	}
+	return o
+}
+
 func outcomeOf(res *http.Response) outcome {
 	if res.Header.Get("Egretwall-Ran") == string(classifier.RanNo) {
 		return notRun
@@ -204,9 +222,11 @@
 }
 
 func (c *client) bookOnce(ctx context.Context, b bookingCall) outcome {
+	ctx, cancel := c.patience(ctx, b.caller)
+	defer cancel()
 	res, err := c.do(ctx, "/svc/"+string(b.service)+"/orders", b.token, b.body, b.key)
 	if err != nil {
-		return broken
+		return brokenOr(ctx, broken)
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
--- a/internal/demonstrator/report.go
+++ b/internal/demonstrator/report.go
@@ -27,6 +27,7 @@
 	broken  outcome = "broken"  // the connection to the entry broke
 	cut     outcome = "cut"     // ended early as if it were whole
 	mixed   outcome = "mixed"   // holds parts of another answer
+	hung    outcome = "hung"    // no end well after the deadline
 )
 
 // sample is one request as its caller saw it.
@@ -99,6 +100,7 @@
 	Missed       int                      `json:"missed"`  // calls answered as whole that did not run
 	Cut          int                      `json:"cut"`
 	Mixed        int                      `json:"mixed"`
+	Hung         int                      `json:"hung"` // requests without an end
 	Over         int64                    `json:"over"` // overcommitted bytes of accelerator memory
 	Unreachable  []configurator.ModelName `json:"unreachable"`
 	Faults       map[string]int           `json:"faults"`
@@ -147,6 +149,8 @@
 		r.Cut++
 	case mixed:
 		r.Mixed++
+	case hung:
+		r.Hung++
 	}
 	var sum time.Duration
 	for _, g := range s.gaps {
@@ -261,6 +265,7 @@
 	note(int64(r.Missed), "calls answered as whole did not run")
 	note(int64(r.Cut), "answers were cut")
 	note(int64(r.Mixed), "answers were mixed")
+	note(int64(r.Hung), "requests had no end")
 	note(r.Over, "bytes of memory were overcommitted")
 	note(int64(len(r.Unreachable)), "models were unreachable")
 	if len(failed) == 0 {
@@ -289,7 +294,7 @@
 	_, _ = fmt.Fprintf(out, "moves: %d loads, %d unloads, %d adapters; the store refused %d, old numbers %d; log appends %d in %.0f s\n",
 		r.Moves.Loads, r.Moves.Unloads, r.Moves.Adapters, r.Moves.Refused, r.Moves.Stale, r.Appends, r.Seconds)
 	_, _ = fmt.Fprintf(out, "non-idempotent calls: %d, run twice %d, run though answered as not run %d, whole but not run %d\n", r.Bookings, r.Doubles, r.Lies, r.Missed)
-	_, _ = fmt.Fprintf(out, "answers: cut %d, mixed %d; unreachable models: %d\n", r.Cut, r.Mixed, len(r.Unreachable))
+	_, _ = fmt.Fprintf(out, "answers: cut %d, mixed %d, without end %d; unreachable models: %d\n", r.Cut, r.Mixed, r.Hung, len(r.Unreachable))
 	peak, size := configurator.Bytes(0), configurator.Bytes(0)
 	for _, k := range r.Runners {
 		if size == 0 || float64(k.Peak)/float64(k.Memory) > float64(peak)/float64(size) {
