Measure the path: added latency, reducer, claims, silence, rolling restart

Cause: no figure existed for the targets of the request path. Ruled out: one append per claim (kept as the baseline of the benchmark only).

--- a/internal/demonstrator/cluster_test.go
+++ b/internal/demonstrator/cluster_test.go
@@ -47,11 +47,15 @@
 	return cfg
 }
 
-func startTest(t *testing.T, change func(*Config)) *Cluster {
-	cfg := Config{
+func testClusterConfig() Config {
+	return Config{
 		Configuration: testConfiguration(), Entries: 2, Retention: time.Hour, Seed: 1, Logger: testLogger(),
 		Speed: 1000, Prefill: 20 * time.Millisecond, Gap: 5 * time.Millisecond, Work: 5 * time.Millisecond,
 	}
+}
+
+func startTest(t *testing.T, change func(*Config)) *Cluster {
+	cfg := testClusterConfig()
 	if change != nil {
 		change(&cfg)
 	}
--- a/internal/reducer/claiming.go
+++ b/internal/reducer/claiming.go
@@ -292,14 +292,18 @@
 	a.claim.tokens--
 	a.claim.serial++
 	a.Counters.Appends++
-	claims := make([]claimer.Claim, 0, len(a.claim.pending))
-	for _, t := range a.claim.pending {
+	batch := a.claim.pending
+	if a.cfg.Hooks.SingleClaims {
+		batch = batch[:1]
+	}
+	claims := make([]claimer.Claim, 0, len(batch))
+	for _, t := range batch {
 		t.run.appended = a.now
 		claims = append(claims, claimer.Claim{
 			ID: string(t.id), Key: t.run.key, Digest: t.run.digest, Agent: string(a.cfg.Upstream), Term: uint64(a.cfg.Incarnation),
 		})
 	}
-	a.claim.pending = a.claim.pending[:0]
+	a.claim.pending = slices.Clone(a.claim.pending[len(batch):])
 	id := fmt.Sprintf("%s/%d/%d", a.cfg.Upstream, a.cfg.Incarnation, a.claim.serial)
 	a.emit(Append{recorder.Record{ID: id, Kind: recorder.Claims, Claims: claims}})
 }
--- a/internal/reducer/entry.go
+++ b/internal/reducer/entry.go
@@ -30,6 +30,7 @@
 	ForgetOrders  bool // the ledger forgets orders whose answer was lost
 	RepeatAlways  bool // requests that must not repeat are retried
 	RevertVersion bool // older configurations replace newer ones
+	SingleClaims  bool // each claim takes an append of its own; a baseline
 }
 
 // Entry decides for one entry. It is the only owner of its callers' open
