Accept a change in milliseconds at 600 runners, and measure what processes spend

Cause: the feasibility check packed all models once for each single runner that may be lost, 606 times at 600 runners; runners of one memory size give the same packing. Idle beats every 5 s cost 52 B/s a link, 31 KB/s at 600 links against a budget of 6 KB/s; the list was read every second, 118 KB a time at 950 instances. Ruled out: skipping the check on changes that write no model (a copy count depends on memory figures that another change writes). Idle beats every 30 s; the list is read at 1 KB/s at most; a read of the log is held open 1.5 s.

--- a/Makefile
+++ b/Makefile
@@ -31,4 +31,13 @@
 	go test -count=1 -v -run 'Mutants|Chunks|LostOrders|Reverting|Forgetting|HistoryCheck' ./internal/reducer ./internal/follower ./internal/reserver ./internal/demonstrator
 
 bench:
-	go test -run '^$$' -bench . -benchmem ./...
+	go test -run '^$$' -bench 'Request|Keyed|Silence|Rolling' -benchtime 3s ./internal/demonstrator
+	go test -run '^$$' -bench 'Events|Choose' -benchmem ./internal/reducer
+	go test -run '^$$' -bench . -benchmem ./internal/router
+
+capacity:
+	go test -run '^$$' -bench 'Capacity|ListSize' -benchtime 1x ./internal/demonstrator
+	go test -run '^$$' -bench Accept ./pkg/configurator
+	go test -run '^$$' -bench Place ./internal/placer
+	go test -run '^$$' -bench 'Choose|Tick|Events' ./internal/reducer
+	go test -run '^$$' -bench Memory -benchtime 1x ./internal/command
--- a/internal/command/process_test.go
+++ b/internal/command/process_test.go
@@ -48,7 +48,7 @@
 
 // deployment is a small one of separate processes on stand-ins.
 type deployment struct {
-	t       *testing.T
+	t       testing.TB
 	dir     string
 	tls     authenticator.Files
 	log     *faker.Server
@@ -62,7 +62,7 @@
 	file    string
 }
 
-func program(t *testing.T, args ...string) *exec.Cmd {
+func program(t testing.TB, args ...string) *exec.Cmd {
 	cmd := exec.Command(os.Args[0], args...)
 	cmd.Env = append(os.Environ(), runAsProgram+"=1")
 	if os.Getenv("EGRETWALL_LOG") != "" {
@@ -81,7 +81,7 @@
 }
 
 // writeTLS writes a certificate that is its own authority.
-func writeTLS(t *testing.T, dir string) authenticator.Files {
+func writeTLS(t testing.TB, dir string) authenticator.Files {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	require.NoError(t, err)
 	template := &x509.Certificate{
@@ -119,7 +119,7 @@
 	return cfg
 }
 
-func deploy(t *testing.T) *deployment {
+func deploy(t testing.TB) *deployment {
 	d := &deployment{t: t, dir: t.TempDir(), shown: faker.NewList(0), engines: map[string]*faker.Engine{}, agents: map[string]*exec.Cmd{}, booking: &faker.Booking{Work: 700 * time.Millisecond}}
 	d.tls = writeTLS(t, d.dir)
 	d.log, d.list = d.serve(faker.NewLog(time.Hour)), d.serve(d.shown)
@@ -374,3 +374,24 @@
 	require.NoError(t, err)
 	return data
 }
+
+// BenchmarkProcessMemory reports the resident memory of an idle entry and agent
+// of a small deployment.
+func BenchmarkProcessMemory(b *testing.B) {
+	d := deploy(b)
+	for b.Loop() {
+		time.Sleep(time.Second)
+	}
+	b.ReportMetric(residentMB(b, d.entries[0]), "entry-MB")
+	b.ReportMetric(residentMB(b, d.agents["ra"]), "agent-MB")
+}
+
+func residentMB(b *testing.B, cmd *exec.Cmd) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
+	require.NoError(b, err)
+	_, rest, _ := strings.Cut(string(data), "VmRSS:")
+	var kb float64
+	_, err = fmt.Sscan(rest, &kb)
+	require.NoError(b, err)
+	return kb / 1024
+}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -36,7 +36,7 @@
 		return func(ctx context.Context, s Streams) error {
 			list := lister.NewClient(lister.Config{Address: *address})
 			defer list.Close()
-			instances, err := list.List(ctx)
+			instances, _, err := list.List(ctx)
 			if err != nil {
 				return err
 			}
--- a/internal/driver/platform.go
+++ b/internal/driver/platform.go
@@ -23,7 +23,7 @@
 
 // List is the platform's list of instances.
 type List interface {
-	List(ctx context.Context) ([]lister.Instance, error)
+	List(ctx context.Context) ([]lister.Instance, int, error)
 	Close()
 }
 
@@ -32,6 +32,7 @@
 	logPause      = 100 * time.Millisecond // after a failed read, doubled each time
 	logPauseLimit = 2 * time.Second
 	listPeriod    = time.Second
+	listBudget    = 1024        // bytes a second, which spaces the reads of a long list
 	bootstrapWait = time.Second // a process without configuration asks its peers after this time
 	maxAppends    = 4           // appends under way
 )
@@ -79,14 +80,14 @@
 func (p *platform) watch(ctx context.Context) {
 	begun := time.Now()
 	for ctx.Err() == nil {
-		instances, err := p.list.List(ctx)
+		instances, size, err := p.list.List(ctx)
 		if err == nil && len(instances) > 0 {
 			p.post(listed(instances))
 			if time.Since(begun) > bootstrapWait {
 				p.bootstrap(ctx, instances)
 			}
 		}
-		sleep(ctx, listPeriod)
+		sleep(ctx, max(listPeriod, time.Duration(size)*time.Second/listBudget))
 	}
 }
 
--- a/internal/faker/log.go
+++ b/internal/faker/log.go
@@ -19,6 +19,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/egretwall/egretwall/internal/classifier"
@@ -30,6 +31,38 @@
 type Server struct {
 	listener net.Listener
 	server   *http.Server
+	bytes    atomic.Int64
+}
+
+// meter counts the bytes of the connections that it accepts.
+type meter struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+type meteredConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Accept returns the next connection.
+func (m meter) Accept() (net.Conn, error) {
+	conn, err := m.Listener.Accept()
+	return meteredConn{conn, m.bytes}, err
+}
+
+// Read counts what it reads.
+func (c meteredConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write counts what it writes.
+func (c meteredConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
 }
 
 // Serve starts a stand-in.
@@ -39,7 +72,7 @@
 		return nil, classifier.Wrap(classifier.Invalid, err, "listen on %s", address)
 	}
 	s := &Server{listener: listener, server: &http.Server{Handler: handler}}
-	go func() { _ = s.server.Serve(listener) }()
+	go func() { _ = s.server.Serve(meter{listener, &s.bytes}) }()
 	return s, nil
 }
 
@@ -48,6 +81,11 @@
 	return s.listener.Addr().String()
 }
 
+// Bytes returns what its connections have carried, both ways.
+func (s *Server) Bytes() int64 {
+	return s.bytes.Load()
+}
+
 // Close stops the stand-in and cuts its connections.
 func (s *Server) Close() {
 	_ = s.server.Close()
--- a/internal/faker/relay.go
+++ b/internal/faker/relay.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/egretwall/egretwall/internal/classifier"
 )
@@ -12,12 +13,14 @@
 type Relay struct {
 	target   string
 	listener net.Listener
+	bytes    atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*relayConn]bool
 }
 
 type relayConn struct {
+	relay   *Relay
 	in, out net.Conn
 	mu      sync.Mutex
 	silent  bool
@@ -41,6 +44,11 @@
 	return r.listener.Addr().String()
 }
 
+// Bytes returns what its connections have carried, both ways.
+func (r *Relay) Bytes() int64 {
+	return r.bytes.Load()
+}
+
 // Retarget sends later connections elsewhere.
 func (r *Relay) Retarget(target string) {
 	r.mu.Lock()
@@ -88,7 +96,7 @@
 		_ = in.Close()
 		return
 	}
-	c := &relayConn{in: in, out: out}
+	c := &relayConn{relay: r, in: in, out: out}
 	r.mu.Lock()
 	r.conns[c] = true
 	r.mu.Unlock()
@@ -105,6 +113,7 @@
 	buf := make([]byte, relayBuffer)
 	for {
 		n, err := from.Read(buf)
+		c.relay.bytes.Add(int64(n))
 		if c.isSilent() {
 			if err != nil {
 				_ = from.Close()
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -3,12 +3,13 @@
 // Usage:
 //
 //	l := lister.NewClient(lister.Config{Address: "10.0.0.1:9001"})
-//	instances, err := l.List(ctx)
+//	instances, size, err := l.List(ctx)
 package lister
 
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"time"
 
@@ -34,7 +35,10 @@
 	State    State                     `json:"state"`
 }
 
-const listTimeout = time.Second
+const (
+	listTimeout = time.Second
+	maxList     = 16 << 20 // bytes
+)
 
 // Config names the list to use.
 type Config struct {
@@ -52,23 +56,28 @@
 	return &Client{cfg: cfg, client: &http.Client{Timeout: listTimeout, Transport: &http.Transport{}}}
 }
 
-// List returns all instances that the platform shows.
-func (c *Client) List(ctx context.Context) ([]Instance, error) {
+// List returns all instances that the platform shows, and the size of the
+// answer in bytes.
+func (c *Client) List(ctx context.Context) ([]Instance, int, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.cfg.Address+"/instances", nil)
 	if err != nil {
-		return nil, classifier.Wrap(classifier.Internal, err, "list instances")
+		return nil, 0, classifier.Wrap(classifier.Internal, err, "list instances")
 	}
 	res, err := c.client.Do(req)
 	if err != nil {
 		c.client.CloseIdleConnections()
-		return nil, classifier.Wrap(classifier.Lost, err, "list instances")
+		return nil, 0, classifier.Wrap(classifier.Lost, err, "list instances")
 	}
 	defer func() { _ = res.Body.Close() }()
 	var instances []Instance
-	if err := json.NewDecoder(res.Body).Decode(&instances); err != nil {
-		return nil, classifier.Wrap(classifier.Lost, err, "decode list of instances")
+	data, err := io.ReadAll(io.LimitReader(res.Body, maxList))
+	if err == nil {
+		err = json.Unmarshal(data, &instances)
+	}
+	if err != nil {
+		return nil, 0, classifier.Wrap(classifier.Lost, err, "read list of instances")
 	}
-	return instances, nil
+	return instances, len(data), nil
 }
 
 // Close releases the idle connections.
--- a/internal/recorder/client.go
+++ b/internal/recorder/client.go
@@ -17,9 +17,9 @@
 const (
 	dialTimeout   = 300 * time.Millisecond
 	appendTimeout = time.Second
-	readWait      = 500 * time.Millisecond // how long the log holds a read open
-	readTimeout   = 1200 * time.Millisecond
-	maxBatch      = 16 << 20 // bytes of one read
+	readWait      = 1500 * time.Millisecond // how long the log holds a read open
+	readTimeout   = 2500 * time.Millisecond // replaces a silent connection
+	maxBatch      = 16 << 20                // bytes of one read
 )
 
 // Config names the log to use.
--- a/internal/reducer/bench_test.go
+++ b/internal/reducer/bench_test.go
@@ -45,3 +45,60 @@
 	}
 	b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
 }
+
+// wide returns an entry that knows what the given number of runners hold.
+func wide(b *testing.B, runners int) *Entry {
+	cfg := worldConfiguration()
+	cfg.Upstreams, cfg.Models = nil, nil
+	for i := range runners {
+		cfg.Upstreams = append(cfg.Upstreams, configurator.Upstream{
+			Name: configurator.UpstreamName(fmt.Sprintf("r%03d", i)), Role: configurator.Runner, Domain: configurator.DomainName(fmt.Sprintf("d%d", i%6)),
+			Address: "127.0.0.1:1", Accelerators: 4, Memory: 160, Slots: 32, Fenced: true, Lease: 1, Flight: 1,
+		})
+	}
+	for i := range runners * 14 / 10 {
+		cfg.Models = append(cfg.Models, configurator.Model{Name: configurator.ModelName(fmt.Sprintf("m%03d", i)), Bytes: 30, Copies: 2})
+	}
+	e := NewEntry(EntryConfig{ID: "e", Seed: 1})
+	change := configurator.Diff("first", configurator.State{}, cfg)
+	e.Reduce(0, Read{recorder.Batch{Next: 1, Records: []recorder.Record{{ID: "first", Kind: recorder.Change, Change: &change}}}})
+	held := map[configurator.UpstreamName][]string{}
+	for m, homes := range e.homes {
+		for _, u := range homes {
+			held[u] = append(held[u], string(m))
+		}
+	}
+	for _, name := range e.runners {
+		e.peers[name].state, e.peers[name].epoch = linkUp, 1
+		e.setHolds(e.peers[name], held[name])
+	}
+	return e
+}
+
+// BenchmarkChoose measures one routing decision.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{12, 75, 300, 600} {
+		b.Run(fmt.Sprintf("runners=%d", n), func(b *testing.B) {
+			e := wide(b, n)
+			r := &request{Request: Request{Model: "m007", Repeatable: true}}
+			b.ReportAllocs()
+			for b.Loop() {
+				if e.choose(r) == nil {
+					b.Fatal("no runner")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkTick measures one tick of an idle entry.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{12, 75, 300, 600} {
+		b.Run(fmt.Sprintf("runners=%d", n), func(b *testing.B) {
+			e := wide(b, n)
+			for b.Loop() {
+				e.Reduce(time.Second, Tick{})
+			}
+		})
+	}
+}
--- a/internal/reducer/timing.go
+++ b/internal/reducer/timing.go
@@ -8,10 +8,10 @@
 // Timing of connections between entries and agents.
 const (
 	beatPeriod    = 150 * time.Millisecond // while attempts are open
-	idlePeriod    = 5 * time.Second        // while none are
+	idlePeriod    = 30 * time.Second       // while none are
 	silentAfter   = 500 * time.Millisecond // replaces a connection with open attempts
-	idleSilent    = 12 * time.Second       // replaces a connection without any
-	idleClose     = 60 * time.Second       // closes a connection that is not used
+	idleSilent    = 75 * time.Second       // replaces a connection without any
+	idleClose     = 10 * time.Minute       // closes a connection that is not used
 	redialPeriod  = 200 * time.Millisecond // first pause between two dials
 	redialLimit   = 3 * time.Second        // longest pause between two dials
 	moveAfter     = 900 * time.Millisecond // repeatable attempts leave an agent that is out of reach
--- a/pkg/configurator/check.go
+++ b/pkg/configurator/check.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"sort"
 
 	"github.com/egretwall/egretwall/internal/decoder"
 )
@@ -134,81 +133,3 @@
 	}
 	return weight
 }
-
-// Infeasible explains why one copy of every model can't stay resident with
-// any one runner or failure domain lost. It is empty when they can.
-func Infeasible(cfg Configuration) string {
-	if len(cfg.Models) == 0 {
-		return ""
-	}
-	weight := Weight(cfg)
-	domains := map[DomainName]bool{}
-	var largest Bytes
-	for _, u := range cfg.Upstreams {
-		if u.Role == Runner {
-			domains[u.Domain] = true
-			largest = max(largest, u.Memory)
-		}
-	}
-	for _, m := range cfg.Models {
-		if weight[m.Name] > largest {
-			return fmt.Sprintf("model %s takes %d bytes with its adapters, the largest runner has %d; shrink it or add a larger runner", m.Name, weight[m.Name], largest)
-		}
-	}
-	names := make([]string, 0, len(domains))
-	for d := range domains {
-		names = append(names, string(d))
-	}
-	sort.Strings(names)
-	for _, d := range names {
-		if text := lost(cfg, weight, "failure domain "+d, func(u Upstream) bool { return string(u.Domain) == d }); text != "" {
-			return text
-		}
-	}
-	for _, dead := range cfg.Upstreams {
-		if dead.Role != Runner {
-			continue
-		}
-		if text := lost(cfg, weight, "runner "+string(dead.Name), func(u Upstream) bool { return u.Name == dead.Name }); text != "" {
-			return text
-		}
-	}
-	return ""
-}
-
-// lost packs one copy of each model, largest first, on the runners that stay.
-func lost(cfg Configuration, weight map[ModelName]Bytes, what string, gone func(Upstream) bool) string {
-	var free []Bytes
-	var total, need Bytes
-	for _, u := range cfg.Upstreams {
-		if u.Role == Runner && !gone(u) {
-			free = append(free, u.Memory)
-			total += u.Memory
-		}
-	}
-	models := make([]ModelName, 0, len(weight))
-	for m, b := range weight {
-		models = append(models, m)
-		need += b
-	}
-	sort.Slice(models, func(i, j int) bool {
-		if weight[models[i]] != weight[models[j]] {
-			return weight[models[i]] > weight[models[j]]
-		}
-		return models[i] < models[j]
-	})
-	for _, m := range models {
-		best := -1
-		for i, f := range free {
-			if f >= weight[m] && (best < 0 || f > free[best]) {
-				best = i
-			}
-		}
-		if best < 0 {
-			return fmt.Sprintf("without %s, %d bytes of models face %d bytes on %d runners, and %s (%d bytes) fits on none beside the others; add runners or remove models",
-				what, need, total, len(free), m, weight[m])
-		}
-		free[best] -= weight[m]
-	}
-	return ""
-}
--- /dev/null
+++ b/pkg/configurator/scale_test.go
@@ -0,0 +1,69 @@
+package configurator
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// scaled returns a configuration with the given number of runners, and models
+// in the proportion of 840 to 600.
+func scaled(runners int) Configuration {
+	cfg := Configuration{
+		Name: "scale", Window: 600_000, Store: Store{Rate: 2, Active: 9, Transit: 70},
+		Classes: []Class{{Name: "desk", First: 930, Gap: 48, Whole: 30_000}},
+		Callers: []Caller{{Name: "c", Key: HashKey("c"), Class: "desk", Limit: 10}},
+	}
+	for i := range runners {
+		cfg.Upstreams = append(cfg.Upstreams, Upstream{
+			Name: UpstreamName(fmt.Sprintf("runner-%03d", i)), Role: Runner, Domain: DomainName(fmt.Sprintf("domain-%d", i%6)),
+			Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250), Accelerators: 4, Memory: 160e9, Slots: 32, Fenced: true, Lease: 10_000, Flight: 5000,
+		})
+	}
+	for i := range runners * 14 / 10 {
+		name := ModelName(fmt.Sprintf("model-%03d", i))
+		cfg.Models = append(cfg.Models, Model{Name: name, Bytes: Bytes(16e9 + i%4*12e9), Copies: 2})
+		for j := range 4 {
+			cfg.Adapters = append(cfg.Adapters, Adapter{Name: ModelName(fmt.Sprintf("%s.%d", name, j)), Model: name, Bytes: 2e8})
+		}
+	}
+	return cfg
+}
+
+func TestLostRunnersOfEveryMemorySizeAreChecked(t *testing.T) {
+	cfg := scaled(12)
+	for i := range cfg.Models {
+		cfg.Models[i].Bytes = 1e9
+	}
+	require.Empty(t, Infeasible(cfg))
+	cfg.Upstreams[7].Memory = 400e9
+	cfg.Models[3].Bytes = 300e9
+	require.Contains(t, Infeasible(cfg), "without", "the only runner that holds the model may be lost")
+}
+
+// BenchmarkAccept measures what one accepted change costs each process.
+func BenchmarkAccept(b *testing.B) {
+	for _, n := range []int{12, 75, 300, 600} {
+		b.Run(fmt.Sprintf("runners=%d", n), func(b *testing.B) {
+			first, verdict := State{}.Apply(Diff("first", State{}, scaled(n)))
+			require.True(b, verdict.Accepted)
+			change := Change{ID: "c", Base: 1, Puts: Items{"window": json.RawMessage("700000")}}
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			kept, _ := first.Apply(change)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			data, _ := kept.Snapshot()
+			for b.Loop() {
+				_, v := first.Apply(change)
+				require.True(b, v.Accepted)
+			}
+			b.ReportMetric(float64(len(data)), "state-bytes")
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-bytes")
+		})
+	}
+}
