--- a/internal/classifier/kind_test.go
+++ b/internal/classifier/kind_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -23,3 +25,16 @@
 		}
 	}
 }
+
+func TestCallersPageListsEveryKind(t *testing.T) {
+	page, err := os.ReadFile("../../docs/CALLERS.md")
+	require.NoError(t, err)
+	for _, k := range Kinds() {
+		a := AnswerOf(k)
+		again := "no"
+		if a.Retryable {
+			again = fmt.Sprintf("%.0f s", a.RetryAfter.Seconds())
+		}
+		require.Contains(t, string(page), fmt.Sprintf("| `%s` | %d | %s | %s |", k, a.Status, a.Ran, again))
+	}
+}
--- a/internal/driver/agent.go
+++ b/internal/driver/agent.go
@@ -77,10 +77,19 @@
 	if a.listener, err = net.Listen("tcp", cfg.Address); err != nil {
 		return nil, classifier.Wrap(classifier.Invalid, err, "listen for entries on %s", cfg.Address)
 	}
-	a.admin, err = observer.NewAdmin(observer.AdminConfig{Address: cfg.Admin, Health: func() bool { return !a.leaving.Load() }, Dump: a.Dump})
+	a.admin, err = observer.NewAdmin(observer.AdminConfig{
+		Name: string(cfg.Upstream), Address: cfg.Admin, Health: func() bool { return !a.leaving.Load() }, Dump: a.Dump, Metrics: a.metrics,
+	})
 	return a, err
 }
 
+// metrics returns what the agent has counted.
+func (a *Agent) metrics() any {
+	var counters reducer.AgentCounters
+	a.loop.inspect(func() { counters = a.reducer.Counters })
+	return counters
+}
+
 // Address returns where entries connect.
 func (a *Agent) Address() string { return a.listener.Addr().String() }
 
--- a/internal/driver/entry.go
+++ b/internal/driver/entry.go
@@ -66,10 +66,19 @@
 	if e.acceptor, err = acceptor.New(acceptor.Config{Address: cfg.Address, Post: e.loop.post, NewID: newID}); err != nil {
 		return nil, err
 	}
-	e.admin, err = observer.NewAdmin(observer.AdminConfig{Address: cfg.Admin, Health: func() bool { return !e.leaving.Load() }, Dump: e.Dump})
+	e.admin, err = observer.NewAdmin(observer.AdminConfig{
+		Name: cfg.Name, Address: cfg.Admin, Health: func() bool { return !e.leaving.Load() }, Dump: e.Dump, Metrics: e.metrics,
+	})
 	return e, err
 }
 
+// metrics returns what the entry has counted.
+func (e *Entry) metrics() any {
+	var counters reducer.Counters
+	e.loop.inspect(func() { counters = e.reducer.Counters })
+	return counters
+}
+
 // Address returns where callers connect.
 func (e *Entry) Address() string { return e.acceptor.Address() }
 
--- a/internal/generator/questionnaire.go
+++ b/internal/generator/questionnaire.go
@@ -11,6 +11,8 @@
 import (
 	"fmt"
 	"math"
+	"strconv"
+	"strings"
 
 	"github.com/egretwall/egretwall/internal/decoder"
 	"github.com/egretwall/egretwall/pkg/configurator"
@@ -138,7 +140,35 @@
 			Name: configurator.CallerName(c.Name), Key: configurator.HashKey(c.Key), Class: configurator.ClassName(c.Class), Early: c.Early, Limit: c.Limit,
 		})
 	}
-	return cfg, append(problems, configurator.Check(cfg)...)
+	for _, p := range configurator.Check(cfg) {
+		p.Path = q.answerOf(p.Path)
+		problems = append(problems, p)
+	}
+	return cfg, problems
+}
+
+// answerOf returns the path of the answer that a configuration's path comes from.
+func (q Questionnaire) answerOf(path string) string {
+	section, rest, _ := strings.Cut(strings.TrimPrefix(path, "$."), "[")
+	if section == "window" {
+		return "$.memory"
+	}
+	if section == "adapters" {
+		return "$.models"
+	}
+	if section != "upstreams" {
+		return strings.Replace(path, ".bytes", ".size", 1)
+	}
+	number, field, found := strings.Cut(rest, "]")
+	i, err := strconv.Atoi(number)
+	if !found || err != nil {
+		return "$.runners"
+	}
+	field = strings.Replace(field, ".memory", ".size", 1)
+	if i < len(q.Runners) {
+		return fmt.Sprintf("$.runners[%d]%s", i, field)
+	}
+	return fmt.Sprintf("$.services[%d]%s", i-len(q.Runners), field)
 }
 
 func addModel(cfg *configurator.Configuration, m ModelAnswer) {
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -4,13 +4,14 @@
 // Usage:
 //
 //	log := observer.NewLogger(os.Stderr, "info")
-//	admin := observer.NewAdmin(observer.AdminConfig{Address: "10.0.0.1:7001", Health: f, Dump: g})
+//	admin := observer.NewAdmin(observer.AdminConfig{Name: "entry-1", Address: "10.0.0.1:7001", ...})
 //	err := admin.Run(ctx)
 package observer
 
 import (
 	"context"
 	"encoding/json"
+	"expvar"
 	"io"
 	"net"
 	"time"
@@ -74,11 +75,17 @@
 
 // AdminConfig connects the admin address with its process.
 type AdminConfig struct {
+	Name    string // of the process, in the metrics
 	Address string
 	Health  func() bool // false while draining
 	Dump    func() any  // the state of the process, nil when it has stopped
+	Metrics func() any  // what the process has counted
 }
 
+// metrics holds the counters of the processes that run in this program: one,
+// but for the demo.
+var metrics = expvar.NewMap("egretwall")
+
 // Admin serves health, metrics and dumps.
 type Admin struct {
 	cfg      AdminConfig
@@ -93,6 +100,7 @@
 		return nil, classifier.Wrap(classifier.Invalid, err, "listen on admin address %s", cfg.Address)
 	}
 	a := &Admin{cfg: cfg, listener: listener}
+	metrics.Set(cfg.Name, expvar.Func(cfg.Metrics))
 	r := router.New()
 	r.GET("/healthz", a.health)
 	r.GET("/debug/vars", expvarhandler.ExpvarHandler)
