--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 N ?= 200000
 
-.PHONY: build test lint fuzz mutants bench capacity generate tools
+.PHONY: build test lint fuzz decoders mutants bench capacity generate tools
 
 build:
 	go build -o $(BIN)/egretwall .
@@ -27,6 +27,11 @@
 fuzz:
 	EGRETWALL_SUMMARY=1 go test -count=1 -v -timeout 0 -run TestPromisesHoldUnderFaults ./internal/reducer -rapid.seed=$(SEED) -rapid.checks=$$(($(N) / 50))
 
+# Fuzzes the decoders of what others send, a while each.
+decoders:
+	for t in decoder:FuzzDecode generator:FuzzGenerate loader:FuzzSettings acceptor:FuzzParseCall forwarder:FuzzReadEvent forwarder:FuzzEngineBody recorder:FuzzDecode; do \
+		go test -run '^$$' -fuzz $${t#*:}'$$' -fuzztime 10s ./internal/$${t%:*} || exit 1; done
+
 mutants:
 	go test -count=1 -v -run 'Mutants|Chunks|LostOrders|Reverting|Forgetting|HistoryCheck' ./internal/reducer ./internal/follower ./internal/reserver ./internal/demonstrator
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -233,6 +233,9 @@
 	if err := json.Unmarshal(s.Body, &fields); err != nil {
 		return nil, err
 	}
+	if fields == nil {
+		return nil, classifier.New(classifier.Invalid, "the body is no JSON object")
+	}
 	fields["priority"] = json.RawMessage(strconv.Itoa(rank))
 	if s.Tokens > 0 {
 		resume, err := json.Marshal(Resume{s.Tokens, s.Prefix})
