Use home copies that have not reported yet, and count own work once

Cause: an entry routed only to runners that had told it what they hold, and it learned that only from runners it had already used: the first copy linked got all requests of its model (on havengelden 3 of 12 runners passed 0 attempts in 90 s, two queued 137 and 553). With two copies the draw of two candidates also compared a copy with itself half of the time, and own attempts were counted again in the runner's report. Ruled out: the agent's queue order (queues were empty elsewhere), the retry budget (50 all the time), early refusals (6 % of the urgent class).

--- a/internal/reducer/entry.go
+++ b/internal/reducer/entry.go
@@ -60,6 +60,7 @@
 
 	candidates []router.Candidate // scratch space of pick
 	picked     []*peer
+	likely     []*peer // scratch space of holding
 
 	Counters Counters
 }
--- a/internal/reducer/link.go
+++ b/internal/reducer/link.go
@@ -30,6 +30,7 @@
 		p.leaving = false
 		p.orphans = nil
 		e.setHolds(p, nil)
+		p.told = false
 		e.moveAll(p, true)
 	}
 	for _, id := range p.orphans {
@@ -174,8 +175,10 @@
 	case *linkpb.Down_Load:
 		p.queued, p.active, p.loadAt = int(m.Load.Queued), int(m.Load.Active), e.now
 		p.leaving = m.Load.Leaving
+		p.others = max(0, p.queued+p.active-len(p.open))
 	case *linkpb.Down_Holds:
 		e.setHolds(p, m.Holds.Residents)
+		p.told = true
 	case *linkpb.Down_Beat:
 		e.compareVersions(p, configurator.Version(m.Beat.Version))
 	case *linkpb.Down_Document:
--- a/internal/reducer/peer.go
+++ b/internal/reducer/peer.go
@@ -38,10 +38,12 @@
 	queued  int
 	active  int
 	loadAt  time.Duration
+	others  int // attempts of other entries at loadAt
 	open    map[AttemptID]*request
 	pending []*request // requests that wait for the connection
 	orphans []AttemptID
 	holds   map[configurator.ModelName]bool
+	told    bool // it has said what it holds
 }
 
 // usable tells whether new attempts may go to the peer. An open connection
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -129,14 +129,26 @@
 		return e.best(r, e.named(e.groups[r.Service]))
 	}
 	base := e.bases[r.Model]
-	for _, peers := range [][]*peer{e.holders[r.Model], e.holders[base], e.named(e.homes[base])} {
-		if p := e.best(r, peers); p != nil {
+	for _, model := range []configurator.ModelName{r.Model, base} {
+		if p := e.best(r, e.holding(model, base)); p != nil {
 			return p
 		}
 	}
 	return e.first(r, placer.Rank(string(base), e.runners))
 }
 
+// holding lists the runners that hold a model, and its homes that have not said
+// yet what they hold.
+func (e *Entry) holding(model, base configurator.ModelName) []*peer {
+	e.likely = append(e.likely[:0], e.holders[model]...)
+	for _, name := range e.homes[base] {
+		if p := e.peers[name]; !p.told {
+			e.likely = append(e.likely, p)
+		}
+	}
+	return e.likely
+}
+
 // home returns the first usable agent in the rendezvous order of a key.
 func (e *Entry) home(r *request) *peer {
 	group := e.groups[r.Service]
@@ -198,7 +210,7 @@
 		}
 		e.picked = append(e.picked, p)
 		e.candidates = append(e.candidates, router.Candidate{
-			Outstanding: len(p.open) + len(p.pending), Reported: p.queued + p.active, Age: e.now - p.loadAt,
+			Outstanding: len(p.open) + len(p.pending), Others: p.others, Age: e.now - p.loadAt,
 			Slots: p.upstream.Slots, Near: p.upstream.Domain == e.cfg.Domain,
 		})
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -5,7 +5,7 @@
 //	r := router.New(seed)
 //	i := r.Pick(candidates)
 //
-// Two candidates drawn at random are compared, so that many entries that
+// Two different candidates drawn at random are compared, so that many entries that
 // decide on the same stale report do not all choose the same upstream.
 package router
 
@@ -17,7 +17,7 @@
 // Candidate is an upstream that can take an attempt.
 type Candidate struct {
 	Outstanding int           // own attempts open there
-	Reported    int           // attempts there by its last report
+	Others      int           // attempts of other entries by its last report
 	Age         time.Duration // age of that report
 	Slots       int           // attempts it runs at once
 	Near        bool          // in the same failure domain
@@ -45,7 +45,7 @@
 // Score estimates how long an attempt waits at c; lower is better.
 func Score(c *Candidate) time.Duration {
 	weight := float64(max(0, reportLife-c.Age)) / float64(reportLife)
-	load := max(float64(c.Outstanding), float64(c.Reported)*weight)
+	load := float64(c.Outstanding) + float64(c.Others)*weight
 	wait := time.Duration(load / float64(max(1, c.Slots)) * float64(waitPerRound))
 	if !c.Near {
 		wait += farCost
@@ -59,8 +59,11 @@
 	if n == 0 {
 		return -1
 	}
+	if n == 1 {
+		return 0
+	}
 	a := r.rnd.IntN(n)
-	b := r.rnd.IntN(n)
+	b := (a + 1 + r.rnd.IntN(n-1)) % n
 	if Score(&candidates[b]) < Score(&candidates[a]) {
 		return b
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -11,9 +11,9 @@
 func TestStaleReportsDoNotHerd(t *testing.T) {
 	candidates := make([]Candidate, 12)
 	for i := range candidates {
-		candidates[i] = Candidate{Reported: 20, Slots: 32}
+		candidates[i] = Candidate{Others: 20, Slots: 32}
 	}
-	candidates[3].Reported = 0
+	candidates[3].Others = 0
 	chosen := 0
 	for seed := range uint64(1000) {
 		if New(seed).Pick(candidates) == 3 {
@@ -25,8 +25,8 @@
 }
 
 func TestOwnWorkCountsWhenTheReportIsOld(t *testing.T) {
-	busy := Candidate{Outstanding: 40, Reported: 0, Age: time.Minute, Slots: 32}
-	idle := Candidate{Outstanding: 0, Reported: 40, Age: time.Minute, Slots: 32}
+	busy := Candidate{Outstanding: 40, Others: 0, Age: time.Minute, Slots: 32}
+	idle := Candidate{Outstanding: 0, Others: 40, Age: time.Minute, Slots: 32}
 	require.Less(t, Score(&idle), Score(&busy))
 }
 
