Ask for further copies of a model when its copies have no free slot

The entries ask the runners in the model's rendezvous order, one each 500 ms, so that all entries ask the same ones; the queue must be the longer the more a move weighs. An agent loads a wanted copy into free memory or in place of copies idle for 30 s. Ruled out: sending the requests themselves to a cold runner (they would wait for the load, 1.6 to 7 s, longer than the urgent targets).

--- a/internal/reducer/balancing.go
+++ b/internal/reducer/balancing.go
@@ -28,6 +28,7 @@
 	used     map[configurator.ModelName]time.Duration
 	busy     map[configurator.ModelName]int // attempts running
 	looks    map[configurator.UpstreamName]look
+	wishes   map[configurator.ModelName]time.Duration // until when entries want a further copy
 }
 
 // look is what another runner held at a time.
@@ -174,7 +175,7 @@
 			continue
 		}
 		if a.ledger.Free() < a.sizes[m] {
-			if !a.makeRoom(m) {
+			if !a.makeRoom(m, a.needed(m)) {
 				continue
 			}
 			return
@@ -205,6 +206,9 @@
 			}
 		}
 	}
+	for _, m := range a.wished() {
+		add(a.bases[m])
+	}
 	return models
 }
 
@@ -240,6 +244,7 @@
 	for _, t := range a.coldByUrgency() {
 		names = append(names, configurator.ModelName(t.submit.Model))
 	}
+	names = append(names, a.wished()...)
 	cfg := &a.follower.State().Config
 	for _, ad := range cfg.Adapters {
 		if slices.Contains(a.homes[ad.Model], a.cfg.Upstream) {
@@ -267,9 +272,9 @@
 
 // makeRoom unloads what is needed least until m fits, and tells whether
 // unloads are under way.
-func (a *Agent) makeRoom(m configurator.ModelName) bool {
+func (a *Agent) makeRoom(m configurator.ModelName, needed bool) bool {
 	free := a.ledger.Free()
-	victims := a.victims()
+	victims := a.victims(needed)
 	for _, v := range victims {
 		free += a.sizes[v]
 	}
@@ -287,16 +292,22 @@
 	return true
 }
 
+// needed tells whether a model is a home copy or attempts wait for it.
+func (a *Agent) needed(m configurator.ModelName) bool {
+	return slices.Contains(a.homes[m], a.cfg.Upstream) || a.inUse(m)
+}
+
 // victims lists the base models that may be unloaded, least recently used
-// first: no home copies, nothing in use, and never the last copy.
-func (a *Agent) victims() []configurator.ModelName {
+// first: no home copies, nothing in use, and never the last copy. For a copy
+// that is not needed, only copies that have been idle for long give way.
+func (a *Agent) victims(needed bool) []configurator.ModelName {
 	var list []configurator.ModelName
 	for _, m := range a.ledger.Residents() {
 		base, known := a.bases[m]
 		if known && base != m || slices.Contains(a.homes[m], a.cfg.Upstream) || a.inUse(m) || a.ledger.Pending(m) {
 			continue
 		}
-		if known && !a.heldElsewhere(m) {
+		if !needed && known && a.now-a.balance.used[m] < idleCopy || known && !a.heldElsewhere(m) {
 			continue
 		}
 		list = append(list, m)
@@ -305,6 +316,16 @@
 	return list
 }
 
+// sortedModels lists the keys of m by name.
+func sortedModels[V any](m map[configurator.ModelName]V) []configurator.ModelName {
+	names := make([]configurator.ModelName, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
 // inUse tells whether attempts run or wait for a model or one of its adapters.
 func (a *Agent) inUse(base configurator.ModelName) bool {
 	for m, n := range a.balance.busy {
--- a/internal/reducer/entry.go
+++ b/internal/reducer/entry.go
@@ -49,6 +49,7 @@
 	holders  map[configurator.ModelName][]*peer
 	bases    map[configurator.ModelName]configurator.ModelName
 	homes    placer.Placement
+	wants    map[configurator.ModelName]want // by base model
 	roster   roster
 	requests map[RequestID]*request
 	waiting  []*request // without an attempt, by arrival
@@ -76,6 +77,7 @@
 	Moved     int `json:"moved"`
 	Stale     int `json:"stale"` // messages of abandoned attempts or connections
 	Redialled int `json:"redialled"`
+	Wanted    int `json:"wanted"` // further copies asked for
 }
 
 // NewEntry returns the reducer of an entry without a configuration.
@@ -88,6 +90,7 @@
 		requests: map[RequestID]*request{},
 		callers:  map[configurator.CallerName]int{},
 		holders:  map[configurator.ModelName][]*peer{},
+		wants:    map[configurator.ModelName]want{},
 		budget:   retryReserve,
 	}
 	if cfg.Hooks.RevertVersion {
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -97,6 +97,9 @@
 		e.hold(r)
 		return
 	}
+	if r.Model != "" {
+		e.demand(r, p)
+	}
 	if p.state == linkUp {
 		e.submit(r, p)
 		return
