--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 N ?= 200000
 
-.PHONY: build test lint fuzz decoders mutants bench capacity generate tools
+.PHONY: build test lint fuzz decoders mutants bench policy capacity generate tools
 
 build:
 	go build -o $(BIN)/egretwall .
@@ -40,6 +40,9 @@
 	go test -run '^$$' -bench 'Events|Choose' -benchmem ./internal/reducer
 	go test -run '^$$' -bench . -benchmem ./internal/router
 
+policy:
+	go run ./internal/evaluator/policy
+
 capacity:
 	go test -run '^$$' -bench 'Capacity|ListSize' -benchtime 1x ./internal/demonstrator
 	go test -run '^$$' -bench Accept ./pkg/configurator
--- a/internal/evaluator/evaluator.go
+++ b/internal/evaluator/evaluator.go
@@ -15,14 +15,16 @@
 	Egretwall  Policy = "egretwall"
 	RoundRobin Policy = "round robin, LRU"
 	Static     Policy = "least outstanding, static"
+	Bound      Policy = "bound: all resident everywhere"
 )
 
 // Policies lists the columns.
 func Policies() []Policy {
-	return []Policy{Egretwall, RoundRobin, Static}
+	return []Policy{Egretwall, RoundRobin, Static, Bound}
 }
 
-// Run measures a policy in a scenario.
+// Run measures a policy in a scenario. Bound sees everything at once and has
+// accelerator memory without limit; no policy that must load models beats it.
 func Run(p Policy, cfg configurator.Configuration, s Scenario, trace []Call, seed uint64) *Result {
 	m := prepare(cfg)
 	homes := m.preload()
@@ -33,7 +35,10 @@
 		arrive = c.arrive
 		die = func(i int) { c.die(c.agents[i], seed) }
 	} else {
-		b := newBaseline(cfg, m, homes, p == Static)
+		if p == Bound {
+			m.fill()
+		}
+		b := newBaseline(cfg, m, homes, p != RoundRobin)
 		arrive = func(_ int, o *observed) { b.arrive(o) }
 		die = func(i int) { b.die(b.nodes[i]) }
 	}
@@ -103,6 +108,18 @@
 	return homes
 }
 
+// fill makes all models resident on all runners.
+func (m *meter) fill() {
+	for _, e := range m.engines {
+		for _, model := range m.cfg.Models {
+			e.residents[model.Name] = model.Bytes
+		}
+		for _, a := range m.cfg.Adapters {
+			e.residents[a.Name] = a.Bytes
+		}
+	}
+}
+
 func newBaseline(cfg configurator.Configuration, m *meter, homes placer.Placement, static bool) *baseline {
 	b := &baseline{clock: m.clock, cfg: cfg, meter: m, static: static, homes: homes, sizes: map[configurator.ModelName]configurator.Bytes{}}
 	for _, model := range cfg.Models {
--- a/internal/reducer/agent.go
+++ b/internal/reducer/agent.go
@@ -361,7 +361,7 @@
 	case *linkpb.Up_Submit:
 		a.take(ev.Entry, l, m.Submit)
 	case *linkpb.Up_Cancel:
-		a.cancel(AttemptID(m.Cancel.Attempt))
+		a.withdrawAttempt(AttemptID(m.Cancel.Attempt), m.Cancel.Queued)
 	case *linkpb.Up_Ack:
 		a.acked(AttemptID(m.Ack.Attempt), m.Ack.Next)
 	case *linkpb.Up_Resume:
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -324,6 +324,15 @@
 	return classifier.RanNo
 }
 
+// withdrawAttempt cancels an attempt, with queued only one that waits.
+func (a *Agent) withdrawAttempt(id AttemptID, queued bool) {
+	t := a.attempts[id]
+	if queued && (t == nil || t.state != stateQueued) {
+		return
+	}
+	a.cancel(id)
+}
+
 // cancel withdraws an attempt.
 func (a *Agent) cancel(id AttemptID) {
 	t := a.attempts[id]
--- a/internal/reducer/link.go
+++ b/internal/reducer/link.go
@@ -177,8 +177,9 @@
 		p.leaving = m.Load.Leaving
 		p.others = max(0, p.queued+p.active-len(p.open))
 	case *linkpb.Down_Holds:
-		e.setHolds(p, m.Holds.Residents)
+		gained := e.setHolds(p, m.Holds.Residents)
 		p.told = true
+		e.relieve(p, gained)
 	case *linkpb.Down_Beat:
 		e.compareVersions(p, configurator.Version(m.Beat.Version))
 	case *linkpb.Down_Document:
@@ -216,9 +217,15 @@
 	e.emit(SendUp{p.upstream.Name, p.epoch, &linkpb.Up{Kind: &linkpb.Up_Document{Document: &linkpb.Document{Snapshot: data, Hash: hash}}}})
 }
 
-// setHolds replaces what a runner is known to hold and updates the index of
-// holders.
-func (e *Entry) setHolds(p *peer, residents []string) {
+// setHolds replaces what a runner is known to hold, updates the index of
+// holders, and returns what is new.
+func (e *Entry) setHolds(p *peer, residents []string) []configurator.ModelName {
+	var gained []configurator.ModelName
+	for _, name := range residents {
+		if m := configurator.ModelName(name); !p.holds[m] {
+			gained = append(gained, m)
+		}
+	}
 	for m := range p.holds {
 		e.holders[m] = slices.DeleteFunc(e.holders[m], func(o *peer) bool { return o == p })
 	}
@@ -228,6 +235,7 @@
 		p.holds[m] = true
 		e.holders[m] = append(e.holders[m], p)
 	}
+	return gained
 }
 
 func sortedAttempts(open map[AttemptID]*request) []AttemptID {
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -18,7 +18,8 @@
 	deadline  time.Duration
 	notBefore time.Duration // while waiting without an attempt
 	pause     time.Duration
-	tries     int
+	tries     int // attempts that count towards the limit
+	serial    int // attempts, for their ids
 	closed    bool
 
 	attempt   AttemptID // the current attempt, empty without one
@@ -29,6 +30,7 @@
 	avoid     configurator.UpstreamName
 	ask       configurator.UpstreamName // holder of the key's claim
 	asked     bool
+	moving    bool            // called back from a queue
 	lastKind  classifier.Kind // why the last attempt did not run
 
 	replied bool
@@ -226,11 +228,13 @@
 
 func (e *Entry) submit(r *request, p *peer) {
 	r.tries++
+	r.serial++
+	r.moving = false
 	r.target = nil
 	r.peer = p
 	r.next = 0
 	r.base = r.pushed
-	r.attempt = AttemptID(fmt.Sprintf("%s.%d", r.ID, r.tries))
+	r.attempt = AttemptID(fmt.Sprintf("%s.%d", r.ID, r.serial))
 	if len(p.open) == 0 {
 		p.busyAt = e.now
 	}
@@ -408,6 +412,11 @@
 		return
 	}
 	e.detach(r)
+	if kind == classifier.Cancelled && r.moving {
+		r.tries--
+		e.dispatch(r)
+		return
+	}
 	r.lastKind = kind
 	r.avoid = p.upstream.Name
 	switch kind {
--- a/internal/reducer/routing_test.go
+++ b/internal/reducer/routing_test.go
@@ -43,3 +43,27 @@
 	}
 	require.True(t, dialled, "all requests go to the copy that was linked first")
 }
+
+func TestAttemptsOfOneRequestHaveDifferentIDs(t *testing.T) {
+	e, send := routed(t)
+	for _, name := range e.runners {
+		e.peers[name].state, e.peers[name].epoch = linkUp, 1
+	}
+	seen := map[string]bool{}
+	effects := append([]Effect{}, send("m2")...)
+	for range 3 {
+		for _, ef := range append([]Effect{}, effects...) {
+			s, ok := ef.(SendUp)
+			if !ok || s.Up.GetSubmit() == nil {
+				continue
+			}
+			id := s.Up.GetSubmit().Attempt
+			require.False(t, seen[id], "an agent that still keeps %s would ignore it", id)
+			seen[id] = true
+			end := &linkpb.End{Attempt: id, Error: "leaving", Ran: "no"}
+			effects = append([]Effect{}, e.Reduce(time.Second, Heard{s.Peer, 1, &linkpb.Down{Kind: &linkpb.Down_End{End: end}}})...)
+			break
+		}
+	}
+	require.Len(t, seen, 3)
+}
--- a/internal/reducer/wanting.go
+++ b/internal/reducer/wanting.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/egretwall/egretwall/internal/linkpb"
@@ -67,6 +68,28 @@
 	return able[n%len(able)]
 }
 
+// relieve calls back requests that wait in the queues of full runners when
+// another runner has come to hold their model. They are sent again once their
+// agent confirms that it has not passed them on.
+func (e *Entry) relieve(p *peer, gained []configurator.ModelName) {
+	room := p.upstream.Slots - len(p.open) - p.others
+	for _, name := range e.order {
+		full := e.peers[name]
+		if full == p || full.state != linkUp || len(full.open)+full.others <= full.upstream.Slots {
+			continue
+		}
+		for _, id := range sortedAttempts(full.open) {
+			r := full.open[id]
+			if room <= 0 || r.next > 0 || r.Key != "" || r.moving || !slices.Contains(gained, r.Model) {
+				continue
+			}
+			room--
+			r.moving = true
+			e.emit(SendUp{name, full.epoch, &linkpb.Up{Kind: &linkpb.Up_Cancel{Cancel: &linkpb.Cancel{Attempt: string(id), Queued: true}}}})
+		}
+	}
+}
+
 // wish notes an entry's want.
 func (a *Agent) wish(m configurator.ModelName) {
 	if a.ledger == nil || a.sizes[m] == 0 || a.ready(m) {
