--- a/internal/evaluator/result.go
+++ b/internal/evaluator/result.go
@@ -45,7 +45,6 @@
 	call  Call
 	first time.Duration // time of the first token, zero without one
 	last  time.Duration
-	parts int
 	done  bool
 	whole bool
 }
--- /dev/null
+++ b/internal/recorder/client_test.go
@@ -0,0 +1,52 @@
+package recorder_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/faker"
+	"github.com/egretwall/egretwall/internal/recorder"
+)
+
+func lease(id string) recorder.Record {
+	return recorder.Record{ID: id, Kind: recorder.Lease, Lease: &recorder.LeaseRecord{Upstream: "u", Term: 1}}
+}
+
+func TestSilentConnectionToTheLogIsReplaced(t *testing.T) {
+	server, err := faker.Serve("127.0.0.1:0", faker.NewLog(time.Hour))
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	relay, err := faker.NewRelay("127.0.0.1:0", server.Address())
+	require.NoError(t, err)
+	t.Cleanup(relay.Close)
+	client := recorder.NewClient(recorder.Config{Address: relay.Address()})
+	t.Cleanup(client.Close)
+	_, err = client.Append(t.Context(), lease("1"))
+	require.NoError(t, err)
+	relay.Silence()
+	_, err = client.Append(t.Context(), lease("2"))
+	require.Equal(t, classifier.Lost, classifier.KindOf(err))
+	offset, err := client.Append(t.Context(), lease("3"))
+	require.NoError(t, err)
+	require.EqualValues(t, 1, offset)
+}
+
+func TestLostAnswerIsResolvedByReadingBack(t *testing.T) {
+	log := faker.NewLog(time.Hour)
+	server, err := faker.Serve("127.0.0.1:0", log)
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	client := recorder.NewClient(recorder.Config{Address: server.Address()})
+	t.Cleanup(client.Close)
+	log.Break(faker.LogLossy)
+	_, err = client.Append(t.Context(), lease("1"))
+	require.Equal(t, classifier.Lost, classifier.KindOf(err))
+	log.Break(faker.LogFine)
+	batch, err := client.Read(t.Context(), 0)
+	require.NoError(t, err)
+	require.Len(t, batch.Records, 1, "the record took effect, once")
+	require.Equal(t, "1", batch.Records[0].ID)
+}
--- a/internal/reducer/world_test.go
+++ b/internal/reducer/world_test.go
@@ -29,6 +29,7 @@
 	runs    []*upstreamRun
 	ops     []*op
 	serial  int
+	keep    time.Duration // for which the log keeps records
 	counts  map[string]int
 }
 
@@ -150,7 +151,7 @@
 }
 
 func newWorld(rt *rapid.T, hooks Hooks, counts map[string]int) *world {
-	w := &world{rt: rt, hooks: hooks, counts: counts, now: time.Second}
+	w := &world{rt: rt, hooks: hooks, counts: counts, now: time.Second, keep: time.Hour}
 	cfg := worldConfiguration()
 	change := configurator.Diff("first", configurator.State{}, cfg)
 	w.append(recorder.Record{ID: "first", Kind: recorder.Change, Change: &change})
@@ -177,7 +178,7 @@
 func (w *world) newAgent(slot int) *agentProc {
 	inc := Incarnation(w.next())
 	p := &agentProc{inc: inc, start: w.now, slot: slot}
-	p.a = NewAgent(AgentConfig{Upstream: w.engines[slot].upstream.Name, Incarnation: inc, Retention: time.Hour, Seed: uint64(inc), Hooks: w.hooks})
+	p.a = NewAgent(AgentConfig{Upstream: w.engines[slot].upstream.Name, Incarnation: inc, Retention: w.keep, Seed: uint64(inc), Hooks: w.hooks})
 	return p
 }
 
@@ -505,10 +506,17 @@
 }
 
 func (w *world) readLog(pos *recorder.Offset, tell func(Event)) {
-	if w.log.down || int(*pos) >= len(w.log.records) && *pos > 0 {
+	if w.log.down {
 		return
 	}
-	batch := recorder.Batch{Next: recorder.Offset(len(w.log.records)), Time: w.now.Milliseconds(), Records: w.log.records[*pos:]}
+	first := 0
+	for first < len(w.log.records) && w.log.records[first].Time < (w.now-w.keep).Milliseconds() {
+		first++
+	}
+	from := max(first, int(*pos))
+	batch := recorder.Batch{
+		First: recorder.Offset(first), Next: recorder.Offset(len(w.log.records)), Time: w.now.Milliseconds(), Records: w.log.records[from:],
+	}
 	*pos = batch.Next
 	tell(Read{batch})
 }
