Keep claims in a stream for each group of upstreams

Cause: every process read every claim: 220 bytes each, so that 28 keyed calls a second would spend the whole 6 KB/s of each of 950 processes. Entries need none of them, agents only those of their own group. Seen on the way: an agent postponed the repetition of claims whenever it read any claim, and took turns with agents that did not hold them, so under steady keyed traffic old claims could leave the log unrepeated. Ruled out: shorter records (the key and the ids are most of them). Before: one stream. The test of ten minutes of keyed traffic passed before as well, since the first agent in turn happened to hold the claims; the new tests ask for the group.

--- a/internal/command/publish.go
+++ b/internal/command/publish.go
@@ -66,7 +66,7 @@
 		return configurator.Verdict{}, classifier.New(classifier.Invalid, "the configuration equals version %d, nothing to publish", base)
 	}
 	record := recorder.Record{ID: change.ID, Kind: recorder.Change, Change: &change}
-	if _, err := log.Append(ctx, record); err != nil && classifier.KindOf(err) != classifier.Lost {
+	if _, err := log.Append(ctx, recorder.Main, record); err != nil && classifier.KindOf(err) != classifier.Lost {
 		return configurator.Verdict{}, err
 	}
 	for ctx.Err() == nil {
@@ -75,7 +75,7 @@
 				return v, nil
 			}
 		}
-		if batch, err := log.Read(ctx, f.Next()); err == nil {
+		if batch, err := log.Read(ctx, recorder.Main, f.Next()); err == nil {
 			f.Apply(0, batch)
 		}
 	}
@@ -87,7 +87,7 @@
 	var state configurator.State
 	found := version == 0
 	for {
-		batch, err := log.Read(ctx, f.Next())
+		batch, err := log.Read(ctx, recorder.Main, f.Next())
 		if err != nil {
 			return state, err
 		}
--- a/internal/demonstrator/capacity_test.go
+++ b/internal/demonstrator/capacity_test.go
@@ -133,7 +133,7 @@
 	log := c.log()
 	defer log.Close()
 	begun := time.Now()
-	_, err := log.Append(b.Context(), recorder.Record{ID: "second", Kind: recorder.Change, Change: &change})
+	_, err := log.Append(b.Context(), recorder.Main, recorder.Record{ID: "second", Kind: recorder.Change, Change: &change})
 	require.NoError(b, err)
 	for !c.settled(2) {
 		require.Less(b, time.Since(begun), capacityReady)
--- a/internal/demonstrator/cluster.go
+++ b/internal/demonstrator/cluster.go
@@ -295,7 +295,7 @@
 	change := configurator.Diff("first", configurator.State{}, c.cfg.Configuration)
 	log := c.log()
 	defer log.Close()
-	_, err := log.Append(c.ctx, recorder.Record{ID: change.ID, Kind: recorder.Change, Change: &change})
+	_, err := log.Append(c.ctx, recorder.Main, recorder.Record{ID: change.ID, Kind: recorder.Change, Change: &change})
 	return err
 }
 
--- a/internal/driver/agent.go
+++ b/internal/driver/agent.go
@@ -148,7 +148,9 @@
 	case reducer.Look:
 		go a.look(ef)
 	case reducer.Append:
-		a.platform.append(a.ctx, ef.Record)
+		a.platform.append(a.ctx, ef.Stream, ef.Record)
+	case reducer.Follow:
+		go a.platform.follow(a.ctx, ef.Stream)
 	case reducer.Install:
 		a.state.Store(ef.State)
 		a.platform.installed()
--- a/internal/driver/loop_test.go
+++ b/internal/driver/loop_test.go
@@ -24,12 +24,12 @@
 	mended atomic.Bool
 }
 
-func (l *brokenLog) Append(context.Context, recorder.Record) (recorder.Offset, error) {
+func (l *brokenLog) Append(context.Context, recorder.Stream, recorder.Record) (recorder.Offset, error) {
 	time.Sleep(10 * time.Second) // silent
 	return 0, errors.New("no answer")
 }
 
-func (l *brokenLog) Read(ctx context.Context, from recorder.Offset) (recorder.Batch, error) {
+func (l *brokenLog) Read(ctx context.Context, _ recorder.Stream, from recorder.Offset) (recorder.Batch, error) {
 	l.reads.Add(1)
 	if !l.mended.Load() {
 		return recorder.Batch{}, errors.New("down")
@@ -101,7 +101,7 @@
 		p := newPlatform(&brokenLog{}, &longList{}, nil, 1)
 		p.post = func(reducer.Event) { failed.Add(1) }
 		for range 3 * maxAppends {
-			p.append(t.Context(), recorder.Record{ID: "r"})
+			p.append(t.Context(), recorder.Main, recorder.Record{ID: "r"})
 		}
 		time.Sleep(11 * time.Second)
 		require.EqualValues(t, maxAppends, failed.Load())
--- a/internal/driver/platform.go
+++ b/internal/driver/platform.go
@@ -16,8 +16,8 @@
 
 // Log is the platform's log.
 type Log interface {
-	Append(ctx context.Context, r recorder.Record) (recorder.Offset, error)
-	Read(ctx context.Context, from recorder.Offset) (recorder.Batch, error)
+	Append(ctx context.Context, stream recorder.Stream, r recorder.Record) (recorder.Offset, error)
+	Read(ctx context.Context, stream recorder.Stream, from recorder.Offset) (recorder.Batch, error)
 	Close()
 }
 
@@ -54,17 +54,17 @@
 
 // start follows the log and the list until ctx ends.
 func (p *platform) start(ctx context.Context) {
-	go p.follow(ctx)
+	go p.follow(ctx, recorder.Main)
 	go p.watch(ctx)
 }
 
-// follow reads the log and posts what it reads.
-func (p *platform) follow(ctx context.Context) {
+// follow reads a stream of the log and posts what it reads.
+func (p *platform) follow(ctx context.Context, stream recorder.Stream) {
 	jitter := router.New(p.seed)
 	var next recorder.Offset
 	pause := logPause
 	for ctx.Err() == nil {
-		batch, err := p.log.Read(ctx, next)
+		batch, err := p.log.Read(ctx, stream, next)
 		if err != nil {
 			sleep(ctx, jitter.Jitter(pause))
 			pause = min(2*pause, logPauseLimit)
@@ -72,7 +72,7 @@
 		}
 		pause = logPause
 		next = max(next, batch.Next)
-		p.post(reducer.Read{Batch: batch})
+		p.post(reducer.Read{Stream: stream, Batch: batch})
 	}
 }
 
@@ -121,14 +121,14 @@
 }
 
 // append writes a record and reports the outcome.
-func (p *platform) append(ctx context.Context, r recorder.Record) {
+func (p *platform) append(ctx context.Context, stream recorder.Stream, r recorder.Record) {
 	go func() {
 		select {
 		case p.slots <- struct{}{}:
 		case <-ctx.Done():
 			return
 		}
-		offset, err := p.log.Append(ctx, r)
+		offset, err := p.log.Append(ctx, stream, r)
 		<-p.slots
 		p.post(reducer.Appended{ID: r.ID, Offset: offset, Err: err})
 	}()
--- a/internal/evaluator/cluster.go
+++ b/internal/evaluator/cluster.go
@@ -110,7 +110,7 @@
 	}
 	batch := recorder.Batch{Next: recorder.Offset(len(c.records)), Time: c.clock.now.Milliseconds(), Records: c.records[*pos:]}
 	*pos = batch.Next
-	tell(reducer.Read{Batch: batch})
+	tell(reducer.Read{Stream: recorder.Main, Batch: batch})
 }
 
 // list shows the instances as they were listLag ago.
--- a/internal/faker/log.go
+++ b/internal/faker/log.go
@@ -110,16 +110,21 @@
 
 	mu      sync.Mutex
 	start   time.Time
-	first   recorder.Offset
-	records []recorder.Entry
+	streams map[string]*stream
 	fault   LogFault
 	changed chan struct{}
 	appends int
 }
 
+// stream is one sequence of records.
+type stream struct {
+	first   recorder.Offset
+	records []recorder.Entry
+}
+
 // NewLog returns an empty log that keeps records for the retention time.
 func NewLog(retention time.Duration) *Log {
-	return &Log{retention: retention, start: time.Now(), changed: make(chan struct{})}
+	return &Log{retention: retention, start: time.Now(), streams: map[string]*stream{}, changed: make(chan struct{})}
 }
 
 // Break sets what is wrong with the log.
@@ -168,9 +173,9 @@
 		return
 	}
 	l.mu.Lock()
-	l.drop()
-	offset := l.first + recorder.Offset(len(l.records))
-	l.records = append(l.records, recorder.Entry{Offset: offset, Time: l.clock(), Data: data})
+	s := l.stream(r.URL.Query().Get("stream"))
+	offset := s.first + recorder.Offset(len(s.records))
+	s.records = append(s.records, recorder.Entry{Offset: offset, Time: l.clock(), Data: data})
 	l.appends++
 	l.wake()
 	l.mu.Unlock()
@@ -184,15 +189,21 @@
 	return time.Since(l.start).Milliseconds() + 1
 }
 
-// drop forgets the records whose retention has passed.
-func (l *Log) drop() {
+// stream returns a stream without the records whose retention has passed.
+func (l *Log) stream(name string) *stream {
+	s := l.streams[name]
+	if s == nil {
+		s = &stream{}
+		l.streams[name] = s
+	}
 	limit := l.clock() - l.retention.Milliseconds()
 	n := 0
-	for n < len(l.records) && l.records[n].Time < limit {
+	for n < len(s.records) && s.records[n].Time < limit {
 		n++
 	}
-	l.records = l.records[n:]
-	l.first += recorder.Offset(n)
+	s.records = s.records[n:]
+	s.first += recorder.Offset(n)
+	return s
 }
 
 func (l *Log) read(w http.ResponseWriter, r *http.Request) {
@@ -205,7 +216,7 @@
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for {
-		page, changed := l.page(recorder.Offset(from))
+		page, changed := l.page(r.URL.Query().Get("stream"), recorder.Offset(from))
 		if len(page.Records) > 0 {
 			writeJSON(w, page)
 			return
@@ -221,14 +232,14 @@
 	}
 }
 
-func (l *Log) page(from recorder.Offset) (recorder.Page, chan struct{}) {
+func (l *Log) page(name string, from recorder.Offset) (recorder.Page, chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.drop()
-	next := l.first + recorder.Offset(len(l.records))
-	page := recorder.Page{First: l.first, Next: next, Time: l.clock(), Records: []recorder.Entry{}}
+	s := l.stream(name)
+	next := s.first + recorder.Offset(len(s.records))
+	page := recorder.Page{First: s.first, Next: next, Time: l.clock(), Records: []recorder.Entry{}}
 	if from < next {
-		page.Records = append(page.Records, l.records[max(from, l.first)-l.first:]...)
+		page.Records = append(page.Records, s.records[max(from, s.first)-s.first:]...)
 	}
 	return page, l.changed
 }
--- a/internal/recorder/client.go
+++ b/internal/recorder/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/egretwall/egretwall/internal/classifier"
@@ -66,7 +67,7 @@
 
 // Append writes one record and returns its offset. After an error of kind Lost
 // the record may be in the log all the same.
-func (c *Client) Append(ctx context.Context, r Record) (Offset, error) {
+func (c *Client) Append(ctx context.Context, stream Stream, r Record) (Offset, error) {
 	data, err := json.Marshal(r)
 	if err != nil {
 		return 0, classifier.Wrap(classifier.Internal, err, "encode log record")
@@ -74,7 +75,7 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	var receipt Receipt
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.cfg.Address+"/append", bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url("append", stream), bytes.NewReader(data))
 	if err != nil {
 		return 0, classifier.Wrap(classifier.Internal, err, "append to log")
 	}
@@ -86,11 +87,11 @@
 
 // Read returns the records from offset from on and waits a little for new ones.
 // Records that can't be decoded are skipped.
-func (c *Client) Read(ctx context.Context, from Offset) (Batch, error) {
+func (c *Client) Read(ctx context.Context, stream Stream, from Offset) (Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	url := fmt.Sprintf("http://%s/read?from=%d&wait=%d", c.cfg.Address, from, readWait.Milliseconds())
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	address := fmt.Sprintf("%s&from=%d&wait=%d", c.url("read", stream), from, readWait.Milliseconds())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return Batch{}, classifier.Wrap(classifier.Internal, err, "read log")
 	}
@@ -110,6 +111,10 @@
 	return batch, nil
 }
 
+func (c *Client) url(action string, stream Stream) string {
+	return "http://" + c.cfg.Address + "/" + action + "?stream=" + url.QueryEscape(string(stream))
+}
+
 // Close releases the idle connections.
 func (c *Client) Close() {
 	c.transport.CloseIdleConnections()
--- a/internal/recorder/record.go
+++ b/internal/recorder/record.go
@@ -4,8 +4,8 @@
 // Usage:
 //
 //	log := recorder.NewClient(recorder.Config{Address: "10.0.0.1:9000"})
-//	offset, err := log.Append(ctx, recorder.Record{ID: id, Kind: recorder.Claims, Claims: claims})
-//	batch, err := log.Read(ctx, from)
+//	offset, err := log.Append(ctx, stream, recorder.Record{ID: id, Kind: recorder.Claims, Claims: claims})
+//	batch, err := log.Read(ctx, stream, from)
 //
 // A record is written at least once: after a lost answer the same record,
 // with the same id, may stand in the log twice. Readers drop the repetition.
@@ -19,9 +19,22 @@
 	"github.com/egretwall/egretwall/pkg/configurator"
 )
 
-// Offset is a position in the log.
+// Offset is a position in a stream of the log.
 type Offset uint64
 
+// Stream names one of the streams that the log keeps in order.
+type Stream string
+
+// Main carries configuration changes, repeated states and leases; all
+// processes read it.
+const Main Stream = "main"
+
+// ClaimsOf names the stream of the claims on calls to one group of upstreams;
+// only the agents of that group read it.
+func ClaimsOf(group string) Stream {
+	return Stream("claims-" + group)
+}
+
 // Kind tells what a record carries.
 type Kind string
 
--- a/internal/reducer/agent.go
+++ b/internal/reducer/agent.go
@@ -10,6 +10,7 @@
 	"github.com/egretwall/egretwall/internal/follower"
 	"github.com/egretwall/egretwall/internal/linkpb"
 	"github.com/egretwall/egretwall/internal/placer"
+	"github.com/egretwall/egretwall/internal/recorder"
 	"github.com/egretwall/egretwall/internal/reserver"
 	"github.com/egretwall/egretwall/internal/router"
 	"github.com/egretwall/egretwall/pkg/configurator"
@@ -207,6 +208,9 @@
 	u, ok := cfg.Upstream(a.cfg.Upstream)
 	if ok {
 		a.upstream = u
+		if a.claim.stream == "" {
+			a.followClaims()
+		}
 		if a.ledger == nil && u.Role == configurator.Runner {
 			a.ledger = reserver.New(reserver.Config{
 				Capacity: u.Memory, Fenced: u.Fenced, Flight: u.Flight.Duration(), Forget: a.cfg.Hooks.ForgetOrders,
@@ -382,12 +386,25 @@
 }
 
 func (a *Agent) read(ev Read) {
-	changed := a.follower.Apply(a.now, ev.Batch)
-	a.install(changed)
+	if ev.Stream != recorder.Main {
+		for _, r := range ev.Batch.Records {
+			a.readClaims(r)
+		}
+		return
+	}
+	a.install(a.follower.Apply(a.now, ev.Batch))
 	for _, r := range ev.Batch.Records {
-		a.readClaims(r)
 		a.readLease(r)
-		a.keeper.read(r)
 	}
 	a.lease.sawLog(ev.Batch)
 }
+
+// followClaims starts to read the claims on calls to this agent's group.
+func (a *Agent) followClaims() {
+	group := "models"
+	if !a.isRunner() {
+		group = string(a.upstream.Service)
+	}
+	a.claim.stream = recorder.ClaimsOf(group)
+	a.emit(Follow{a.claim.stream})
+}
--- a/internal/reducer/bench_test.go
+++ b/internal/reducer/bench_test.go
@@ -15,7 +15,7 @@
 func BenchmarkEntryEvents(b *testing.B) {
 	e := NewEntry(EntryConfig{ID: "e", Seed: 1})
 	change := configurator.Diff("first", configurator.State{}, worldConfiguration())
-	e.Reduce(0, Read{recorder.Batch{Next: 1, Records: []recorder.Record{{ID: "first", Kind: recorder.Change, Change: &change}}}})
+	e.Reduce(0, Read{recorder.Main, recorder.Batch{Next: 1, Records: []recorder.Record{{ID: "first", Kind: recorder.Change, Change: &change}}}})
 	class, _ := e.follower.State().Config.Class("desk")
 	for _, name := range e.runners {
 		e.peers[name].state, e.peers[name].epoch = linkUp, 1
@@ -61,7 +61,7 @@
 	}
 	e := NewEntry(EntryConfig{ID: "e", Seed: 1})
 	change := configurator.Diff("first", configurator.State{}, cfg)
-	e.Reduce(0, Read{recorder.Batch{Next: 1, Records: []recorder.Record{{ID: "first", Kind: recorder.Change, Change: &change}}}})
+	e.Reduce(0, Read{recorder.Main, recorder.Batch{Next: 1, Records: []recorder.Record{{ID: "first", Kind: recorder.Change, Change: &change}}}})
 	held := map[configurator.UpstreamName][]string{}
 	for m, homes := range e.homes {
 		for _, u := range homes {
--- a/internal/reducer/claiming.go
+++ b/internal/reducer/claiming.go
@@ -13,6 +13,7 @@
 
 // claiming is an agent's state about idempotency keys.
 type claiming struct {
+	stream  recorder.Stream // empty until the upstream is configured
 	runs    map[claimer.Key]*keyedRun
 	pending []*attempt // claims to append
 	tokens  float64    // appends that may be sent now
@@ -305,14 +306,13 @@
 	}
 	a.claim.pending = slices.Clone(a.claim.pending[len(batch):])
 	id := fmt.Sprintf("%s/%d/%d", a.cfg.Upstream, a.cfg.Incarnation, a.claim.serial)
-	a.emit(Append{recorder.Record{ID: id, Kind: recorder.Claims, Claims: claims}})
+	a.emit(Append{a.claim.stream, recorder.Record{ID: id, Kind: recorder.Claims, Claims: claims}})
 }
 
 // appended handles the answer to an append. Claims count when they are read
 // back, so that a lost answer needs no special case.
 func (a *Agent) appended(ev Appended) {
 	a.lease.appended(ev)
-	a.keeper.appended(ev)
 }
 
 // expireRuns forgets finished runs whose window has closed.
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -99,8 +99,14 @@
 	Address  string
 }
 
-// Append writes a record to the log; Appended answers it.
-type Append struct{ Record recorder.Record }
+// Append writes a record to a stream of the log; Appended answers it.
+type Append struct {
+	Stream recorder.Stream
+	Record recorder.Record
+}
+
+// Follow starts to read a stream of the log besides the main one.
+type Follow struct{ Stream recorder.Stream }
 
 // Note is an event for the log of the process.
 type Note struct {
@@ -132,6 +138,7 @@
 func (Ask) effect()      {}
 func (Look) effect()     {}
 func (Append) effect()   {}
+func (Follow) effect()   {}
 func (Note) effect()     {}
 func (Install) effect()  {}
 func (Stop) effect()     {}
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -43,8 +43,11 @@
 // Drain asks the process to finish what is open and stop.
 type Drain struct{}
 
-// Read carries records of the log.
-type Read struct{ Batch recorder.Batch }
+// Read carries records of a stream of the log.
+type Read struct {
+	Stream recorder.Stream
+	Batch  recorder.Batch
+}
 
 // Learned carries the accepted configuration of a peer.
 type Learned struct{ Document *linkpb.Document }
--- a/internal/reducer/keeping_test.go
+++ b/internal/reducer/keeping_test.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -48,7 +49,12 @@
 	o := &op{name: "booking", key: "booking"}
 	w.ops = append(w.ops, o)
 	require.Equal(t, classifier.None, w.book(o, 0).kind)
-	w.work(10 * time.Minute)
+	for range 200 { // ten minutes of other calls
+		other := &op{name: fmt.Sprintf("other%d", w.next())}
+		other.key = other.name
+		w.ops = append(w.ops, other)
+		w.book(other, 0)
+	}
 	for i := range w.engines { // nobody is left that saw the first records
 		w.killAgent(w.agents[i])
 		w.agents[i] = w.newAgent(i)
@@ -95,3 +101,23 @@
 	state, _ := configurator.Restore(w.agents[0].a.follower.State().Snapshot())
 	require.Equal(t, state.Sum(), w.entries[0].e.follower.State().Sum())
 }
+
+func TestEachGroupHasAFirstAgentToRepeatItsClaims(t *testing.T) {
+	w := shortLog(t)
+	billing := func(u configurator.Upstream) bool { return u.Service == "billing" }
+	var ranks []int
+	for _, p := range w.agents[worldRunners:] {
+		ranks = append(ranks, p.a.keeperRank(billing))
+	}
+	require.ElementsMatch(t, []int{0, 1}, ranks)
+}
+
+func TestDutyWaitsForAgentsOfLowerRank(t *testing.T) {
+	var d duty
+	require.False(t, d.turn(time.Second, true, 1))
+	require.False(t, d.turn(2*time.Second, true, 1))
+	require.True(t, d.turn(3*time.Second, true, 1))
+	require.False(t, d.turn(4*time.Second, true, 1), "the wait starts again")
+	require.False(t, d.turn(5*time.Second, false, 1), "another agent has done it")
+	require.True(t, d.turn(6*time.Second, true, 0))
+}
--- a/internal/reducer/leasing.go
+++ b/internal/reducer/leasing.go
@@ -107,7 +107,7 @@
 	if l.held {
 		record.Since = l.offset
 	}
-	a.emit(Append{recorder.Record{ID: l.lastID, Kind: recorder.Lease, Lease: record}})
+	a.emit(Append{recorder.Main, recorder.Record{ID: l.lastID, Kind: recorder.Lease, Lease: record}})
 }
 
 // readLease applies a lease record of this agent's upstream. The term whose
--- a/internal/reducer/machine_test.go
+++ b/internal/reducer/machine_test.go
@@ -239,12 +239,12 @@
 func (w *world) readOne() {
 	if rapid.Bool().Draw(w.rt, "entry") {
 		p := *pick(w, "entry", w.entries)
-		w.readLog(&p.pos, func(ev Event) { w.tellEntry(p, ev) })
+		w.readLog(&p.pos, func(ev Event) { w.tellEntry(p, ev) }, "")
 		return
 	}
 	p := *pick(w, "agent", w.agents)
 	if !p.paused && !p.dead {
-		w.readLog(&p.pos, func(ev Event) { w.tellAgent(p, ev) })
+		w.readLog(&p.pos, func(ev Event) { w.tellAgent(p, ev) }, p.claims())
 	}
 }
 
@@ -374,7 +374,7 @@
 	cfg := worldConfiguration()
 	change := configurator.Diff("first", configurator.State{}, cfg)
 	batch := recorder.Batch{Next: 1, Records: []recorder.Record{{ID: "first", Kind: recorder.Change, Change: &change}}}
-	events = append([]Event{Read{batch}}, events...)
+	events = append([]Event{Read{recorder.Main, batch}}, events...)
 	for i := range 50 {
 		class, _ := cfg.Class("desk")
 		events = append(events, Arrived{Request{ID: RequestID(fmt.Sprint("r", i)), Caller: "c", Class: class, Model: "m1", Method: "POST", Repeatable: true}}, Tick{})
--- a/internal/reducer/routing_test.go
+++ b/internal/reducer/routing_test.go
@@ -17,7 +17,7 @@
 func routed(t *testing.T) (*Entry, func(m configurator.ModelName) []Effect) {
 	e := NewEntry(EntryConfig{ID: "e", Domain: "ra", Seed: 1})
 	change := configurator.Diff("first", configurator.State{}, worldConfiguration())
-	e.Reduce(0, Read{recorder.Batch{Next: 1, Records: []recorder.Record{{ID: "first", Kind: recorder.Change, Change: &change}}}})
+	e.Reduce(0, Read{recorder.Main, recorder.Batch{Next: 1, Records: []recorder.Record{{ID: "first", Kind: recorder.Change, Change: &change}}}})
 	class, ok := e.follower.State().Config.Class("desk")
 	require.True(t, ok)
 	n := 0
--- a/internal/reducer/scenario_test.go
+++ b/internal/reducer/scenario_test.go
@@ -72,7 +72,7 @@
 	a := NewAgent(AgentConfig{Upstream: "ra", Incarnation: inc, Seed: 1, Hooks: hooks})
 	change := configurator.Diff("first", configurator.State{}, worldConfiguration())
 	lease := &recorder.LeaseRecord{Upstream: "ra", Term: inc, Millis: 3000}
-	a.Reduce(0, Read{recorder.Batch{Next: 2, Records: []recorder.Record{
+	a.Reduce(0, Read{recorder.Main, recorder.Batch{Next: 2, Records: []recorder.Record{
 		{ID: "first", Kind: recorder.Change, Change: &change}, {Offset: 1, ID: "l", Kind: recorder.Lease, Lease: lease},
 	}}})
 	a.Reduce(0, Opened{"e", 1, 1, 1})
--- a/internal/reducer/world_test.go
+++ b/internal/reducer/world_test.go
@@ -68,6 +68,7 @@
 
 type worldLog struct {
 	records   []recorder.Record
+	streams   []recorder.Stream // of the records; the streams share their offsets
 	down      bool
 	ambiguous bool
 }
@@ -154,7 +155,7 @@
 	w := &world{rt: rt, hooks: hooks, counts: counts, now: time.Second, keep: time.Hour}
 	cfg := worldConfiguration()
 	change := configurator.Diff("first", configurator.State{}, cfg)
-	w.append(recorder.Record{ID: "first", Kind: recorder.Change, Change: &change})
+	w.append(recorder.Main, recorder.Record{ID: "first", Kind: recorder.Change, Change: &change})
 	for i, u := range cfg.Upstreams {
 		w.engines = append(w.engines, &worldEngine{
 			upstream: u, residents: map[configurator.ModelName]configurator.Bytes{}, loading: map[configurator.ModelName]configurator.Bytes{},
@@ -189,13 +190,19 @@
 	return p
 }
 
-func (w *world) append(r recorder.Record) recorder.Offset {
+func (w *world) append(stream recorder.Stream, r recorder.Record) recorder.Offset {
 	r.Offset = recorder.Offset(len(w.log.records))
 	r.Time = w.now.Milliseconds()
 	w.log.records = append(w.log.records, r)
+	w.log.streams = append(w.log.streams, stream)
 	return r.Offset
 }
 
+// claims names the stream of claims that an agent reads, before it is told so.
+func (p *agentProc) claims() recorder.Stream {
+	return recorder.ClaimsOf([]string{"models", "models", "models", "billing", "billing"}[p.slot])
+}
+
 // agent events and effects
 
 func (w *world) tellAgent(p *agentProc, ev Event) {
@@ -248,18 +255,18 @@
 			}
 		}
 	case Append:
-		w.appendFor(ef.Record, func(ev Event) { w.tellAgent(p, ev) })
+		w.appendFor(ef.Stream, ef.Record, func(ev Event) { w.tellAgent(p, ev) })
 	case Stop:
 		w.killAgent(p)
 	}
 }
 
-func (w *world) appendFor(r recorder.Record, tell func(Event)) {
+func (w *world) appendFor(stream recorder.Stream, r recorder.Record, tell func(Event)) {
 	if w.log.down {
 		tell(Appended{ID: r.ID, Err: errors.New("down")})
 		return
 	}
-	offset := w.append(r)
+	offset := w.append(stream, r)
 	if w.log.ambiguous {
 		w.counts["append ambiguous"]++
 		tell(Appended{ID: r.ID, Err: errors.New("lost")})
@@ -505,7 +512,7 @@
 	}
 }
 
-func (w *world) readLog(pos *recorder.Offset, tell func(Event)) {
+func (w *world) readLog(pos *recorder.Offset, tell func(Event), claims recorder.Stream) {
 	if w.log.down {
 		return
 	}
@@ -514,11 +521,18 @@
 		first++
 	}
 	from := max(first, int(*pos))
-	batch := recorder.Batch{
-		First: recorder.Offset(first), Next: recorder.Offset(len(w.log.records)), Time: w.now.Milliseconds(), Records: w.log.records[from:],
+	batch := recorder.Batch{First: recorder.Offset(first), Next: recorder.Offset(len(w.log.records)), Time: w.now.Milliseconds()}
+	records := map[recorder.Stream][]recorder.Record{}
+	for i := from; i < len(w.log.records); i++ {
+		records[w.log.streams[i]] = append(records[w.log.streams[i]], w.log.records[i])
 	}
 	*pos = batch.Next
-	tell(Read{batch})
+	for _, stream := range []recorder.Stream{recorder.Main, claims} {
+		if stream != "" {
+			batch.Records = records[stream]
+			tell(Read{stream, batch})
+		}
+	}
 }
 
 // tick lets time pass for everyone who is awake.
@@ -572,11 +586,11 @@
 func (w *world) calm(d time.Duration) {
 	w.tick(d)
 	for _, p := range w.entries {
-		w.readLog(&p.pos, func(ev Event) { w.tellEntry(p, ev) })
+		w.readLog(&p.pos, func(ev Event) { w.tellEntry(p, ev) }, "")
 	}
 	for _, p := range slices.Clone(w.agents) {
 		if !p.paused && !p.dead {
-			w.readLog(&p.pos, func(ev Event) { w.tellAgent(p, ev) })
+			w.readLog(&p.pos, func(ev Event) { w.tellAgent(p, ev) }, p.claims())
 		}
 	}
 	for _, c := range slices.Clone(w.conns) {
