Split the large files of the reducers and stand-ins

After: one catalog type; routing, answers, entry links, completions, shapes, list and servers have files of their own. No behaviour changed: the tests of reducer and demonstrator pass.

--- a/internal/faker/log.go
+++ b/internal/faker/log.go
@@ -15,82 +15,14 @@
 import (
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/egretwall/egretwall/internal/classifier"
-	"github.com/egretwall/egretwall/internal/lister"
 	"github.com/egretwall/egretwall/internal/recorder"
 )
 
-// Server is a stand-in that listens on a TCP port.
-type Server struct {
-	listener net.Listener
-	server   *http.Server
-	bytes    atomic.Int64
-}
-
-// meter counts the bytes of the connections that it accepts.
-type meter struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-type meteredConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Accept returns the next connection.
-func (m meter) Accept() (net.Conn, error) {
-	conn, err := m.Listener.Accept()
-	return meteredConn{conn, m.bytes}, err
-}
-
-// Read counts what it reads.
-func (c meteredConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write counts what it writes.
-func (c meteredConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Serve starts a stand-in.
-func Serve(address string, handler http.Handler) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, classifier.Wrap(classifier.Invalid, err, "listen on %s", address)
-	}
-	s := &Server{listener: listener, server: &http.Server{Handler: handler}}
-	go func() { _ = s.server.Serve(meter{listener, &s.bytes}) }()
-	return s, nil
-}
-
-// Address returns where the stand-in listens.
-func (s *Server) Address() string {
-	return s.listener.Addr().String()
-}
-
-// Bytes returns what its connections have carried, both ways.
-func (s *Server) Bytes() int64 {
-	return s.bytes.Load()
-}
-
-// Close stops the stand-in and cuts its connections.
-func (s *Server) Close() {
-	_ = s.server.Close()
-}
-
 // LogFault is what is wrong with the log.
 type LogFault string
 
@@ -243,71 +175,3 @@
 	}
 	return page, l.changed
 }
-
-// List is the platform's list of instances; what it shows lags.
-type List struct {
-	lag time.Duration
-
-	mu     sync.Mutex
-	shown  map[string]lister.Instance
-	queued []update
-}
-
-type update struct {
-	at       time.Time
-	instance lister.Instance
-	gone     bool
-}
-
-// NewList returns an empty list whose changes show after lag.
-func NewList(lag time.Duration) *List {
-	return &List{lag: lag, shown: map[string]lister.Instance{}}
-}
-
-// Add shows an instance at once.
-func (l *List) Add(i lister.Instance) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.shown[i.Name] = i
-}
-
-// Update shows a change of an instance after the lag.
-func (l *List) Update(i lister.Instance, gone bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.queued = append(l.queued, update{time.Now().Add(l.lag), i, gone})
-}
-
-// ServeHTTP answers GET /instances.
-func (l *List) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	l.mu.Lock()
-	for len(l.queued) > 0 && time.Now().After(l.queued[0].at) {
-		u := l.queued[0]
-		l.queued = l.queued[1:]
-		l.shown[u.instance.Name] = u.instance
-		if u.gone {
-			delete(l.shown, u.instance.Name)
-		}
-	}
-	instances := make([]lister.Instance, 0, len(l.shown))
-	for _, i := range l.shown {
-		instances = append(instances, i)
-	}
-	l.mu.Unlock()
-	writeJSON(w, instances)
-}
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
-
-// pause waits unless the request ends first.
-func pause(r *http.Request, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-r.Context().Done():
-	}
-}
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -74,7 +74,7 @@
 	switch {
 	case a.draining && (t.submit.Key == "" || a.claim.runs[keyOf(t)] == nil):
 		return classifier.Leaving
-	case a.upstream.Name == "" || t.submit.Model != "" && a.sizes[configurator.ModelName(t.submit.Model)] == 0:
+	case a.upstream.Name == "" || t.submit.Model != "" && a.catalog.sizes[configurator.ModelName(t.submit.Model)] == 0:
 		return classifier.Missing
 	case a.unfit():
 		return classifier.Busy
@@ -97,7 +97,7 @@
 func (a *Agent) enqueue(t *attempt) {
 	if t.submit.Model != "" {
 		a.balance.used[configurator.ModelName(t.submit.Model)] = a.now
-		a.balance.used[a.bases[configurator.ModelName(t.submit.Model)]] = a.now
+		a.balance.used[a.catalog.bases[configurator.ModelName(t.submit.Model)]] = a.now
 		if !a.ready(configurator.ModelName(t.submit.Model)) {
 			if len(a.cold) >= queueBound {
 				a.refuse(t, classifier.Busy)
--- a/internal/reducer/balancing.go
+++ b/internal/reducer/balancing.go
@@ -50,7 +50,7 @@
 	if a.ledger == nil {
 		return true
 	}
-	base := a.bases[m]
+	base := a.catalog.bases[m]
 	return a.holdsFirmly(m) && (base == m || a.holdsFirmly(base))
 }
 
@@ -174,7 +174,7 @@
 		if a.ledger.Resident(m) {
 			continue
 		}
-		if a.ledger.Free() < a.sizes[m] {
+		if a.ledger.Free() < a.catalog.sizes[m] {
 			if !a.makeRoom(m, a.needed(m)) {
 				continue
 			}
@@ -195,7 +195,7 @@
 		}
 	}
 	for _, t := range a.coldByUrgency() {
-		add(a.bases[configurator.ModelName(t.submit.Model)])
+		add(a.catalog.bases[configurator.ModelName(t.submit.Model)])
 	}
 	cfg := &a.follower.State().Config
 	for copyIndex := range 4 {
@@ -207,7 +207,7 @@
 		}
 	}
 	for _, m := range a.wished() {
-		add(a.bases[m])
+		add(a.catalog.bases[m])
 	}
 	return models
 }
@@ -220,12 +220,12 @@
 
 func (a *Agent) load(m configurator.ModelName) {
 	n := a.lease.number()
-	if !a.ledger.Load(a.now, n, m, a.sizes[m]) {
+	if !a.ledger.Load(a.now, n, m, a.catalog.sizes[m]) {
 		return
 	}
 	a.Counters.Loads++
 	a.balance.used[m] = a.now
-	a.emit(Order{Number: n, Op: reserver.Load, Model: m, Bytes: a.sizes[m], Before: a.before()})
+	a.emit(Order{Number: n, Op: reserver.Load, Model: m, Bytes: a.catalog.sizes[m], Before: a.before()})
 }
 
 func (a *Agent) unload(m configurator.ModelName) {
@@ -261,8 +261,8 @@
 		if under >= maxAdapters {
 			return
 		}
-		base := a.bases[m]
-		if base == m || !a.holdsFirmly(base) || a.ledger.Resident(m) || a.ledger.Loading(m) || a.ledger.Pending(m) || a.ledger.Free() < a.sizes[m] {
+		base := a.catalog.bases[m]
+		if base == m || !a.holdsFirmly(base) || a.ledger.Resident(m) || a.ledger.Loading(m) || a.ledger.Pending(m) || a.ledger.Free() < a.catalog.sizes[m] {
 			continue
 		}
 		a.load(m)
@@ -276,17 +276,17 @@
 	free := a.ledger.Free()
 	victims := a.victims(needed)
 	for _, v := range victims {
-		free += a.sizes[v]
+		free += a.catalog.sizes[v]
 	}
-	if free < a.sizes[m] {
+	if free < a.catalog.sizes[m] {
 		return false
 	}
 	free = a.ledger.Free()
 	for _, v := range victims {
-		if free >= a.sizes[m] {
+		if free >= a.catalog.sizes[m] {
 			break
 		}
-		free += a.sizes[v]
+		free += a.catalog.sizes[v]
 		a.unload(v)
 	}
 	return true
@@ -303,7 +303,7 @@
 func (a *Agent) victims(needed bool) []configurator.ModelName {
 	var list []configurator.ModelName
 	for _, m := range a.ledger.Residents() {
-		base, known := a.bases[m]
+		base, known := a.catalog.bases[m]
 		if known && base != m || slices.Contains(a.homes[m], a.cfg.Upstream) || a.inUse(m) || a.ledger.Pending(m) {
 			continue
 		}
@@ -329,12 +329,12 @@
 // inUse tells whether attempts run or wait for a model or one of its adapters.
 func (a *Agent) inUse(base configurator.ModelName) bool {
 	for m, n := range a.balance.busy {
-		if n > 0 && a.bases[m] == base {
+		if n > 0 && a.catalog.bases[m] == base {
 			return true
 		}
 	}
 	return slices.ContainsFunc(a.cold, func(t *attempt) bool {
-		return t.state == stateCold && a.bases[configurator.ModelName(t.submit.Model)] == base
+		return t.state == stateCold && a.catalog.bases[configurator.ModelName(t.submit.Model)] == base
 	})
 }
 
--- a/internal/reducer/entry.go
+++ b/internal/reducer/entry.go
@@ -47,7 +47,7 @@
 	groups   map[configurator.ServiceName][]configurator.UpstreamName
 	runners  []configurator.UpstreamName
 	holders  map[configurator.ModelName][]*peer
-	bases    map[configurator.ModelName]configurator.ModelName
+	catalog  catalog
 	homes    placer.Placement
 	wants    map[configurator.ModelName]want // by base model
 	roster   roster
@@ -182,13 +182,7 @@
 			e.removePeer(name)
 		}
 	}
-	e.bases = map[configurator.ModelName]configurator.ModelName{}
-	for _, m := range cfg.Models {
-		e.bases[m.Name] = m.Name
-	}
-	for _, a := range cfg.Adapters {
-		e.bases[a.Name] = a.Model
-	}
+	e.catalog = newCatalog(cfg)
 	e.limits = map[configurator.CallerName]int{}
 	for _, c := range cfg.Callers {
 		e.limits[c.Name] = c.Limit
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -7,8 +7,6 @@
 
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/linkpb"
-	"github.com/egretwall/egretwall/internal/placer"
-	"github.com/egretwall/egretwall/internal/router"
 	"github.com/egretwall/egretwall/pkg/configurator"
 )
 
@@ -75,7 +73,7 @@
 	if e.callers[r.Caller] >= e.limits[r.Caller] {
 		return classifier.Limited
 	}
-	if r.Model != "" && e.bases[r.Model] == "" || r.Model == "" && len(e.groups[r.Service]) == 0 {
+	if r.Model != "" && e.catalog.bases[r.Model] == "" || r.Model == "" && len(e.groups[r.Service]) == 0 {
 		return classifier.Missing
 	}
 	return classifier.None
@@ -120,112 +118,6 @@
 	e.waiting = append(e.waiting, r)
 }
 
-// choose returns the agent for the next attempt, and nil when none can take it.
-func (e *Entry) choose(r *request) *peer {
-	if r.ask != "" {
-		p := e.peers[r.ask]
-		r.ask = ""
-		return p
-	}
-	if r.Key != "" {
-		return e.home(r)
-	}
-	if r.Model == "" {
-		return e.best(r, e.named(e.groups[r.Service]))
-	}
-	base := e.bases[r.Model]
-	for _, model := range []configurator.ModelName{r.Model, base} {
-		if p := e.best(r, e.holding(model, base)); p != nil {
-			return p
-		}
-	}
-	return e.first(r, placer.Rank(string(base), e.runners))
-}
-
-// holding lists the runners that hold a model, and its homes that have not said
-// yet what they hold.
-func (e *Entry) holding(model, base configurator.ModelName) []*peer {
-	e.likely = append(e.likely[:0], e.holders[model]...)
-	for _, name := range e.homes[base] {
-		if p := e.peers[name]; !p.told {
-			e.likely = append(e.likely, p)
-		}
-	}
-	return e.likely
-}
-
-// home returns the first usable agent in the rendezvous order of a key.
-func (e *Entry) home(r *request) *peer {
-	group := e.groups[r.Service]
-	if r.Model != "" {
-		group = e.homes[e.bases[r.Model]]
-		if len(group) == 0 {
-			group = e.runners
-		}
-	}
-	return e.first(r, placer.Rank(r.Key, group))
-}
-
-// first returns the first usable peer, and the first one that can be tried
-// when the list shows none of them as live.
-func (e *Entry) first(r *request, names []configurator.UpstreamName) *peer {
-	var fallback *peer
-	for _, name := range names {
-		p := e.peers[name]
-		if r.Key == "" && name == r.avoid || !p.reachable(e.now) {
-			continue
-		}
-		if p.usable(e.now, e.roster.listed(name)) {
-			return p
-		}
-		if fallback == nil {
-			fallback = p
-		}
-	}
-	return fallback
-}
-
-func (e *Entry) named(names []configurator.UpstreamName) []*peer {
-	peers := make([]*peer, 0, len(names))
-	for _, name := range names {
-		peers = append(peers, e.peers[name])
-	}
-	return peers
-}
-
-// best picks among usable peers and avoids the one that failed last when there
-// is another.
-func (e *Entry) best(r *request, peers []*peer) *peer {
-	usable := func(p *peer) bool { return p.usable(e.now, e.roster.listed(p.upstream.Name)) }
-	reachable := func(p *peer) bool { return p.reachable(e.now) }
-	other := func(p *peer) bool { return usable(p) && p.upstream.Name != r.avoid }
-	for _, allowed := range []func(*peer) bool{other, usable, reachable} {
-		if p := e.pick(peers, allowed); p != nil {
-			return p
-		}
-	}
-	return nil
-}
-
-func (e *Entry) pick(peers []*peer, allowed func(*peer) bool) *peer {
-	e.candidates, e.picked = e.candidates[:0], e.picked[:0]
-	for _, p := range peers {
-		if !allowed(p) {
-			continue
-		}
-		e.picked = append(e.picked, p)
-		e.candidates = append(e.candidates, router.Candidate{
-			Outstanding: len(p.open) + len(p.pending), Others: p.others, Age: e.now - p.loadAt,
-			Slots: p.upstream.Slots, Near: p.upstream.Domain == e.cfg.Domain,
-		})
-	}
-	i := e.router.Pick(e.candidates)
-	if i < 0 {
-		return nil
-	}
-	return e.picked[i]
-}
-
 func (e *Entry) submit(r *request, p *peer) {
 	r.tries++
 	r.serial++
@@ -390,120 +282,3 @@
 	}
 	e.dispatch(r)
 }
-
-// ended handles the End message of the current attempt.
-func (e *Entry) ended(r *request, end *linkpb.End) {
-	p := r.peer
-	e.ack(r, end.Seq+1)
-	kind := classifier.Kind(end.Error)
-	if kind == classifier.None {
-		e.finish(r)
-		return
-	}
-	if end.Holder != "" && !r.asked {
-		r.asked = true
-		r.ask = configurator.UpstreamName(end.Holder)
-		e.detach(r)
-		e.dispatch(r)
-		return
-	}
-	if classifier.Ran(end.Ran) != classifier.RanNo {
-		e.endedUnknown(r, kind)
-		return
-	}
-	e.detach(r)
-	if kind == classifier.Cancelled && r.moving {
-		r.tries--
-		e.dispatch(r)
-		return
-	}
-	r.lastKind = kind
-	r.avoid = p.upstream.Name
-	switch kind {
-	case classifier.Leaving:
-		p.leaving = true
-		r.tries--
-		e.dispatch(r)
-	case classifier.Lost:
-		p.fail(e.now)
-		e.retry(r, kind)
-	case classifier.Busy, classifier.Loading, classifier.Missing:
-		if r.Early && kind != classifier.Missing && r.tries > 1 {
-			e.fail(r, kind, classifier.RanNo)
-			return
-		}
-		e.hold(r)
-	default:
-		e.fail(r, kind, classifier.RanNo)
-	}
-}
-
-func (e *Entry) endedUnknown(r *request, kind classifier.Kind) {
-	if kind == classifier.Lost || kind == classifier.Broken {
-		r.peer.fail(e.now)
-		r.avoid = r.peer.upstream.Name
-		e.detach(r)
-		r.ambiguous = true
-		if (r.Repeatable || e.cfg.Hooks.RepeatAlways) && e.resumable(r) {
-			e.retry(r, kind)
-			return
-		}
-		kind = r.unfinished(kind)
-	}
-	e.fail(r, kind, classifier.RanUnknown)
-}
-
-func (e *Entry) reply(r *request, head *linkpb.Head) {
-	r.replied = true
-	e.emit(Reply{r.ID, int(head.Status), head.Headers})
-}
-
-func (e *Entry) push(r *request, data []byte) {
-	r.pushed++
-	e.emit(Push{r.ID, r.pushed, data})
-}
-
-func (e *Entry) headed(r *request, head *linkpb.Head) {
-	r.next = 1
-	if r.wholesale() {
-		r.head = head
-		return
-	}
-	if !r.replied {
-		e.reply(r, head)
-		return
-	}
-	if head.Status >= 300 {
-		e.fail(r, classifier.Broken, classifier.RanUnknown)
-	}
-}
-
-func (e *Entry) chunked(r *request, c *linkpb.Chunk) {
-	r.next++
-	if r.wholesale() {
-		r.held = append(r.held, c.Data...)
-		e.ack(r, r.next)
-		return
-	}
-	r.tokens += c.Tokens
-	if c.Text != "" {
-		r.text = append(r.text, c.Text...)
-	}
-	e.push(r, c.Data)
-}
-
-// consumed lets the agent send more once the caller has taken chunks.
-func (e *Entry) consumed(ev Consumed) {
-	r := e.requests[ev.ID]
-	if r == nil || r.attempt == "" || ev.Next <= r.base || r.wholesale() {
-		return
-	}
-	e.ack(r, ev.Next-r.base+1)
-}
-
-func (e *Entry) ack(r *request, next uint64) {
-	if r.peer == nil || r.peer.state != linkUp {
-		return
-	}
-	e.emit(SendUp{r.peer.upstream.Name, r.peer.epoch, &linkpb.Up{Kind: &linkpb.Up_Ack{Ack: &linkpb.Ack{Attempt: string(r.attempt), Next: next}}}})
-}
--- a/internal/reducer/wanting.go
+++ b/internal/reducer/wanting.go
@@ -30,7 +30,7 @@
 	if load < 1+moveShare*e.follower.State().Config.Moves {
 		return
 	}
-	base := e.bases[r.Model]
+	base := e.catalog.bases[r.Model]
 	w := e.wants[base]
 	if w.count > 0 && e.now-w.at < wantPeriod {
 		return
@@ -92,7 +92,7 @@
 
 // wish notes an entry's want.
 func (a *Agent) wish(m configurator.ModelName) {
-	if a.ledger == nil || a.sizes[m] == 0 || a.ready(m) {
+	if a.ledger == nil || a.catalog.sizes[m] == 0 || a.ready(m) {
 		return
 	}
 	a.balance.wishes[m] = a.now + wantLife
