--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -27,6 +27,27 @@
 // Live tells whether a runner can hold copies.
 type Live func(configurator.UpstreamName) bool
 
+// Spares places one further copy of each model where memory is left beside the
+// home copies, the smallest models first. Spare copies give way to others.
+func Spares(cfg *configurator.Configuration, homes Placement, live Live) Placement {
+	p := newPlanner(cfg, live)
+	spares := Placement{}
+	for m, runners := range homes {
+		p.homes[m] = slices.Clone(runners)
+		for _, u := range runners {
+			p.byName[u].free -= p.weight[m]
+		}
+	}
+	models := p.bySize(cfg.Models)
+	slices.Reverse(models)
+	for _, m := range models {
+		before := len(p.homes[m.Name])
+		p.add(m.Name, func(s *slot) bool { return s.live })
+		spares[m.Name] = p.homes[m.Name][before:]
+	}
+	return spares
+}
+
 type slot struct {
 	upstream configurator.Upstream
 	free     configurator.Bytes
--- a/internal/placer/placer_test.go
+++ b/internal/placer/placer_test.go
@@ -62,6 +62,22 @@
 	}
 }
 
+func TestSparesFitBesideTheHomes(t *testing.T) {
+	cfg := example(t, "havengelden")
+	homes := Place(&cfg, everyone)
+	spares := Spares(&cfg, homes, everyone)
+	all, placed := Placement{}, 0
+	for _, m := range cfg.Models {
+		for _, u := range spares[m.Name] {
+			require.NotContains(t, homes[m.Name], u)
+			placed++
+		}
+		all[m.Name] = append(append(all[m.Name], homes[m.Name]...), spares[m.Name]...)
+	}
+	require.Positive(t, placed)
+	checkPlacement(t, cfg, all, func(configurator.UpstreamName) bool { return false })
+}
+
 func BenchmarkPlace(b *testing.B) {
 	for _, n := range []int{12, 75, 300, 600} {
 		b.Run(fmt.Sprintf("runners=%d", n), func(b *testing.B) {
--- a/internal/reducer/agent.go
+++ b/internal/reducer/agent.go
@@ -35,6 +35,7 @@
 	upstream configurator.Upstream // zero until it is configured
 	roster   roster
 	homes    placer.Placement
+	spares   placer.Placement // further copies, where moves weigh little
 	catalog  catalog
 
 	entries  map[EntryID]*entryLink
@@ -211,9 +212,12 @@
 
 // survey places the models on the runners that are not gone.
 func (a *Agent) survey() {
-	a.homes = placer.Place(&a.follower.State().Config, func(u configurator.UpstreamName) bool {
-		return u == a.cfg.Upstream || a.roster.placeable(u)
-	})
+	cfg := &a.follower.State().Config
+	live := func(u configurator.UpstreamName) bool { return u == a.cfg.Upstream || a.roster.placeable(u) }
+	a.homes, a.spares = placer.Place(cfg, live), nil
+	if cfg.Moves < spareMoves {
+		a.spares = placer.Spares(cfg, a.homes, live)
+	}
 }
 
 func (a *Agent) told(ev Told) {
--- a/internal/reducer/balancing.go
+++ b/internal/reducer/balancing.go
@@ -183,6 +183,9 @@
 		a.load(m)
 		return
 	}
+	if m, ok := a.spare(); ok {
+		a.load(m)
+	}
 }
 
 // wanted lists base models: those that attempts wait for, then the home copies
@@ -212,6 +215,27 @@
 	return models
 }
 
+// spare returns a spare copy that fits into free memory, if one is missing.
+func (a *Agent) spare() (configurator.ModelName, bool) {
+	for _, m := range sortedModels(a.spares) {
+		if slices.Contains(a.spares[m], a.cfg.Upstream) && !a.ledger.Resident(m) && a.ledger.Free() >= a.weightOf(m) {
+			return m, true
+		}
+	}
+	return "", false
+}
+
+// weightOf returns the bytes of a base model with its adapters.
+func (a *Agent) weightOf(base configurator.ModelName) configurator.Bytes {
+	var sum configurator.Bytes
+	for m, b := range a.catalog.bases {
+		if b == base {
+			sum += a.catalog.sizes[m]
+		}
+	}
+	return sum
+}
+
 func (a *Agent) coldByUrgency() []*attempt {
 	cold := slices.DeleteFunc(slices.Clone(a.cold), func(t *attempt) bool { return t.state != stateCold })
 	slices.SortStableFunc(cold, func(x, y *attempt) int { return cmp.Compare(x.class.Rank, y.class.Rank) })
@@ -247,7 +271,7 @@
 	names = append(names, a.wished()...)
 	cfg := &a.follower.State().Config
 	for _, ad := range cfg.Adapters {
-		if slices.Contains(a.homes[ad.Model], a.cfg.Upstream) {
+		if slices.Contains(a.homes[ad.Model], a.cfg.Upstream) || slices.Contains(a.spares[ad.Model], a.cfg.Upstream) {
 			names = append(names, ad.Name)
 		}
 	}
--- a/internal/reducer/wanting.go
+++ b/internal/reducer/wanting.go
@@ -15,6 +15,7 @@
 	wantLife   = 3 * time.Second        // an agent forgets a want after this time
 	idleCopy   = 30 * time.Second       // a copy unused for so long may give way to a wanted one
 	moveShare  = 0.5                    // load beyond the slots that justifies a move of weight 1
+	spareMoves = 0.5                    // spare copies are kept where a move weighs less
 )
 
 // want is an entry's demand for further copies of a base model.
