Test that a draining agent takes no work and that waiting requests are answered

Cause: two promises were checked only through whole deployments; one history test slept for a run that a slow machine might not have started. Before: a sleep of 400 ms. After: the test waits for the first recorded run; focused tests on the reducers assert the refusal, the notice to entries, the stop after the last acknowledgement, and the answer at the deadline with Retry-After.

--- a/internal/demonstrator/history_test.go
+++ b/internal/demonstrator/history_test.go
@@ -151,6 +151,19 @@
 	return porcupine.CheckOperations(keyModel, h.history)
 }
 
+// runs counts the runs recorded so far.
+func (h *historian) runs() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, op := range h.history {
+		if op.Input.(event).run {
+			n++
+		}
+	}
+	return n
+}
+
 func (h *historian) agent(name string) *Agent {
 	for _, a := range h.cluster.Agents {
 		if string(a.Upstream.Name) == name {
@@ -203,14 +216,14 @@
 	h := newHistorian(t, reducer.Hooks{DenyUnknown: true})
 	for _, a := range h.cluster.Agents {
 		if a.Booking != nil {
-			a.Booking.Work = time.Second
+			a.Booking.Work = 2 * time.Second
 		}
 	}
 	var clients sync.WaitGroup
 	for i := range 4 {
 		clients.Go(func() { h.book(i, fmt.Sprintf("key-%d", i)) })
 	}
-	time.Sleep(400 * time.Millisecond)
+	require.Eventually(t, func() bool { return h.runs() > 0 }, 5*time.Second, 5*time.Millisecond)
 	h.cluster.KillAgent(h.agent("sa"))
 	h.cluster.KillAgent(h.agent("sb"))
 	clients.Wait()
--- a/internal/reducer/routing_test.go
+++ b/internal/reducer/routing_test.go
@@ -67,3 +67,51 @@
 	}
 	require.Len(t, seen, 3)
 }
+
+func TestDrainingAgentTakesNoNewWork(t *testing.T) {
+	a := NewAgent(AgentConfig{Upstream: "sa", Incarnation: 1, Seed: 1})
+	change := configurator.Diff("first", configurator.State{}, worldConfiguration())
+	a.Reduce(0, Read{recorder.Main, recorder.Batch{Next: 1, Records: []recorder.Record{{ID: "first", Kind: recorder.Change, Change: &change}}}})
+	a.Reduce(0, Opened{"e", 1, 1, 1})
+	submit := func(id string) []Effect {
+		return append([]Effect{}, a.Reduce(time.Second, Told{"e", 1, &linkpb.Up{Kind: &linkpb.Up_Submit{Submit: &linkpb.Submit{
+			Attempt: id, Class: "desk", BudgetMs: 5000, Method: "POST",
+		}}}})...)
+	}
+	require.IsType(t, Pass{}, submit("before")[0])
+	told := false
+	for _, ef := range append([]Effect{}, a.Reduce(time.Second, Drain{})...) {
+		if s, ok := ef.(SendDown); ok && s.Down.GetLoad().GetLeaving() {
+			told = true
+		}
+		require.NotEqual(t, Stop{}, ef, "an attempt is still running")
+	}
+	require.True(t, told, "entries learn of it at once")
+	end := submit("after")[0].(SendDown).Down.GetEnd()
+	require.Equal(t, "leaving", end.Error)
+	require.Equal(t, "no", end.Ran)
+	a.Reduce(time.Second, Told{"e", 1, &linkpb.Up{Kind: &linkpb.Up_Ack{Ack: &linkpb.Ack{Attempt: "after", Next: 1}}}})
+	a.Reduce(time.Second, Finished{"before", "", "yes"})
+	last := a.Reduce(time.Second, Told{"e", 1, &linkpb.Up{Kind: &linkpb.Up_Ack{Ack: &linkpb.Ack{Attempt: "before", Next: 1}}}})
+	require.Equal(t, []Effect{Stop{}}, append([]Effect{}, last...))
+}
+
+func TestRequestWaitsForAnUpstreamAndIsAnsweredAtItsDeadline(t *testing.T) {
+	e, send := routed(t)
+	effects := append([]Effect{}, send("m2")...)
+	var closed *Close
+	for now := time.Second; now < 10*time.Second && closed == nil; now += TickPeriod {
+		for _, ef := range effects {
+			switch ef := ef.(type) {
+			case Dial:
+				effects = append([]Effect{}, e.Reduce(now, Unlinked{ef.Peer, ef.Epoch})...)
+			case Close:
+				closed = &ef
+			}
+		}
+		effects = append([]Effect{}, e.Reduce(now, Tick{})...)
+	}
+	require.NotNil(t, closed, "the caller has no answer")
+	require.Equal(t, "no", string(closed.Ran))
+	require.Positive(t, closed.RetryAfter)
+}
