Reconfigure under faults in the state machine

Cause: memory must hold also while a configuration change is under way, and the state machine never changed the configuration. An agent also kept the memory size of its first configuration. Before: no change in any history.

--- a/internal/reducer/agent.go
+++ b/internal/reducer/agent.go
@@ -196,6 +196,9 @@
 		if a.claim.stream == "" {
 			a.followClaims()
 		}
+		if a.ledger != nil {
+			a.ledger.Resize(u.Memory)
+		}
 		if a.ledger == nil && u.Role == configurator.Runner {
 			a.ledger = reserver.New(reserver.Config{
 				Capacity: u.Memory, Fenced: u.Fenced, Flight: u.Flight.Duration(), Forget: a.cfg.Hooks.ForgetOrders,
--- a/internal/reducer/machine_test.go
+++ b/internal/reducer/machine_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/recorder"
 	"github.com/egretwall/egretwall/internal/seeder"
 	"github.com/egretwall/egretwall/pkg/configurator"
 )
@@ -26,13 +27,13 @@
 	"tick", "carry", "carry", "progress", "read", "arrive", "arrive", "tick", "carry", "read", "land", "repeat", "repeat", "tick", "tick", "carry",
 	"carry", "progress", "progress", "land", "loaded", "leave", "silence", "cut", "upstream lost", "late answer",
 	"agent killed", "agent drained", "agent usurped", "agent paused", "entry killed", "log down", "log ambiguous", "log fine", "listed", "orders lost",
-	"arrive small", "arrive missing", "conflict", "entry drained", "agents drained",
+	"arrive small", "arrive missing", "conflict", "entry drained", "agents drained", "reconfigure",
 }
 
 // moves stresses what engines hold: orders are slow and their answers get lost.
 var moves = profile{
 	"tick", "late answer", "calm", "arrive model", "late answer", "arrive model", "tick", "loaded", "tick", "land", "progress", "calm",
-	"agent killed", "agent usurped", "agent paused", "orders lost", "listed",
+	"agent killed", "agent usurped", "agent paused", "orders lost", "listed", "reconfigure",
 }
 
 // step draws one thing that happens.
@@ -45,6 +46,8 @@
 		w.arrive(rapid.SampledFrom([]string{"keyed", "keyed", "once", "get", "stream", "whole"}).Draw(w.rt, "op"))
 	case "arrive model":
 		w.arrive("stream")
+	case "reconfigure":
+		w.reconfigure()
 	case "arrive small":
 		w.arrive("small")
 	case "arrive missing":
@@ -180,6 +183,33 @@
 	w.send(o)
 }
 
+// reconfigure publishes a change that moves copies: a model comes or goes, a copy
+// count or the weight of moves changes.
+func (w *world) reconfigure() {
+	base := w.entries[0].e.follower.State()
+	if base.Version == 0 || w.log.down {
+		return
+	}
+	cfg, _ := configurator.Join(base.Items)
+	switch rapid.IntRange(0, 3).Draw(w.rt, "change") {
+	case 0:
+		i := slices.IndexFunc(cfg.Models, func(m configurator.Model) bool { return m.Name == "m4" })
+		if i >= 0 {
+			cfg.Models = slices.Delete(cfg.Models, i, i+1)
+		} else {
+			cfg.Models = append(cfg.Models, configurator.Model{Name: "m4", Bytes: 40, Copies: 1})
+		}
+	case 1:
+		cfg.Models[0].Copies = 3 - cfg.Models[0].Copies
+	case 2:
+		cfg.Models[1].Bytes = 60 - cfg.Models[1].Bytes // 40 or 20
+	case 3:
+		cfg.Moves = 1 - cfg.Moves
+	}
+	change := configurator.Diff(fmt.Sprint("change", w.next()), *base, cfg)
+	w.append(recorder.Main, recorder.Record{ID: change.ID, Kind: recorder.Change, Change: &change})
+}
+
 // conflict sends the key of an earlier op with another body.
 func (w *world) conflict() {
 	for _, o := range w.ops {
--- a/internal/reserver/ledger.go
+++ b/internal/reserver/ledger.go
@@ -81,6 +81,11 @@
 	}
 }
 
+// Resize changes the capacity that new loads must fit into.
+func (l *Ledger) Resize(capacity configurator.Bytes) {
+	l.cfg.Capacity = capacity
+}
+
 // Known tells whether the engine has reported its state.
 func (l *Ledger) Known() bool {
 	return l.known
