Beat every 250 ms before the first token, bound answers that are kept back

Cause: beats of agents before the first token took 3.1 KB/s of an entry's 6 at the planned size (sum 7.1); an answer given as a whole had no bound at the entry. Ruled out: no beats before the first token (a silent connection would be found by the deadline only). An answer above 16 MiB that is kept back ends as broken. The scenario of old chunks counted ticks; it now waits for what it needs, and still fails without the check.

--- a/internal/reducer/answer.go
+++ b/internal/reducer/answer.go
@@ -97,6 +97,10 @@
 	r.next++
 	if r.wholesale() {
 		r.held = append(r.held, c.Data...)
+		if len(r.held) > heldBound {
+			e.fail(r, classifier.Broken, classifier.RanUnknown)
+			return
+		}
 		e.ack(r, r.next)
 		return
 	}
--- a/internal/reducer/scenario_test.go
+++ b/internal/reducer/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,7 +44,13 @@
 			c.state = "silent"
 		}
 	}
-	for range 100 { // the entry moves the attempt to another runner
+	reopening := func() bool {
+		return slices.ContainsFunc(w.conns, func(c *conn) bool { return c.agent == old.by && c.state == "opening" })
+	}
+	for range 200 { // until the attempt has moved and its old agent is dialled again
+		if w.entries[0].e.Counters.Moved > 0 && reopening() {
+			break
+		}
 		w.tick(20 * time.Millisecond)
 		for _, c := range w.conns {
 			if c.agent != old.by {
--- a/internal/reducer/timing.go
+++ b/internal/reducer/timing.go
@@ -7,10 +7,10 @@
 
 // Timing of connections between entries and agents.
 const (
-	beatPeriod    = 150 * time.Millisecond // from an agent while attempts are open
+	beatPeriod    = 250 * time.Millisecond // from an agent while attempts are open
 	answerPeriod  = 3 * time.Second        // from an entry while attempts are open
 	idlePeriod    = 90 * time.Second       // while none are
-	silentAfter   = 500 * time.Millisecond // replaces a connection with open attempts
+	silentAfter   = 700 * time.Millisecond // replaces a connection with open attempts
 	idleSilent    = 220 * time.Second      // replaces a connection without any
 	idleClose     = 10 * time.Minute       // closes a connection that is not used
 	redialPeriod  = 200 * time.Millisecond // first pause between two dials
@@ -32,6 +32,7 @@
 	retryShare    = 0.2 // retries earned by a whole answer
 	retryReserve  = 50  // retries that can be saved up
 	chunkWindow   = 256 << 10
+	heldBound     = 16 << 20               // bytes of an answer that is kept back until it is whole
 	deadlineSlack = 100 * time.Millisecond // an agent refuses this much before the caller's deadline
 )
 
