Ask another copy before an early refusal

Cause: an agent that could not make an urgent target refused, and the entry passed that on although another copy may have had room.

--- a/internal/reducer/answer.go
+++ b/internal/reducer/answer.go
@@ -48,6 +48,12 @@
 			return
 		}
 		e.hold(r)
+	case classifier.Late:
+		if r.tries > 1 || e.now >= r.deadline-deadlineSlack {
+			e.fail(r, kind, classifier.RanNo)
+			return
+		}
+		e.dispatch(r) // another copy may be in time
 	default:
 		e.fail(r, kind, classifier.RanNo)
 	}
