Pace loads by refusals and let first copies go first at a cold start

Cause: any refusal of the store paused adapters too, any success ended the pause, and at a cold start second copies took the store's rate from first copies elsewhere.

--- a/internal/evaluator/evaluator.go
+++ b/internal/evaluator/evaluator.go
@@ -27,7 +27,10 @@
 // accelerator memory without limit; no policy that must load models beats it.
 func Run(p Policy, cfg configurator.Configuration, s Scenario, trace []Call, seed uint64) *Result {
 	m := prepare(cfg)
-	homes := m.preload()
+	homes := m.place()
+	if !s.Cold {
+		m.preload(homes)
+	}
 	var arrive func(int, *observed)
 	var die func(i int)
 	if p == Egretwall {
@@ -41,7 +44,13 @@
 		b := newBaseline(cfg, m, homes, p != RoundRobin)
 		arrive = func(_ int, o *observed) { b.arrive(o) }
 		die = func(i int) { b.die(b.nodes[i]) }
+		if s.Cold && b.static {
+			for _, n := range b.nodes {
+				b.restore(n)
+			}
+		}
 	}
+	m.look()
 	for i, call := range trace {
 		call.At += warmUp
 		o := &observed{call: call}
@@ -85,9 +94,13 @@
 	return m
 }
 
+// place returns the home copies of all models.
+func (m *meter) place() placer.Placement {
+	return placer.Place(&m.cfg, func(configurator.UpstreamName) bool { return true })
+}
+
 // preload puts the home copies in place, for all policies alike.
-func (m *meter) preload() placer.Placement {
-	homes := placer.Place(&m.cfg, func(configurator.UpstreamName) bool { return true })
+func (m *meter) preload(homes placer.Placement) {
 	byName := map[configurator.UpstreamName]*engine{}
 	for _, e := range m.engines {
 		byName[e.upstream.Name] = e
@@ -105,7 +118,6 @@
 	for _, e := range m.engines {
 		e.measure()
 	}
-	return homes
 }
 
 // fill makes all models resident on all runners.
--- a/internal/evaluator/trace.go
+++ b/internal/evaluator/trace.go
@@ -21,6 +21,7 @@
 type Scenario struct {
 	Name     string
 	Length   time.Duration
+	Cold     bool                       // engines start empty
 	Bursts   bool                       // short bursts for single models
 	Rise     bool                       // some models rise tenfold
 	Shift    time.Duration              // the popularity of models turns at this time
@@ -40,6 +41,7 @@
 		{Name: "runner dies", Length: length, DeathAt: 60 * time.Second, Deaths: func(i int, _ string) bool { return i == 0 }},
 		{Name: "domain dies", Length: length, DeathAt: 60 * time.Second, Deaths: func(_ int, d string) bool { return d[len(d)-1] == 'a' || d[len(d)-1] == '1' }},
 		{Name: "orders lost", Length: length, Bursts: true, LostRate: 0.2},
+		{Name: "cold start", Length: length, Cold: true},
 		{Name: "log down", Length: length, Shift: 60 * time.Second, LogDown: [2]time.Duration{30 * time.Second, 170 * time.Second}},
 	}
 }
--- a/internal/reducer/balancing.go
+++ b/internal/reducer/balancing.go
@@ -13,7 +13,9 @@
 // Limits on a runner's engine.
 const (
 	engineSilent = 1500 * time.Millisecond // refuses new work without a report for so long
-	touchAfter   = time.Second             // settles a lost order with a higher number
+
+	firstCopiesLimit = time.Minute
+	touchAfter       = time.Second // settles a lost order with a higher number
 )
 
 // balancing is an agent's state about what its runner holds.
@@ -22,9 +24,10 @@
 	askedAt  time.Duration
 	goodAt   time.Duration // last report
 	good     bool
+	empty    bool // the engine held nothing in its first report
 	tickAt   time.Duration
-	pause    time.Duration // after a refused load
-	loadFrom time.Duration // no load order before
+	models   pace
+	adapters pace
 	used     map[configurator.ModelName]time.Duration
 	busy     map[configurator.ModelName]int // attempts running
 	looks    map[configurator.UpstreamName]look
@@ -71,6 +74,9 @@
 	if ev.Err != nil || a.ledger == nil {
 		return
 	}
+	if !a.balance.good {
+		a.balance.empty = len(ev.Report.Residents) == 0
+	}
 	a.balance.good = true
 	a.balance.goodAt = a.now
 	before := a.ledger.Residents()
@@ -91,21 +97,26 @@
 	if a.ledger == nil {
 		return
 	}
+	m := a.ledger.Model(ev.Number)
+	pace := &a.balance.models
+	if m != "" && a.catalog.bases[m] != m {
+		pace = &a.balance.adapters
+	}
 	switch ev.Outcome {
 	case Taken:
-		a.balance.pause = 0
+		pace.ease(a.now, a.router)
 	case Refused:
 		a.ledger.Refuse(ev.Number)
-		a.delayLoads()
+		pace.slow(a.now, a.router)
 		if ev.Highest > ev.Number {
 			a.raiseCounter(ev.Highest)
 		}
 	case Unsent:
 		a.ledger.Refuse(ev.Number)
-		a.delayLoads()
+		pace.slow(a.now, a.router)
 	case Unknown:
 		a.ledger.Lose(ev.Number)
-		a.delayLoads()
+		pace.slow(a.now, a.router)
 	}
 }
 
@@ -116,11 +127,6 @@
 	}
 }
 
-func (a *Agent) delayLoads() {
-	a.balance.pause = min(max(2*a.balance.pause, loadPause), loadLimit)
-	a.balance.loadFrom = a.now + a.router.Jitter(a.balance.pause)
-}
-
 func (a *Agent) looked(ev Looked) {
 	if ev.Err != nil {
 		return
@@ -146,11 +152,12 @@
 		return
 	}
 	a.settle()
-	if a.now < b.loadFrom {
-		return
+	if a.now >= b.models.from {
+		a.loadNext()
+	}
+	if a.now >= b.adapters.from {
+		a.loadAdapters()
 	}
-	a.loadNext()
-	a.loadAdapters()
 }
 
 // settle gives the engine a higher number when an order was lost, so that a
@@ -183,7 +190,7 @@
 		a.load(m)
 		return
 	}
-	if m, ok := a.spare(); ok {
+	if m, ok := a.spare(); ok && a.now >= a.firstCopies() {
 		a.load(m)
 	}
 }
@@ -202,6 +209,9 @@
 	}
 	cfg := &a.follower.State().Config
 	for copyIndex := range 4 {
+		if copyIndex > 0 && a.now < a.firstCopies() {
+			break
+		}
 		for _, m := range cfg.Models {
 			homes := a.homes[m.Name]
 			if copyIndex < len(homes) && homes[copyIndex] == a.cfg.Upstream {
@@ -215,6 +225,18 @@
 	return models
 }
 
+// firstCopies returns for how long after its start beside an empty engine an
+// agent leaves the store to the first copies of all models, since all runners
+// may have started together.
+func (a *Agent) firstCopies() time.Duration {
+	if !a.balance.empty {
+		return 0
+	}
+	cfg := &a.follower.State().Config
+	seconds := float64(len(cfg.Models)) / cfg.Store.Rate
+	return min(time.Duration(seconds*float64(time.Second)), firstCopiesLimit)
+}
+
 // spare returns a spare copy that fits into free memory, if one is missing.
 func (a *Agent) spare() (configurator.ModelName, bool) {
 	for _, m := range sortedModels(a.spares) {
--- a/internal/reserver/ledger.go
+++ b/internal/reserver/ledger.go
@@ -176,6 +176,16 @@
 	return slices.ContainsFunc(l.orders, func(o order) bool { return o.item.Model == m })
 }
 
+// Model returns the model of an unresolved order, and "" for any other order.
+func (l *Ledger) Model(n Number) configurator.ModelName {
+	for _, o := range l.orders {
+		if o.number == n {
+			return o.item.Model
+		}
+	}
+	return ""
+}
+
 // Unloading tells whether an unload order for m is unresolved.
 func (l *Ledger) Unloading(m configurator.ModelName) bool {
 	return slices.ContainsFunc(l.orders, func(o order) bool { return o.op == Unload && o.item.Model == m })
