--- a/internal/reducer/routing_test.go
+++ b/internal/reducer/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -50,20 +51,19 @@
 		e.peers[name].state, e.peers[name].epoch = linkUp, 1
 	}
 	seen := map[string]bool{}
-	effects := append([]Effect{}, send("m2")...)
+	effects := slices.Clone(send("m2"))
 	for range 3 {
-		for _, ef := range append([]Effect{}, effects...) {
+		i := slices.IndexFunc(effects, func(ef Effect) bool {
 			s, ok := ef.(SendUp)
-			if !ok || s.Up.GetSubmit() == nil {
-				continue
-			}
-			id := s.Up.GetSubmit().Attempt
-			require.False(t, seen[id], "an agent that still keeps %s would ignore it", id)
-			seen[id] = true
-			end := &linkpb.End{Attempt: id, Error: "leaving", Ran: "no"}
-			effects = append([]Effect{}, e.Reduce(time.Second, Heard{s.Peer, 1, &linkpb.Down{Kind: &linkpb.Down_End{End: end}}})...)
-			break
-		}
+			return ok && s.Up.GetSubmit() != nil
+		})
+		require.GreaterOrEqual(t, i, 0)
+		sent := effects[i].(SendUp)
+		id := sent.Up.GetSubmit().Attempt
+		require.False(t, seen[id], "an agent that still keeps %s would ignore it", id)
+		seen[id] = true
+		end := &linkpb.End{Attempt: id, Error: "leaving", Ran: "no"}
+		effects = slices.Clone(e.Reduce(time.Second, Heard{sent.Peer, 1, &linkpb.Down{Kind: &linkpb.Down_End{End: end}}}))
 	}
 	require.Len(t, seen, 3)
 }
@@ -98,18 +98,19 @@
 
 func TestRequestWaitsForAnUpstreamAndIsAnsweredAtItsDeadline(t *testing.T) {
 	e, send := routed(t)
-	effects := append([]Effect{}, send("m2")...)
+	effects := slices.Clone(send("m2"))
 	var closed *Close
 	for now := time.Second; now < 10*time.Second && closed == nil; now += TickPeriod {
+		var next []Effect
 		for _, ef := range effects {
 			switch ef := ef.(type) {
 			case Dial:
-				effects = append([]Effect{}, e.Reduce(now, Unlinked{ef.Peer, ef.Epoch})...)
+				next = append(next, e.Reduce(now, Unlinked{ef.Peer, ef.Epoch})...)
 			case Close:
 				closed = &ef
 			}
 		}
-		effects = append([]Effect{}, e.Reduce(now, Tick{})...)
+		effects = append(next, e.Reduce(now, Tick{})...)
 	}
 	require.NotNil(t, closed, "the caller has no answer")
 	require.Equal(t, "no", string(closed.Ran))
