--- a/internal/admitter/queue.go
+++ b/internal/admitter/queue.go
@@ -7,8 +7,10 @@
 //	item, ok := q.Pop()
 //
 // The order is by slack: the attempt whose first token is due first goes
-// first, so that attempts of low urgency age and are never starved. Callers share
-// a class fairly: each waiting attempt of a caller delays its next one a little.
+// first, so that attempts of low urgency age and are never starved. A less
+// urgent class falls behind by a fixed delay, so that its overdue attempts do
+// not make those of a more urgent class late. Callers share a class fairly: each
+// waiting attempt of a caller delays its next one a little.
 package admitter
 
 import (
@@ -18,8 +20,11 @@
 	"github.com/egretwall/egretwall/pkg/configurator"
 )
 
-// share delays an attempt for each attempt of the same caller in the queue.
-const share = 5 * time.Millisecond
+// Delays in the order of attempts.
+const (
+	share     = 5 * time.Millisecond    // for each waiting attempt of the same caller
+	rankDelay = 1500 * time.Millisecond // for each rank below the most urgent one
+)
 
 // Item is one waiting attempt.
 type Item struct {
@@ -64,7 +69,7 @@
 	}
 	q.seq++
 	i.seq = q.seq
-	i.order = i.Due + time.Duration(q.waiting[i.Caller])*share
+	i.order = i.Due + time.Duration(i.Rank)*rankDelay + time.Duration(q.waiting[i.Caller])*share
 	q.waiting[i.Caller]++
 	q.byID[i.ID] = &i
 	heap.Push(&q.items, &i)
--- a/internal/reducer/agent.go
+++ b/internal/reducer/agent.go
@@ -82,7 +82,7 @@
 		queue:    admitter.New(admitter.Config{Bound: queueBound}),
 		claims:   claimer.New(0),
 		claim:    claiming{runs: map[claimer.Key]*keyedRun{}, tokens: appendBurst},
-		balance:  balancing{used: map[configurator.ModelName]time.Duration{}, busy: map[configurator.ModelName]int{}, looks: map[configurator.UpstreamName]look{}, wishes: map[configurator.ModelName]time.Duration{}},
+		balance:  balancing{used: map[configurator.ModelName]time.Duration{}, busy: map[configurator.ModelName]int{}, looks: map[configurator.UpstreamName]look{}, wants: map[configurator.ModelName]time.Duration{}},
 	}
 	if cfg.Hooks.RevertVersion {
 		a.follower.Revert()
@@ -242,7 +242,7 @@
 	case *linkpb.Up_Beat:
 		a.compareVersions(ev.Entry, l, configurator.Version(m.Beat.Version))
 	case *linkpb.Up_Want:
-		a.wish(configurator.ModelName(m.Want.Model))
+		a.noteWant(configurator.ModelName(m.Want.Model))
 	case *linkpb.Up_Document:
 		a.learn(m.Document)
 	}
--- a/internal/reducer/balancing.go
+++ b/internal/reducer/balancing.go
@@ -31,7 +31,7 @@
 	used     map[configurator.ModelName]time.Duration
 	busy     map[configurator.ModelName]int // attempts running
 	looks    map[configurator.UpstreamName]look
-	wishes   map[configurator.ModelName]time.Duration // until when entries want a further copy
+	wants    map[configurator.ModelName]time.Duration // until when entries want a further copy
 }
 
 // look is what another runner held at a time.
@@ -219,7 +219,7 @@
 			}
 		}
 	}
-	for _, m := range a.wished() {
+	for _, m := range a.furtherCopies() {
 		add(a.catalog.bases[m])
 	}
 	return models
@@ -290,7 +290,7 @@
 	for _, t := range a.coldByUrgency() {
 		names = append(names, configurator.ModelName(t.submit.Model))
 	}
-	names = append(names, a.wished()...)
+	names = append(names, a.furtherCopies()...)
 	cfg := &a.follower.State().Config
 	for _, ad := range cfg.Adapters {
 		if slices.Contains(a.homes[ad.Model], a.cfg.Upstream) || slices.Contains(a.spares[ad.Model], a.cfg.Upstream) {
--- a/internal/reducer/wanting.go
+++ b/internal/reducer/wanting.go
@@ -91,20 +91,20 @@
 	}
 }
 
-// wish notes an entry's want.
-func (a *Agent) wish(m configurator.ModelName) {
+// noteWant notes an entry's want.
+func (a *Agent) noteWant(m configurator.ModelName) {
 	if a.ledger == nil || a.catalog.sizes[m] == 0 || a.ready(m) {
 		return
 	}
-	a.balance.wishes[m] = a.now + wantLife
+	a.balance.wants[m] = a.now + wantLife
 }
 
-// wished lists the models that entries want, by name.
-func (a *Agent) wished() []configurator.ModelName {
+// furtherCopies lists the models that entries want, by name.
+func (a *Agent) furtherCopies() []configurator.ModelName {
 	var models []configurator.ModelName
-	for _, m := range sortedModels(a.balance.wishes) {
-		if a.now >= a.balance.wishes[m] || a.ready(m) {
-			delete(a.balance.wishes, m)
+	for _, m := range sortedModels(a.balance.wants) {
+		if a.now >= a.balance.wants[m] || a.ready(m) {
+			delete(a.balance.wants, m)
 			continue
 		}
 		models = append(models, m)
