--- a/internal/classifier/kind.go
+++ b/internal/classifier/kind.go
@@ -27,6 +27,7 @@
 	Missing   Kind = "missing"
 	Conflict  Kind = "conflict"
 	Large     Kind = "large"
+	Stalled   Kind = "stalled"
 	Limited   Kind = "limited"
 	Busy      Kind = "busy"
 	Late      Kind = "late"
@@ -67,6 +68,7 @@
 	Missing:   {404, codes.NotFound, RanNo, false, 0, "the model or service is not configured, see /v1/models"},
 	Conflict:  {409, codes.AlreadyExists, RanNo, false, 0, "the idempotency key was used with another body, use a new key"},
 	Large:     {413, codes.OutOfRange, RanNo, false, 0, "the body is too large"},
+	Stalled:   {408, codes.DeadlineExceeded, RanNo, true, time.Second, "the request was not read whole in time, send it again"},
 	Limited:   {429, codes.ResourceExhausted, RanNo, true, time.Second, "the caller has too many open requests, wait for one to finish"},
 	Busy:      {503, codes.ResourceExhausted, RanNo, true, 2 * time.Second, "no upstream has room, retry later"},
 	Late:      {503, codes.DeadlineExceeded, RanNo, true, 2 * time.Second, "the target can't be met, retry later"},
--- a/internal/command/application.go
+++ b/internal/command/application.go
@@ -44,6 +44,8 @@
 	dumpCommand,
 	entryCommand,
 	agentCommand,
+	gatewayCommand,
+	stewardCommand,
 	demoCommand,
 }
 
--- /dev/null
+++ b/internal/dispatcher/budget.go
@@ -0,0 +1,38 @@
+package dispatcher
+
+import "time"
+
+// Allowance is what all gateways together may send beyond the first send of
+// each request.
+type Allowance struct {
+	Slack  float64       // sends in one window beyond the share of requests
+	Window time.Duration // length of the window
+}
+
+// budget is one gateway's part of the allowance for one service. Half of the
+// slack may be saved up and half is earned over the window, so that no window
+// sees more than all of it.
+type budget struct {
+	left float64
+	at   time.Duration
+}
+
+// earn adds what has been earned since the last call, and a share for each of
+// the requests.
+func (b *budget) earn(now time.Duration, a Allowance, gateways, requests int) {
+	slack := a.Slack * slackShare / float64(max(1, gateways)) / 2
+	if a.Window > 0 {
+		b.left += slack * float64(now-b.at) / float64(a.Window)
+	}
+	b.left = min(b.left+repeatShare*float64(requests), slack+repeatShare)
+	b.at = now
+}
+
+// spend takes one repeat and tells whether there was one.
+func (b *budget) spend() bool {
+	if b.left < 1 {
+		return false
+	}
+	b.left--
+	return true
+}
--- /dev/null
+++ b/internal/dispatcher/choosing.go
@@ -0,0 +1,163 @@
+package dispatcher
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/placer"
+	"github.com/egretwall/egretwall/internal/registrar"
+	"github.com/egretwall/egretwall/pkg/configurator"
+)
+
+// sorted lists the open requests by id.
+func (d *Dispatcher) sorted() []*request {
+	all := make([]*request, 0, len(d.requests))
+	for _, r := range d.requests {
+		all = append(all, r)
+	}
+	slices.SortFunc(all, func(a, b *request) int { return int(a.ID) - int(b.ID) })
+	return all
+}
+
+// choose returns the upstream for the next send, nil when none can take it now.
+func (d *Dispatcher) choose(r *request) *server {
+	group := d.groups[r.Service]
+	if r.Model == "" {
+		return d.least(r, group, d.roomy)
+	}
+	holds := func(s *server) bool {
+		model, adapter := s.has(d.now, r.Model, r.Adapter)
+		return model && adapter && d.roomy(s)
+	}
+	if s := d.least(r, group, holds); s != nil {
+		return s
+	}
+	if r.Adapter != "" {
+		d.wantAdapter(r, group)
+	}
+	return nil
+}
+
+// roomy tells whether another request would find a slot at the upstream.
+func (d *Dispatcher) roomy(s *server) bool {
+	if d.now < s.full {
+		return false
+	}
+	slots := float64(d.slots(s))
+	if s.fresh(d.now) {
+		return s.load(d.now, d.gateways) < slots*batchFill
+	}
+	return s.open < max(minOpen, int(math.Ceil(slots*lineShare/float64(max(1, d.gateways)))))
+}
+
+// least returns the allowed upstream with the least load. Upstreams that failed
+// lately come last.
+func (d *Dispatcher) least(r *request, group []*server, allowed func(*server) bool) *server {
+	var best *server
+	var lowest float64
+	for _, avoided := range []bool{false, true} {
+		ties := 0
+		for _, s := range group {
+			shunned := d.now < s.avoid || s.info.ID == r.avoid
+			if !s.takes() || shunned != avoided || !allowed(s) {
+				continue
+			}
+			cost := d.cost(s)
+			switch {
+			case best == nil || cost < lowest:
+				best, lowest, ties = s, cost, 1
+			case cost == lowest:
+				ties++
+				if d.rnd.IntN(ties) == 0 {
+					best = s
+				}
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return nil
+}
+
+func (d *Dispatcher) cost(s *server) float64 {
+	cost := s.load(d.now, d.gateways) + failureRuns*float64(s.failures)
+	if s.info.Domain != d.cfg.Domain {
+		cost += farCost
+	}
+	return cost
+}
+
+// wantAdapter asks the steward of a runner with the model for the adapter. The
+// rendezvous order lets all gateways ask the same runner.
+func (d *Dispatcher) wantAdapter(r *request, group []*server) {
+	var names []configurator.UpstreamName
+	for _, s := range group {
+		if model, _ := s.has(d.now, r.Model, ""); model && s.takes() && d.now >= s.avoid {
+			names = append(names, configurator.UpstreamName(s.info.ID))
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	first := placer.Rank(string(r.Model)+"/"+string(r.Adapter), names)[0]
+	s := d.servers[registrar.UpstreamID(first)]
+	l := laneOf(r)
+	if at, ok := s.wanted[l]; ok && d.now < at+wantPeriod {
+		return
+	}
+	s.wanted[l] = d.now
+	d.emit(Want{Address: s.info.Address, Adapter: registrar.AdapterID{Model: r.Model, Name: r.Adapter}})
+}
+
+// hopeless tells whether a waiting request can't be served, and when its caller
+// should come back.
+func (d *Dispatcher) hopeless(r *request) (classifier.Kind, time.Duration) {
+	left := r.Deadline - d.now
+	waited := d.now - r.arrived
+	holders, usable, coming := 0, 0, time.Duration(-1)
+	for _, s := range d.groups[r.Service] {
+		if !s.takes() {
+			continue
+		}
+		usable++
+		if model, _ := s.has(d.now, r.Model, ""); r.Model == "" || model {
+			holders++
+		}
+		if r.Model != "" && s.fresh(d.now) && s.report.Loading == r.Model {
+			ready := max(0, s.report.Ready-(d.now-s.at))
+			if coming < 0 || ready < coming {
+				coming = ready
+			}
+		}
+	}
+	switch {
+	case usable == 0 && waited > left:
+		return classifier.Busy, d.drainTime(r)
+	case usable > 0 && holders == 0 && coming < 0 && waited > time.Duration(coldPatience*float64(left)):
+		return classifier.Loading, d.loadTime(r)
+	case usable > 0 && holders == 0 && coming > left:
+		return classifier.Loading, coming
+	}
+	return classifier.None, 0
+}
+
+// loadTime is the time that a load of the request's model takes.
+func (d *Dispatcher) loadTime(r *request) time.Duration {
+	if d.current == nil {
+		return time.Second
+	}
+	if e := d.current.Services[r.Service].Engine; e != nil {
+		return e.Models[r.Model].Load
+	}
+	return time.Second
+}
+
+// drainTime estimates when there may be room again, spread so that callers
+// don't come back together.
+func (d *Dispatcher) drainTime(r *request) time.Duration {
+	base := r.Route.Target + time.Duration(d.waiting)*5*time.Millisecond
+	return base/2 + time.Duration(d.rnd.Int64N(int64(base)+1))
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher.go
@@ -0,0 +1,314 @@
+package dispatcher
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+// Config configures a Dispatcher.
+type Config struct {
+	Domain    registrar.DomainName
+	Seed      uint64
+	Allowance Allowance
+}
+
+// Dispatcher decides for one gateway. It is not safe for concurrent use.
+type Dispatcher struct {
+	cfg      Config
+	now      time.Duration
+	out      []Effect
+	rnd      *rand.Rand
+	current  *registrar.Configuration
+	servers  map[registrar.UpstreamID]*server
+	groups   map[registrar.ServiceName][]*server // by id
+	requests map[RequestID]*request
+	lanes    map[lane][]*request // waiting, the first to go first
+	order    []lane              // of lanes, for a fixed order of decisions
+	waiting  int
+	budgets  map[registrar.ServiceName]*budget
+	demand   map[registrar.ModelName]*rate
+	gateways int
+
+	Counters Counters
+}
+
+// Counters counts what a dispatcher has done since it started.
+type Counters struct {
+	Arrived  int `json:"arrived"`
+	Sent     int `json:"sent"`
+	Whole    int `json:"whole"`
+	Refused  int `json:"refused"` // not run
+	Lost     int `json:"lost"`    // may have run
+	Repeated int `json:"repeated"`
+	Resumed  int `json:"resumed"`
+	Left     int `json:"left"`
+}
+
+// lane groups the waiting requests that the same upstreams can run.
+type lane struct {
+	service registrar.ServiceName
+	model   registrar.ModelName
+	adapter registrar.AdapterName
+}
+
+type request struct {
+	Request
+	arrived   time.Duration
+	server    *server // of the send under way
+	try       Try
+	runs      int // sends that may have run
+	refusals  int // sends that upstreams refused
+	began     bool
+	kept      bool // a failure of an upstream is kept as the answer
+	maybe     bool // an earlier send may have run
+	avoid     registrar.UpstreamID
+	sent      time.Duration
+	lastCause string
+}
+
+// New returns a dispatcher without a configuration.
+func New(cfg Config) *Dispatcher {
+	return &Dispatcher{
+		cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		servers:  map[registrar.UpstreamID]*server{},
+		groups:   map[registrar.ServiceName][]*server{},
+		requests: map[RequestID]*request{},
+		lanes:    map[lane][]*request{},
+		budgets:  map[registrar.ServiceName]*budget{},
+		demand:   map[registrar.ModelName]*rate{},
+		gateways: 1,
+	}
+}
+
+// Reduce applies an event that happened at time now.
+func (d *Dispatcher) Reduce(now time.Duration, event Event) []Effect {
+	d.now = now
+	d.out = d.out[:0]
+	switch ev := event.(type) {
+	case Tick:
+		d.tick()
+	case Configured:
+		d.current = ev.Configuration
+	case Listed:
+		d.list(ev.Upstreams)
+		d.pump()
+	case Reported:
+		d.report(ev.Report)
+		d.pump()
+	case Arrived:
+		d.arrive(ev.Request)
+	case Left:
+		d.leave(ev.ID)
+	case Began:
+		d.begin(ev)
+	case Returned:
+		d.returned(ev)
+		d.pump()
+	}
+	return d.out
+}
+
+// Open counts the requests that have no final answer yet.
+func (d *Dispatcher) Open() int {
+	return len(d.requests)
+}
+
+// Waiting counts the requests that no upstream has.
+func (d *Dispatcher) Waiting() int {
+	return d.waiting
+}
+
+func (d *Dispatcher) emit(e Effect) {
+	d.out = append(d.out, e)
+}
+
+func (d *Dispatcher) budget(s registrar.ServiceName) *budget {
+	b := d.budgets[s]
+	if b == nil {
+		b = &budget{at: d.now}
+		d.budgets[s] = b
+	}
+	return b
+}
+
+func (d *Dispatcher) arrive(req Request) {
+	d.Counters.Arrived++
+	d.budget(req.Service).earn(d.now, d.cfg.Allowance, d.gateways, 1)
+	r := &request{Request: req, arrived: d.now}
+	d.requests[r.ID] = r
+	d.observe(r)
+	if d.waiting >= waitingBound {
+		d.refuse(r, classifier.Busy, d.drainTime(r))
+		return
+	}
+	d.enqueue(r)
+	d.pumpLane(laneOf(r))
+	if r.server == nil && d.requests[r.ID] != nil {
+		d.reconsider(r)
+	}
+}
+
+func laneOf(r *request) lane {
+	return lane{r.Service, r.Model, r.Adapter}
+}
+
+// onTime tells whether the request can still meet its target.
+func (r *request) onTime(now time.Duration) bool {
+	return now < r.arrived+r.Route.Target
+}
+
+// before orders waiting requests: those that can be on time by urgency and by
+// arrival, then the others.
+func (d *Dispatcher) before(a, b *request) int {
+	if x, y := a.onTime(d.now), b.onTime(d.now); x != y {
+		if x {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.Route.Priority, b.Route.Priority), cmp.Compare(a.ID, b.ID))
+}
+
+func (d *Dispatcher) enqueue(r *request) {
+	l := laneOf(r)
+	if _, ok := d.lanes[l]; !ok {
+		d.order = append(d.order, l)
+	}
+	at, _ := slices.BinarySearchFunc(d.lanes[l], r, d.before)
+	d.lanes[l] = slices.Insert(d.lanes[l], at, r)
+	d.waiting++
+}
+
+func (d *Dispatcher) dequeue(r *request) {
+	l := laneOf(r)
+	i := slices.Index(d.lanes[l], r)
+	if i < 0 {
+		return
+	}
+	d.lanes[l] = slices.Delete(d.lanes[l], i, i+1)
+	d.waiting--
+	if len(d.lanes[l]) == 0 {
+		delete(d.lanes, l)
+		d.order = slices.DeleteFunc(d.order, func(x lane) bool { return x == l })
+	}
+}
+
+// pump sends the waiting requests that an upstream can take.
+func (d *Dispatcher) pump() {
+	if d.waiting == 0 {
+		return
+	}
+	lanes := slices.Clone(d.order)
+	slices.SortStableFunc(lanes, func(a, b lane) int { return d.before(d.lanes[a][0], d.lanes[b][0]) })
+	for _, l := range lanes {
+		d.pumpLane(l)
+	}
+}
+
+func (d *Dispatcher) pumpLane(l lane) {
+	for len(d.lanes[l]) > 0 {
+		r := d.lanes[l][0]
+		s := d.choose(r)
+		if s == nil {
+			return
+		}
+		d.dequeue(r)
+		d.send(r, s)
+	}
+}
+
+func (d *Dispatcher) send(r *request, s *server) {
+	r.try++
+	r.server = s
+	r.sent = d.now
+	s.open++
+	d.Counters.Sent++
+	d.emit(Send{
+		ID: r.ID, Try: r.try, Upstream: s.info.ID, Address: s.info.Address,
+		Budget: r.Deadline - d.now, Priority: d.priority(r),
+	})
+}
+
+func (d *Dispatcher) priority(r *request) int {
+	if !r.onTime(d.now) {
+		return latePriority
+	}
+	return min(r.Route.Priority, priorityRange)
+}
+
+func (d *Dispatcher) begin(ev Began) {
+	r := d.requests[ev.ID]
+	if r == nil || r.try != ev.Try {
+		return
+	}
+	r.began = true
+	r.server.failures = 0
+}
+
+func (d *Dispatcher) leave(id RequestID) {
+	r := d.requests[id]
+	if r == nil {
+		return
+	}
+	d.Counters.Left++
+	d.emit(Note{Name: "caller left", Request: r.Name, Peer: peerOf(r), Try: r.try, Waiting: d.waiting})
+	d.forget(r)
+}
+
+func peerOf(r *request) registrar.UpstreamID {
+	if r.server == nil {
+		return ""
+	}
+	return r.server.info.ID
+}
+
+// forget drops a request that has its final answer.
+func (d *Dispatcher) forget(r *request) {
+	if r.server == nil {
+		d.dequeue(r)
+	}
+	d.detach(r)
+	delete(d.requests, r.ID)
+}
+
+func (d *Dispatcher) detach(r *request) {
+	if r.server != nil {
+		r.server.open--
+		r.server = nil
+	}
+}
+
+// refuse answers a request that has not run.
+func (d *Dispatcher) refuse(r *request, kind classifier.Kind, after time.Duration) {
+	if r.maybe {
+		d.lose(r, classifier.Lost)
+		return
+	}
+	d.Counters.Refused++
+	d.finish(r, kind, max(after, retryFloor))
+}
+
+// lose answers a request that may have run.
+func (d *Dispatcher) lose(r *request, kind classifier.Kind) {
+	if r.kept {
+		d.forget(r)
+		d.emit(Deliver{r.ID})
+		return
+	}
+	d.Counters.Lost++
+	d.finish(r, kind, 0)
+}
+
+func (d *Dispatcher) finish(r *request, kind classifier.Kind, after time.Duration) {
+	d.emit(Note{
+		Name: "request failed", Request: r.Name, Peer: peerOf(r), Kind: kind, Cause: r.lastCause,
+		Try: r.try, Waiting: d.waiting, Age: d.reportAge(r.server),
+	})
+	d.emit(Answer{ID: r.ID, Kind: kind, RetryAfter: after})
+	d.forget(r)
+}
--- /dev/null
+++ b/internal/dispatcher/event.go
@@ -0,0 +1,171 @@
+// Package dispatcher decides for one gateway which upstream runs which request,
+// and which requests wait, are tried again or are refused.
+//
+// Usage:
+//
+//	d := dispatcher.New(dispatcher.Config{Domain: "be-north-a", Seed: 7})
+//	for _, effect := range d.Reduce(now, event) { run(effect) }
+//
+// It is a deterministic function of its events, as the reducers of package
+// reducer are: no clock, no I/O, no goroutines. Bytes of answers don't pass
+// through it. The slice that Reduce returns is valid until the next call.
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+type (
+	// RequestID numbers the requests of one gateway.
+	RequestID uint64
+	// Try numbers the sends of one request.
+	Try int
+)
+
+// Event is an input of the dispatcher.
+type Event interface{ event() }
+
+// Tick lets time-outs pass; the driver sends it every TickPeriod.
+type Tick struct{}
+
+// Configured carries a newer configuration.
+type Configured struct{ Configuration *registrar.Configuration }
+
+// Listed carries the live upstreams of all services.
+type Listed struct{ Upstreams []*registrar.Upstream }
+
+// Reported carries what the steward beside an upstream says of it.
+type Reported struct{ Report Report }
+
+// Arrived carries a request that has been read from its caller.
+type Arrived struct{ Request Request }
+
+// Left tells that the caller closed its connection.
+type Left struct{ ID RequestID }
+
+// Began tells that the first part of an upstream's answer reached the caller.
+type Began struct {
+	ID  RequestID
+	Try Try
+}
+
+// Returned tells how a send ended.
+type Returned struct {
+	ID      RequestID
+	Try     Try
+	Outcome Outcome
+	Cause   string // for the log
+}
+
+// Outcome is how a send to an upstream ended.
+type Outcome string
+
+// The outcomes of sends.
+const (
+	Whole   Outcome = "whole"   // the caller has the whole answer
+	Failed  Outcome = "failed"  // the upstream ran it and answered with a failure, which is kept
+	NotRun  Outcome = "notrun"  // the upstream says that it did not run it
+	Moved   Outcome = "moved"   // another instance has the address; it did not run it
+	Missing Outcome = "missing" // the upstream doesn't hold the model or adapter
+	Unsent  Outcome = "unsent"  // it never left the process
+	Unknown Outcome = "unknown" // it was sent and no usable answer came
+	Broken  Outcome = "broken"  // a part of the answer has reached the caller
+	Closed  Outcome = "closed"  // the caller closed its connection
+)
+
+// Request is what a caller asks for.
+type Request struct {
+	ID       RequestID
+	Name     string // the caller's id of the attempt
+	Route    *registrar.Route
+	Service  registrar.ServiceName
+	Model    registrar.ModelName
+	Adapter  registrar.AdapterName
+	Prompt   registrar.Tokens
+	Output   registrar.Tokens
+	Session  string        // the last part of its prompt
+	Deadline time.Duration // when the caller stops waiting
+}
+
+// Report is the state of a model runner.
+type Report struct {
+	Address  string              `json:"address"`
+	Born     int64               `json:"born"`
+	Sequence int64               `json:"sequence"` // orders accepted
+	Holdings []registrar.Holding `json:"holdings"`
+	Loading  registrar.ModelName `json:"loading"` // under way, empty when none is
+	Ready    time.Duration       `json:"ready"`   // until Loading has finished
+	Running  int                 `json:"running"`
+	Waiting  int                 `json:"waiting"`
+	Used     registrar.Tokens    `json:"used"` // KV memory that can't yield
+	Total    registrar.Tokens    `json:"total"`
+	Draining bool                `json:"draining"`
+	Gateways int                 `json:"gateways"` // gateways that the steward hears
+}
+
+func (Tick) event()       {}
+func (Configured) event() {}
+func (Listed) event()     {}
+func (Reported) event()   {}
+func (Arrived) event()    {}
+func (Left) event()       {}
+func (Began) event()      {}
+func (Returned) event()   {}
+
+// Effect is an output of the dispatcher, which its driver carries out.
+type Effect interface{ effect() }
+
+// Send hands a request to an upstream; Returned answers it.
+type Send struct {
+	ID       RequestID
+	Try      Try
+	Upstream registrar.UpstreamID
+	Address  string
+	Budget   time.Duration // time left for the answer
+	Priority int           // 0 is admitted first
+}
+
+// Answer ends a request without an upstream's answer.
+type Answer struct {
+	ID         RequestID
+	Kind       classifier.Kind
+	RetryAfter time.Duration
+}
+
+// Deliver ends a request with the failure that an upstream answered.
+type Deliver struct{ ID RequestID }
+
+// Abort stops the send under way; the caller's connection is closed when a
+// part of the answer has reached it.
+type Abort struct {
+	ID   RequestID
+	Kind classifier.Kind
+}
+
+// Want asks a runner's steward for an adapter of a model that it holds.
+type Want struct {
+	Address string // of the runner
+	Adapter registrar.AdapterID
+}
+
+// Note is a line for the log.
+type Note struct {
+	Name    string
+	Request string
+	Peer    registrar.UpstreamID
+	Kind    classifier.Kind
+	Cause   string
+	Age     time.Duration // of the report that decided, zero when none did
+	Try     Try
+	Waiting int // requests that wait here
+}
+
+func (Send) effect()    {}
+func (Answer) effect()  {}
+func (Deliver) effect() {}
+func (Abort) effect()   {}
+func (Want) effect()    {}
+func (Note) effect()    {}
--- /dev/null
+++ b/internal/dispatcher/returning.go
@@ -0,0 +1,131 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/egretwall/egretwall/internal/classifier"
+)
+
+// returned handles the end of a send.
+func (d *Dispatcher) returned(ev Returned) {
+	r := d.requests[ev.ID]
+	if r == nil || r.try != ev.Try || r.server == nil {
+		return
+	}
+	s := r.server
+	r.lastCause = ev.Cause
+	d.detach(r)
+	if ev.Outcome != Whole && ev.Outcome != Closed {
+		d.emit(Note{Name: "send failed", Request: r.Name, Peer: s.info.ID, Cause: string(ev.Outcome) + ": " + ev.Cause, Try: r.try, Waiting: d.waiting, Age: d.reportAge(s)})
+	}
+	switch ev.Outcome {
+	case Whole:
+		d.Counters.Whole++
+		s.failures = max(0, s.failures-1)
+		delete(d.requests, r.ID)
+	case Closed:
+		d.Counters.Left++
+		delete(d.requests, r.ID)
+	case NotRun:
+		s.full = d.now + fullPause
+		d.again(r, s, classifier.Busy)
+	case Moved:
+		s.fail(d.now)
+		d.again(r, s, classifier.Busy)
+	case Missing:
+		s.lacks(r.Model, r.Adapter)
+		d.again(r, s, classifier.Loading)
+	case Unsent:
+		s.fail(d.now)
+		d.again(r, s, classifier.Busy)
+	case Failed:
+		s.strikes(d.now)
+		r.kept, r.maybe = true, true
+		r.runs++
+		d.repeat(r, s, classifier.Lost)
+	case Unknown:
+		s.fail(d.now)
+		r.maybe = true
+		r.runs++
+		d.repeat(r, s, classifier.Lost)
+	case Broken:
+		s.fail(d.now)
+		r.maybe = true
+		r.runs++
+		d.repeat(r, s, classifier.Broken)
+	}
+}
+
+// again sends a request that an upstream has not run to another one, as far as
+// the budget allows, and lets it wait otherwise.
+func (d *Dispatcher) again(r *request, s *server, kind classifier.Kind) {
+	r.avoid = s.info.ID
+	r.refusals++
+	b := d.budget(r.Service)
+	b.earn(d.now, d.cfg.Allowance, d.gateways, 0)
+	if r.refusals >= refusalTries || d.now >= r.Deadline-timeoutSlack || !b.spend() {
+		if r.began {
+			d.lose(r, classifier.Broken)
+			return
+		}
+		d.refuse(r, kind, d.drainTime(r))
+		return
+	}
+	d.Counters.Repeated++
+	d.enqueue(r)
+}
+
+// repeat runs a request that may have run once more where that is allowed.
+func (d *Dispatcher) repeat(r *request, s *server, kind classifier.Kind) {
+	r.avoid = s.info.ID
+	b := d.budget(r.Service)
+	b.earn(d.now, d.cfg.Allowance, d.gateways, 0)
+	left := r.Deadline - d.now
+	if !r.Route.Repeatable() || r.runs >= max(1, r.Route.Attempts) || left < minimumRun(r) || !b.spend() {
+		d.lose(r, kind)
+		return
+	}
+	d.Counters.Repeated++
+	if r.began {
+		d.Counters.Resumed++
+	}
+	d.enqueue(r)
+}
+
+// minimumRun is the time below which a further run has no chance.
+func minimumRun(r *request) time.Duration {
+	return min(r.Route.Target, retryFloor) / 2
+}
+
+// tick lets time-outs pass.
+func (d *Dispatcher) tick() {
+	for _, r := range d.sorted() {
+		if d.now < r.Deadline-timeoutSlack {
+			if r.server == nil {
+				d.reconsider(r)
+			}
+			continue
+		}
+		switch {
+		case r.server == nil && r.began:
+			d.lose(r, classifier.Broken)
+		case r.server == nil:
+			d.refuse(r, classifier.Late, d.drainTime(r))
+		default:
+			r.lastCause = "time limit"
+			d.emit(Abort{r.ID, classifier.Expired})
+			d.lose(r, classifier.Expired)
+		}
+	}
+	d.pump()
+}
+
+// reconsider refuses a waiting request as soon as it has no chance.
+func (d *Dispatcher) reconsider(r *request) {
+	if r.began || r.maybe {
+		return
+	}
+	if kind, after := d.hopeless(r); kind != classifier.None {
+		d.refuse(r, kind, after)
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/timing.go
@@ -0,0 +1,38 @@
+package dispatcher
+
+import "time"
+
+// TickPeriod is the time between two Tick events.
+const TickPeriod = 20 * time.Millisecond
+
+// Timing of decisions.
+const (
+	reportLife   = 2 * time.Second        // an older report says nothing of the load; several lost datagrams
+	wantPeriod   = 60 * time.Millisecond  // an adapter is asked for again, a lost datagram and its answer
+	avoidFirst   = 200 * time.Millisecond // after a failed send, doubled with each further one
+	avoidLimit   = 3 * time.Second        // longest avoidance, a crashed upstream's restart
+	fullPause    = 40 * time.Millisecond  // after an upstream said that it is full, about one work unit
+	timeoutSlack = 20 * time.Millisecond  // the caller's answer leaves this much before its limit
+	retryFloor   = 200 * time.Millisecond // shortest Retry-After
+	coldPatience = 0.5                    // share of the time left that a request may wait for its model
+)
+
+// Limits of decisions.
+const (
+	waitingBound  = 400 // requests that may wait at one gateway; their bodies bound its memory
+	refusalTries  = 3   // sends that upstreams refused, for one request
+	minOpen       = 3   // sends that one gateway may always have open at an upstream
+	lineShare     = 1.5 // work units that the gateways together may have open for each slot of a plain service
+	batchFill     = 1.0 // share of a runner's batch that is filled before requests wait here
+	farCost       = 0.6 // requests of load that an upstream in another failure domain may have less
+	latePriority  = 7   // of requests that missed their target, admitted after all others
+	priorityRange = 5   // routes' priorities above it count as it
+	failureRuns   = 4.0 // requests of load that each recent failure weighs
+)
+
+// Shares of the retry budget that one gateway may use. All gateways together
+// may repeat a fifth of the requests, and some more in each window.
+const (
+	repeatShare = 0.15 // of the budget ratio's 0.2, the rest covers requests counted elsewhere
+	slackShare  = 0.6  // of the slack, since gateways may count each other late
+)
--- /dev/null
+++ b/internal/driver/directory.go
@@ -0,0 +1,129 @@
+package driver
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/egretwall/egretwall/internal/registrar"
+	"github.com/egretwall/egretwall/internal/watcher"
+)
+
+// Timing of the directory.
+const (
+	listWait    = 1500 * time.Millisecond // how long the store holds a call without news; a silent connection is found soon after
+	listPause   = 500 * time.Millisecond  // least time between calls for the list: heartbeats come more often
+	lapseReturn = 2300 * time.Millisecond // entries that lapsed during an outage are back by then
+)
+
+// Directory names the store's topics and reads their records.
+type Directory interface {
+	watcher.Store
+	// OperatorTopic and ListTopic name what is followed.
+	OperatorTopic() string
+	ListTopic() string
+	// Configuration reads a record of the operators; nil when it is none.
+	Configuration(r watcher.Record) (*registrar.Configuration, error)
+	// Upstream reads an entry of the list.
+	Upstream(r watcher.Record) (*registrar.Upstream, error)
+}
+
+// directory keeps a registrar up to date from the store.
+type directory struct {
+	mu        sync.Mutex
+	registrar *registrar.Registrar
+	source    Directory
+	logger    zerolog.Logger
+	start     time.Time
+	pause     time.Duration // between calls for the list
+	// onConfiguration and onList run with mu held.
+	onConfiguration func(*registrar.Configuration)
+	onList          func()
+}
+
+func newDirectory(source Directory, logger zerolog.Logger, pause time.Duration) *directory {
+	return &directory{
+		registrar: registrar.New(registrar.Config{Return: lapseReturn}), source: source, logger: logger, start: time.Now(), pause: pause,
+	}
+}
+
+func (d *directory) now() time.Duration {
+	return time.Since(d.start)
+}
+
+// run follows the store until ctx ends.
+func (d *directory) run(ctx context.Context) {
+	var g sync.WaitGroup
+	g.Go(func() {
+		watcher.New(watcher.Config{
+			Store: d.source, Topic: d.source.OperatorTopic(), Wait: listWait, Logger: d.logger,
+			OnAll: d.configure, OnChange: d.configure, OnReach: func(bool) {},
+		}).Run(ctx)
+	})
+	g.Go(func() {
+		watcher.New(watcher.Config{
+			Store: d.source, Topic: d.source.ListTopic(), Wait: listWait, Pause: d.pause, Logger: d.logger,
+			OnAll:    func(r []watcher.Record) { d.list(r, true) },
+			OnChange: func(r []watcher.Record) { d.list(r, false) },
+			OnReach: func(up bool) {
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				d.registrar.Reachable(d.now(), up)
+			},
+		}).Run(ctx)
+	})
+	g.Wait()
+}
+
+func (d *directory) configure(records []watcher.Record) {
+	for _, r := range records {
+		c, err := d.source.Configuration(r)
+		if err != nil {
+			d.logger.Warn().Str("key", r.Key).Err(err).Msg("configuration is not readable")
+			continue
+		}
+		if c == nil {
+			continue
+		}
+		d.mu.Lock()
+		if d.registrar.Install(c) {
+			d.logger.Info().Int64("version", int64(c.Version)).Int("routes", len(c.Routes)).Msg("configuration in force")
+			d.onConfiguration(c)
+		}
+		d.mu.Unlock()
+	}
+}
+
+// list takes over records of the list, all of them or later ones.
+func (d *directory) list(records []watcher.Record, all bool) {
+	changes := make([]registrar.Change, 0, len(records))
+	for _, r := range records {
+		change := registrar.Change{ID: registrar.UpstreamID(r.Key)}
+		if r.Value != nil {
+			u, err := d.source.Upstream(r)
+			if err != nil {
+				d.logger.Warn().Str("key", r.Key).Err(err).Msg("list entry is not usable")
+				continue
+			}
+			change.Upstream = u
+		}
+		changes = append(changes, change)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if all {
+		d.registrar.Replace(d.now(), changes)
+	} else {
+		d.registrar.Apply(d.now(), changes)
+	}
+	d.onList()
+}
+
+// expire drops entries that have not come back after an outage.
+func (d *directory) expire() {
+	if d.registrar.Expire(d.now()) {
+		d.onList()
+	}
+}
--- /dev/null
+++ b/internal/driver/gateway.go
@@ -0,0 +1,328 @@
+package driver
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/dispatcher"
+	"github.com/egretwall/egretwall/internal/messenger"
+	"github.com/egretwall/egretwall/internal/registrar"
+	"github.com/egretwall/egretwall/internal/relayer"
+)
+
+// Timing of gateways.
+const (
+	demandPeriod = 250 * time.Millisecond // of what stewards hear of the demand, well below a load's time
+	sweepPeriod  = time.Second            // of closing idle connections to upstreams
+	drainNotice  = 3 * time.Second        // the balancer asks once a second and needs two misses
+	stopMargin   = 300 * time.Millisecond // before the platform kills the process
+)
+
+// GatewayConfig describes a gateway.
+type GatewayConfig struct {
+	Name      string
+	Domain    registrar.DomainName
+	Callers   string // address for callers
+	Health    string // address on which the balancer asks
+	Peer      string // address for datagrams; stewards use its port too
+	Grace     time.Duration
+	Allowance dispatcher.Allowance
+	Directory Directory
+	Dialect   relayer.Dialect
+	Ready     string // path on which the balancer asks
+	Logger    zerolog.Logger
+}
+
+// Gateway runs a dispatcher behind a relayer.
+type Gateway struct {
+	cfg        GatewayConfig
+	dir        *directory
+	dispatcher *dispatcher.Dispatcher // guarded by dir.mu
+	boxes      map[dispatcher.RequestID]*relayer.Mailbox
+	next       dispatcher.RequestID
+	listed     bool
+	addresses  map[string]bool // of live upstreams
+	stewards   []netip.AddrPort
+
+	current   atomic.Pointer[registrar.Configuration]
+	relayer   *relayer.Gateway
+	messenger *messenger.Messenger
+	port      uint16
+	listener  net.Listener
+	health    net.Listener
+	stopping  chan struct{}
+}
+
+// NewGateway listens on the gateway's addresses.
+func NewGateway(cfg GatewayConfig) (*Gateway, error) {
+	g := &Gateway{
+		cfg: cfg, dir: newDirectory(cfg.Directory, cfg.Logger, listPause), boxes: map[dispatcher.RequestID]*relayer.Mailbox{},
+		addresses: map[string]bool{}, stopping: make(chan struct{}, 1),
+	}
+	g.dispatcher = dispatcher.New(dispatcher.Config{Domain: cfg.Domain, Seed: rand.Uint64(), Allowance: cfg.Allowance})
+	g.dir.onConfiguration = func(c *registrar.Configuration) {
+		g.current.Store(c)
+		g.apply(dispatcher.Configured{Configuration: c})
+		g.relist()
+	}
+	g.dir.onList = func() {
+		g.listed = true
+		g.relist()
+	}
+	g.relayer = relayer.New(relayer.Config{Dialect: cfg.Dialect, Decider: g, Logger: cfg.Logger})
+	peer, err := netip.ParseAddrPort(cfg.Peer)
+	if err != nil {
+		return nil, classifier.Wrap(classifier.Invalid, err, "peer address")
+	}
+	g.port = peer.Port()
+	if g.messenger, err = messenger.New(messenger.Config{Address: cfg.Peer, Handle: g.hear, Logger: cfg.Logger}); err != nil {
+		return nil, err
+	}
+	if g.health, err = net.Listen("tcp", cfg.Health); err != nil {
+		return nil, classifier.Wrap(classifier.Invalid, err, "listen for the balancer")
+	}
+	if g.listener, err = net.Listen("tcp", cfg.Callers); err != nil {
+		return nil, classifier.Wrap(classifier.Invalid, err, "listen for callers")
+	}
+	return g, nil
+}
+
+// Stop lets the gateway finish what is open and end.
+func (g *Gateway) Stop() {
+	select {
+	case g.stopping <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves until ctx ends or the gateway has drained after Stop.
+func (g *Gateway) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	health := &http.Server{Handler: http.HandlerFunc(g.answerHealth), ReadHeaderTimeout: time.Second}
+	failed := make(chan error, 2)
+	go func() { failed <- health.Serve(g.health) }()
+	go func() { failed <- g.relayer.Serve(g.listener) }()
+	go g.dir.run(ctx)
+	go g.messenger.Run(ctx)
+	go g.tick(ctx)
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-g.stopping:
+	}
+	return g.drain()
+}
+
+// drain lets the balancer notice, then waits for open answers.
+func (g *Gateway) drain() error {
+	begun := time.Now()
+	g.cfg.Logger.Info().Int("open", g.relayer.Open()).Msg("draining")
+	g.relayer.Drain()
+	time.Sleep(drainNotice)
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(g.cfg.Grace-stopMargin))
+	defer cancel()
+	if err := g.relayer.Shutdown(ctx); err != nil {
+		return fmt.Errorf("%d requests were open at the end of the grace period: %w", g.relayer.Open(), err)
+	}
+	return nil
+}
+
+func (g *Gateway) answerHealth(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != g.cfg.Ready {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	g.dir.mu.Lock()
+	ready := g.listed && g.current.Load() != nil && !g.relayer.Draining()
+	g.dir.mu.Unlock()
+	if !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (g *Gateway) tick(ctx context.Context) {
+	ticker := time.NewTicker(dispatcher.TickPeriod)
+	defer ticker.Stop()
+	var told, swept time.Duration
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		g.dir.mu.Lock()
+		now := g.dir.now()
+		g.dir.expire()
+		g.apply(dispatcher.Tick{})
+		var demands []dispatcher.Demand
+		telling, sweeping := now-told >= demandPeriod, now-swept >= sweepPeriod
+		if telling {
+			told = now
+			demands = g.dispatcher.Demands(now)
+		}
+		stewards, addresses := g.stewards, g.addresses
+		g.dir.mu.Unlock()
+		if telling {
+			g.tell(stewards, messenger.Message{Demands: &demands})
+		}
+		if sweeping {
+			swept = now
+			g.relayer.Pool().Sweep(func(a string) bool { return addresses[a] })
+		}
+	}
+}
+
+func (g *Gateway) tell(to []netip.AddrPort, m messenger.Message) {
+	m.Name = g.cfg.Name
+	data, err := messenger.Encode(m)
+	if err != nil {
+		g.cfg.Logger.Error().Err(err).Msg("message not encoded")
+		return
+	}
+	for _, a := range to {
+		g.messenger.Send(a, data)
+	}
+}
+
+func (g *Gateway) hear(_ netip.AddrPort, m messenger.Message) {
+	if m.Report != nil {
+		g.Reduce(dispatcher.Reported{Report: *m.Report})
+	}
+}
+
+// relist hands the upstreams of the configured services to the dispatcher.
+func (g *Gateway) relist() {
+	c := g.current.Load()
+	if c == nil {
+		return
+	}
+	var all []*registrar.Upstream
+	g.addresses = map[string]bool{}
+	g.stewards = nil
+	for name, service := range c.Services {
+		for _, u := range g.dir.registrar.Upstreams(name) {
+			all = append(all, u)
+			g.addresses[u.Address] = true
+			if service.Engine != nil {
+				g.stewards = append(g.stewards, g.stewardOf(u.Address)...)
+			}
+		}
+	}
+	g.apply(dispatcher.Listed{Upstreams: all})
+}
+
+// stewardOf returns the address of the steward beside a runner.
+func (g *Gateway) stewardOf(runner string) []netip.AddrPort {
+	a, err := netip.ParseAddrPort(runner)
+	if err != nil {
+		return nil // checked when the entry was read
+	}
+	return []netip.AddrPort{netip.AddrPortFrom(a.Addr(), g.port)}
+}
+
+// Configuration returns the one in force.
+func (g *Gateway) Configuration() *registrar.Configuration {
+	return g.current.Load()
+}
+
+// Now returns the time since the process started.
+func (g *Gateway) Now() time.Duration {
+	return g.dir.now()
+}
+
+// Arrive takes a request in.
+func (g *Gateway) Arrive(req dispatcher.Request, box *relayer.Mailbox) dispatcher.RequestID {
+	g.dir.mu.Lock()
+	defer g.dir.mu.Unlock()
+	g.next++
+	req.ID = g.next
+	req.Service = pickService(req.Route)
+	g.boxes[req.ID] = box
+	g.apply(dispatcher.Arrived{Request: req})
+	return req.ID
+}
+
+// pickService draws a service by the weights of a route's split.
+func pickService(r *registrar.Route) registrar.ServiceName {
+	shares := r.Goes()
+	total := 0.0
+	for _, s := range shares {
+		total += s.Weight
+	}
+	at := rand.Float64() * total
+	for _, s := range shares {
+		if at -= s.Weight; at < 0 {
+			return s.Service
+		}
+	}
+	return shares[len(shares)-1].Service
+}
+
+// Reduce applies an event.
+func (g *Gateway) Reduce(e dispatcher.Event) {
+	g.dir.mu.Lock()
+	defer g.dir.mu.Unlock()
+	g.apply(e)
+	switch ev := e.(type) {
+	case dispatcher.Left:
+		delete(g.boxes, ev.ID)
+	case dispatcher.Returned:
+		if ev.Outcome == dispatcher.Whole || ev.Outcome == dispatcher.Closed {
+			delete(g.boxes, ev.ID)
+		}
+	}
+}
+
+// apply reduces an event and carries out the effects; dir.mu is held.
+func (g *Gateway) apply(e dispatcher.Event) {
+	for _, effect := range g.dispatcher.Reduce(g.dir.now(), e) {
+		switch ef := effect.(type) {
+		case dispatcher.Send:
+			g.boxes[ef.ID].Put(ef)
+		case dispatcher.Abort:
+			g.boxes[ef.ID].Put(ef)
+		case dispatcher.Answer:
+			g.boxes[ef.ID].Put(ef)
+			delete(g.boxes, ef.ID)
+		case dispatcher.Deliver:
+			g.boxes[ef.ID].Put(ef)
+			delete(g.boxes, ef.ID)
+		case dispatcher.Want:
+			g.tell(g.stewardOf(ef.Address), messenger.Message{Wanted: &ef.Adapter})
+		case dispatcher.Note:
+			logNote(g.cfg.Logger, ef)
+		}
+	}
+}
+
+func logNote(logger zerolog.Logger, n dispatcher.Note) {
+	ev := logger.Info()
+	if n.Kind != classifier.None {
+		ev = logger.Warn().Str("kind", string(n.Kind))
+	}
+	if n.Request != "" {
+		ev = ev.Str("request", n.Request)
+	}
+	if n.Peer != "" {
+		ev = ev.Str("upstream", string(n.Peer))
+	}
+	if n.Cause != "" {
+		ev = ev.Str("cause", n.Cause)
+	}
+	if n.Age > 0 {
+		ev = ev.Int64("age", n.Age.Milliseconds())
+	}
+	ev.Int("try", int(n.Try)).Int("waiting", n.Waiting).Msg(n.Name)
+}
--- /dev/null
+++ b/internal/driver/steward.go
@@ -0,0 +1,200 @@
+package driver
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/egretwall/egretwall/internal/messenger"
+	"github.com/egretwall/egretwall/internal/registrar"
+	"github.com/egretwall/egretwall/internal/stocker"
+)
+
+// Timing of stewards.
+const (
+	reportPeriod    = 150 * time.Millisecond // of the runner's own state, which lags by as much
+	gatewayLife     = 3 * time.Second        // a gateway that is silent longer gets no reports
+	fencePause      = 300 * time.Millisecond // between tries to get a fencing number
+	stewardListWait = 2 * time.Second        // least time between calls for the list; a load takes longer
+)
+
+// Fencer hands out fencing numbers that only rise.
+type Fencer interface {
+	Fence(ctx context.Context, holder string) (int64, error)
+}
+
+// StewardConfig describes a steward.
+type StewardConfig struct {
+	Name      string
+	Service   registrar.ServiceName
+	Upstream  string // address of the runner beside it
+	Peer      string // address for datagrams; gateways use its port too
+	Directory Directory
+	Fencer    Fencer
+	Runner    stocker.Runner
+	Logger    zerolog.Logger
+}
+
+// Steward runs a stocker beside a model runner.
+type Steward struct {
+	cfg      StewardConfig
+	dir      *directory
+	stocker  *stocker.Stocker // guarded by dir.mu
+	gateways map[netip.AddrPort]time.Duration
+	orders   chan stocker.Order
+	asked    chan struct{}
+	stopping chan struct{}
+
+	messenger *messenger.Messenger
+}
+
+// NewSteward listens on the steward's address.
+func NewSteward(cfg StewardConfig) (*Steward, error) {
+	s := &Steward{
+		cfg: cfg, dir: newDirectory(cfg.Directory, cfg.Logger, stewardListWait), gateways: map[netip.AddrPort]time.Duration{},
+		orders: make(chan stocker.Order, 1), asked: make(chan struct{}, 1), stopping: make(chan struct{}, 1),
+	}
+	s.stocker = stocker.New(stocker.Config{Address: cfg.Upstream, Holder: cfg.Name})
+	s.dir.onConfiguration = func(c *registrar.Configuration) { s.apply(stocker.Configured{Configuration: c}) }
+	s.dir.onList = func() { s.apply(stocker.Listed{Upstreams: s.dir.registrar.Upstreams(cfg.Service)}) }
+	var err error
+	s.messenger, err = messenger.New(messenger.Config{Address: cfg.Peer, Handle: s.hear, Logger: cfg.Logger})
+	return s, err
+}
+
+// Stop ends the steward; it has no requests to finish.
+func (s *Steward) Stop() {
+	select {
+	case s.stopping <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves until ctx ends or Stop is called.
+func (s *Steward) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var g sync.WaitGroup
+	for _, part := range []func(context.Context){s.dir.run, s.messenger.Run, s.fence, s.poll, s.order} {
+		g.Go(func() { part(ctx) })
+	}
+	select {
+	case <-s.stopping:
+	case <-ctx.Done():
+	}
+	cancel()
+	g.Wait()
+	return nil
+}
+
+// fence gets the number that this run's orders carry.
+func (s *Steward) fence(ctx context.Context) {
+	for ctx.Err() == nil {
+		fence, err := s.cfg.Fencer.Fence(ctx, s.cfg.Name)
+		if err == nil {
+			s.cfg.Logger.Info().Int64("fence", fence).Msg("fencing number taken")
+			s.reduce(stocker.Fenced{Fence: fence})
+			return
+		}
+		s.cfg.Logger.Warn().Err(err).Msg("no fencing number")
+		pause(ctx, fencePause)
+	}
+}
+
+// poll asks the runner for its state, at once after an order.
+func (s *Steward) poll(ctx context.Context) {
+	up := true
+	for ctx.Err() == nil {
+		state, err := s.cfg.Runner.Report(ctx)
+		if err == nil {
+			s.reduce(stocker.Reported{State: state})
+		}
+		if (err == nil) != up && ctx.Err() == nil {
+			up = err == nil
+			s.cfg.Logger.Info().Bool("up", up).AnErr("cause", err).Int64("born", state.Born).Msg("runner reached or lost")
+		}
+		t := time.NewTimer(reportPeriod)
+		select {
+		case <-t.C:
+		case <-s.asked:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+func (s *Steward) order(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case o := <-s.orders:
+			result, err := s.cfg.Runner.Order(ctx, o)
+			s.cfg.Logger.Info().Str("op", string(o.Op)).Str("model", string(o.Model)).Str("adapter", string(o.Adapter)).
+				Int64("sequence", o.Sequence).Str("reason", o.Reason).Str("result", string(result)).AnErr("cause", err).Msg("order")
+			s.reduce(stocker.Ordered{Order: o, Result: result})
+			select {
+			case s.asked <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+func (s *Steward) hear(from netip.AddrPort, m messenger.Message) {
+	s.dir.mu.Lock()
+	defer s.dir.mu.Unlock()
+	s.gateways[from] = s.dir.now()
+	if m.Demands != nil {
+		s.apply(stocker.Demanded{Gateway: from.String(), Demands: *m.Demands})
+	}
+	if m.Wanted != nil {
+		s.apply(stocker.Wanted{Adapter: *m.Wanted})
+	}
+}
+
+func (s *Steward) reduce(e stocker.Event) {
+	s.dir.mu.Lock()
+	defer s.dir.mu.Unlock()
+	s.dir.expire()
+	s.apply(e)
+}
+
+// apply reduces an event and carries out the effects; dir.mu is held.
+func (s *Steward) apply(e stocker.Event) {
+	for _, effect := range s.stocker.Reduce(s.dir.now(), e) {
+		switch ef := effect.(type) {
+		case stocker.Send:
+			s.orders <- ef.Order // one at a time is under way, so that there is room
+		case stocker.Tell:
+			s.tell(ef)
+		}
+	}
+}
+
+func (s *Steward) tell(t stocker.Tell) {
+	data, err := messenger.Encode(messenger.Message{Name: s.cfg.Name, Report: &t.Report})
+	if err != nil {
+		s.cfg.Logger.Error().Err(err).Msg("report not encoded")
+		return
+	}
+	for gateway, heard := range s.gateways {
+		if s.dir.now()-heard > gatewayLife {
+			delete(s.gateways, gateway)
+			continue
+		}
+		s.messenger.Send(gateway, data)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/relayer/gateway.go
@@ -0,0 +1,256 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/dispatcher"
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+// Bounds on callers that hold before a configuration says otherwise.
+const (
+	headerBound   = 16 << 10 // bytes
+	headerTimeout = 3 * time.Second
+	bodyTimeout   = 10 * time.Second // reading a body; longer than any caller's pause
+	idleTimeout   = 15 * time.Second
+)
+
+// Config connects a gateway with its parts.
+type Config struct {
+	Dialect Dialect
+	Decider Decider
+	Logger  zerolog.Logger
+}
+
+// Gateway answers callers.
+type Gateway struct {
+	cfg      Config
+	pool     *Pool
+	server   *http.Server
+	draining atomic.Bool
+	open     atomic.Int64 // requests without their whole answer
+
+	mu   sync.Mutex
+	idle map[net.Conn]*time.Timer // closes callers' idle connections
+}
+
+// New returns a gateway that does not serve yet.
+func New(cfg Config) *Gateway {
+	g := &Gateway{cfg: cfg, pool: NewPool(), idle: map[net.Conn]*time.Timer{}}
+	g.server = &http.Server{
+		Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBound,
+		ConnState: g.connState, ErrorLog: nil, DisableGeneralOptionsHandler: true,
+	}
+	g.server.ErrorLog = newErrorLog(cfg.Logger)
+	return g
+}
+
+// Pool returns the connections to upstreams.
+func (g *Gateway) Pool() *Pool {
+	return g.pool
+}
+
+// Open counts the requests that have no whole answer yet.
+func (g *Gateway) Open() int {
+	return int(g.open.Load())
+}
+
+// Serve answers callers until Close.
+func (g *Gateway) Serve(l net.Listener) error {
+	if err := g.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve callers: %w", err)
+	}
+	return nil
+}
+
+// Drain lets each connection end with its next answer.
+func (g *Gateway) Drain() {
+	g.draining.Store(true)
+}
+
+// Draining tells whether Drain was called.
+func (g *Gateway) Draining() bool {
+	return g.draining.Load()
+}
+
+// Shutdown closes idle connections and waits for open answers until ctx ends.
+func (g *Gateway) Shutdown(ctx context.Context) error {
+	return g.server.Shutdown(ctx)
+}
+
+// connState closes connections that stay idle longer than the configuration
+// allows.
+func (g *Gateway) connState(c net.Conn, state http.ConnState) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t := g.idle[c]; t != nil {
+		t.Stop()
+		delete(g.idle, c)
+	}
+	if state == http.StateIdle {
+		g.idle[c] = time.AfterFunc(g.limits().IdleTimeout, func() { _ = c.Close() })
+	}
+}
+
+func (g *Gateway) limits() registrar.Limits {
+	if c := g.cfg.Decider.Configuration(); c != nil {
+		return c.Limits
+	}
+	return registrar.Limits{Header: headerBound, Body: answerBound, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
+// ServeHTTP answers one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.open.Add(1)
+	defer g.open.Add(-1)
+	out := &outgoing{w: w, control: http.NewResponseController(w), last: -1, closing: g.draining.Load}
+	in, kind := g.read(w, r, out)
+	if kind != classifier.None {
+		g.refuse(out, in.call.Name, kind, 0)
+		return
+	}
+	cfg := g.cfg.Decider.Configuration()
+	if cfg == nil {
+		g.cfg.Logger.Warn().Str("request", in.call.Name).Msg("refused without a configuration")
+		g.refuse(out, in.call.Name, classifier.Leaving, 0)
+		return
+	}
+	path, _, _ := strings.Cut(in.target, "?")
+	route, ok := cfg.Route(registrar.HostName(hostOf(in.host)), path)
+	if !ok {
+		g.refuse(out, in.call.Name, classifier.Missing, 0)
+		return
+	}
+	g.serve(r.Context(), in, out, route)
+}
+
+// serve carries out the effects of one request until its end.
+func (g *Gateway) serve(ctx context.Context, in *incoming, out *outgoing, route *registrar.Route) {
+	now := g.cfg.Decider.Now()
+	budget := route.Timeout
+	if in.call.Budget > 0 && (in.call.Budget < budget || budget <= 0) {
+		budget = in.call.Budget
+	}
+	box := NewMailbox()
+	id := g.cfg.Decider.Arrive(dispatcher.Request{
+		Name: in.call.Name, Route: route, Model: in.call.Model, Adapter: in.call.Adapter,
+		Prompt: in.call.Prompt, Output: in.call.Output, Session: in.call.Session, Deadline: now + budget,
+	}, box)
+	out.last = in.call.After
+	for {
+		switch e := box.Next(ctx).(type) {
+		case dispatcher.Send:
+			outcome, cause := g.send(ctx, e, in, out, box)
+			g.cfg.Decider.Reduce(dispatcher.Returned{ID: id, Try: e.Try, Outcome: outcome, Cause: cause})
+			if outcome == dispatcher.Whole {
+				return
+			}
+			if outcome == dispatcher.Closed {
+				out.abandon()
+			}
+		case dispatcher.Deliver:
+			if out.started || out.failure == nil {
+				out.abandon()
+			}
+			f := out.failure
+			if err := out.whole(f.status, f.header, f.body); err != nil {
+				out.abandon()
+			}
+			return
+		case dispatcher.Answer:
+			if out.started {
+				out.abandon()
+			}
+			g.refuse(out, in.call.Name, e.Kind, e.RetryAfter)
+			return
+		case dispatcher.Abort:
+			continue
+		case nil:
+			g.cfg.Decider.Reduce(dispatcher.Left{ID: id})
+			out.abandon()
+		}
+	}
+}
+
+// read takes in a caller's request.
+func (g *Gateway) read(w http.ResponseWriter, r *http.Request, out *outgoing) (*incoming, classifier.Kind) {
+	in := &incoming{method: r.Method, target: r.RequestURI, host: r.Host, header: http.Header{}}
+	call, err := g.cfg.Dialect.Call(r.Header)
+	in.call = call
+	if err != nil || !strings.HasPrefix(r.RequestURI, "/") {
+		g.cfg.Logger.Warn().Str("request", call.Name).Str("path", r.RequestURI).AnErr("cause", err).Msg("request is malformed")
+		return in, classifier.Invalid
+	}
+	for name, values := range r.Header {
+		if !hopByHop[name] && !g.cfg.Dialect.Reserved(name) {
+			in.header[name] = values
+		}
+	}
+	for _, name := range strings.Split(strings.Join(r.Header.Values("Connection"), ","), ",") {
+		in.header.Del(strings.TrimSpace(name))
+	}
+	in.header.Del("Content-Length")
+	if r.ContentLength == 0 {
+		return in, classifier.None
+	}
+	limit := int64(g.limits().Body)
+	if r.ContentLength > limit {
+		return in, classifier.Large
+	}
+	// Not all readers have deadlines; those of tests don't.
+	_ = out.control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	in.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = out.control.SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return in, classifier.Large
+	case isTimeout(err):
+		return in, classifier.Stalled
+	case err != nil:
+		return in, classifier.Invalid
+	}
+	return in, classifier.None
+}
+
+// hostOf returns a Host header without its port.
+func hostOf(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return strings.ToLower(name)
+	}
+	return strings.ToLower(host)
+}
+
+// refuse writes an answer of the system itself.
+func (g *Gateway) refuse(out *outgoing, name string, kind classifier.Kind, after time.Duration) {
+	a := classifier.AnswerOf(kind)
+	if after <= 0 {
+		after = a.RetryAfter
+	}
+	h := out.w.Header()
+	g.cfg.Dialect.Refuse(h, name)
+	if a.Retryable {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	out.finishHeader()
+	out.deadline()
+	out.started = true
+	out.w.WriteHeader(a.Status)
+	if _, err := io.WriteString(out.w, string(kind)+": "+a.Text+"\n"); err != nil {
+		g.cfg.Logger.Debug().Str("request", name).Err(err).Msg("caller left before its answer")
+	}
+}
--- /dev/null
+++ b/internal/relayer/send.go
@@ -0,0 +1,236 @@
+package relayer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/egretwall/egretwall/internal/dispatcher"
+)
+
+// Limits of answers.
+const (
+	answerBound  = 16 << 20               // bytes of an answer that is kept until it is whole
+	maxDiscarded = 2                      // answers of other requests that are skipped on one connection
+	writeAlone   = 4 << 10                // bytes of a request that is written without a goroutine; a socket buffer takes it
+	answerSlack  = 150 * time.Millisecond // after the budget, in which an upstream's own final answer may still come
+)
+
+// incoming is a caller's request that has been read.
+type incoming struct {
+	call   Call
+	method string
+	target string // request line's path and query, as the caller sent them
+	host   string
+	header http.Header // end-to-end headers
+	body   []byte
+}
+
+// answer is an upstream's answer of which the header has been read.
+type answer struct {
+	conn     *upstreamConn
+	response *http.Response
+	reply    Reply
+	written  <-chan error // the end of writing the request
+}
+
+var (
+	errForeign = errors.New("answers of other requests came first")
+	errShape   = errors.New("the answer lacks its receipt")
+	errCoded   = errors.New("the answer's body is encoded")
+)
+
+// write puts a request on the connection. What it returns tells when the whole
+// request has been written: an upstream may answer before it has read a body.
+func (in *incoming) write(c *upstreamConn, header http.Header) <-chan error {
+	var b bytes.Buffer
+	b.Grow(1024 + len(in.body))
+	b.WriteString(in.method + " " + in.target + " HTTP/1.1\r\nHost: " + in.host + "\r\n")
+	for name, values := range header {
+		for _, v := range values {
+			b.WriteString(name + ": " + v + "\r\n")
+		}
+	}
+	if len(in.body) > 0 || in.method == http.MethodPost || in.method == http.MethodPut || in.method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(in.body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(in.body)
+	done := make(chan error, 1)
+	if b.Len() <= writeAlone {
+		_, err := c.Write(b.Bytes())
+		done <- err
+		return done
+	}
+	go func() {
+		_, err := c.Write(b.Bytes())
+		done <- err
+	}()
+	return done
+}
+
+// finished tells whether the request has been written whole.
+func (a *answer) finished() bool {
+	select {
+	case err := <-a.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// release keeps the connection for the next request if nothing speaks against it.
+func (a *answer) release(p *Pool) {
+	if !a.finished() || !a.conn.remember(a.response) || a.conn.reader.Buffered() > 0 {
+		_ = a.conn.Close()
+		return
+	}
+	if err := a.conn.SetDeadline(time.Time{}); err != nil {
+		_ = a.conn.Close()
+		return
+	}
+	p.Put(a.conn)
+}
+
+// receive reads the header of the answer to the request. Answers of other
+// requests that come before it are dropped.
+func (g *Gateway) receive(c *upstreamConn, in *incoming) (*http.Response, Reply, error) {
+	for range maxDiscarded + 1 {
+		resp, err := readHeader(c, in.method)
+		if err != nil {
+			return nil, Reply{}, err
+		}
+		reply := g.cfg.Dialect.Reply(resp.Header)
+		if reply.Name == in.call.Name || reply.Name == "" {
+			return resp, reply, nil
+		}
+		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			return nil, Reply{}, errForeign
+		}
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, answerBound)); err != nil {
+			return nil, Reply{}, err
+		}
+	}
+	return nil, Reply{}, errForeign
+}
+
+func readHeader(c *upstreamConn, method string) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+}
+
+// send runs one try at an upstream until its end.
+func (g *Gateway) send(ctx context.Context, e dispatcher.Send, in *incoming, out *outgoing, box *Mailbox) (dispatcher.Outcome, string) {
+	if ctx.Err() != nil {
+		return dispatcher.Closed, "caller left"
+	}
+	conn, err := g.pool.Get(ctx, e.Address)
+	if err != nil {
+		if ctx.Err() != nil {
+			return dispatcher.Closed, "caller left"
+		}
+		return dispatcher.Unsent, err.Error()
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	unguard := box.Guard(func() { _ = conn.Close() })
+	defer unguard()
+	if err := conn.SetDeadline(time.Now().Add(e.Budget + answerSlack)); err != nil {
+		_ = conn.Close()
+		return dispatcher.Unsent, err.Error()
+	}
+	header := in.header.Clone()
+	after := in.call.After
+	if out.last > after {
+		after = out.last
+	}
+	g.cfg.Dialect.Onward(header, Onward{Budget: e.Budget, Upstream: e.Upstream, Priority: e.Priority, After: after})
+	written := in.write(conn, header)
+	resp, reply, err := g.receive(conn, in)
+	if err != nil {
+		_ = conn.Close()
+		return outcomeOf(ctx, out), err.Error()
+	}
+	a := &answer{conn: conn, response: resp, reply: reply, written: written}
+	outcome, cause := g.take(ctx, a, out, e)
+	return outcome, cause
+}
+
+// outcomeOf is the outcome of a send whose connection failed.
+func outcomeOf(ctx context.Context, out *outgoing) dispatcher.Outcome {
+	switch {
+	case ctx.Err() != nil:
+		return dispatcher.Closed
+	case out.started:
+		return dispatcher.Broken
+	}
+	return dispatcher.Unknown
+}
+
+// take passes an answer on, or tells why it can't be.
+func (g *Gateway) take(ctx context.Context, a *answer, out *outgoing, e dispatcher.Send) (dispatcher.Outcome, string) {
+	resp := a.response
+	status := resp.StatusCode
+	if a.reply.NotRun || status == http.StatusMisdirectedRequest {
+		return g.notRun(a, e)
+	}
+	if !a.reply.Sealed || resp.Header.Get("Content-Encoding") != "" {
+		_ = a.conn.Close()
+		if a.reply.Sealed {
+			return outcomeOf(ctx, out), errCoded.Error()
+		}
+		return outcomeOf(ctx, out), errShape.Error() + " (status " + strconv.Itoa(status) + ")"
+	}
+	if status < 300 && isEventStream(resp.Header) {
+		return g.relayEvents(ctx, a, out, e)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, answerBound))
+	if err != nil {
+		_ = a.conn.Close()
+		return outcomeOf(ctx, out), err.Error()
+	}
+	a.release(g.pool)
+	if status >= 500 {
+		out.keep(resp, body)
+		return dispatcher.Failed, "status " + strconv.Itoa(status)
+	}
+	if out.started {
+		return dispatcher.Broken, "status " + strconv.Itoa(status)
+	}
+	if err := out.whole(resp.StatusCode, resp.Header, body); err != nil {
+		return dispatcher.Closed, err.Error()
+	}
+	return dispatcher.Whole, ""
+}
+
+// notRun handles an answer that says that the request did not run.
+func (g *Gateway) notRun(a *answer, e dispatcher.Send) (dispatcher.Outcome, string) {
+	cause := "status " + strconv.Itoa(a.response.StatusCode)
+	if _, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, answerBound)); err != nil {
+		_ = a.conn.Close()
+	} else {
+		a.release(g.pool)
+	}
+	switch {
+	case a.response.StatusCode != http.StatusMisdirectedRequest:
+		return dispatcher.NotRun, cause
+	case a.reply.Upstream != "" && a.reply.Upstream != e.Upstream:
+		return dispatcher.Moved, cause + " from " + string(a.reply.Upstream)
+	}
+	return dispatcher.Missing, cause
+}
+
+// isTimeout tells whether err is a passed deadline.
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.As(err, &ne) && ne.Timeout()
+}
--- /dev/null
+++ b/internal/stocker/event.go
@@ -0,0 +1,146 @@
+// Package stocker decides what one model runner holds: which models and
+// adapters its steward orders it to load and to unload.
+//
+// Usage:
+//
+//	s := stocker.New(stocker.Config{Address: "10.1.0.40:8145", Holder: "side-1"})
+//	for _, effect := range s.Reduce(now, event) { run(effect) }
+//
+// It is a deterministic function of its events. Each steward decides for its
+// own runner from the same list and the same demand, so that stewards agree
+// without messages: the runners that should take a further copy, and the copy
+// that must stay, follow from a rendezvous order.
+//
+// Every order names the number of orders that the runner has accepted before.
+// The runner refuses it when another one came first, so that an order whose
+// answer was lost takes effect only in the state that it was made for.
+package stocker
+
+import (
+	"context"
+	"time"
+
+	"github.com/egretwall/egretwall/internal/dispatcher"
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+// Op is what an order does.
+type Op string
+
+// The operations of orders.
+const (
+	Load   Op = "load"
+	Unload Op = "unload"
+)
+
+// Order is an order to the runner.
+type Order struct {
+	Op       Op
+	Model    registrar.ModelName
+	Adapter  registrar.AdapterName // empty for the model itself
+	Upstream registrar.UpstreamID  // the instance that must obey, empty when its id isn't known
+	Sequence int64                 // orders that the runner has accepted before this one
+	Holder   string
+	Fence    int64
+	Reason   string // for the log
+}
+
+// Result is what became of an order.
+type Result string
+
+// The results of orders.
+const (
+	Begun   Result = "begun" // it is carried out
+	Done    Result = "done"  // it holds already
+	Refused Result = "refused"
+	Unknown Result = "unknown" // the answer was lost; it may be carried out later
+)
+
+// State is what the runner says of itself.
+type State struct {
+	Born     int64 // Unix milliseconds of its start
+	Sequence int64 // orders accepted since
+	Holdings []registrar.Holding
+	Coming   []registrar.AdapterID // on their way
+	Busy     bool                  // an order for a model is under way
+	Running  int
+	Waiting  int
+	Used     registrar.Tokens
+	Total    registrar.Tokens
+	Warm     []registrar.ModelName // weights in the host's memory
+	Disk     []registrar.ModelName // weights on the host's disk
+	Draining bool
+}
+
+// Runner is the runner beside a steward.
+type Runner interface {
+	Report(ctx context.Context) (State, error)
+	Order(ctx context.Context, o Order) (Result, error)
+}
+
+// Event is an input of a stocker.
+type Event interface{ event() }
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Configured carries a newer configuration.
+type Configured struct{ Configuration *registrar.Configuration }
+
+// Listed carries the live runners of the steward's service.
+type Listed struct{ Upstreams []*registrar.Upstream }
+
+// Reported carries the runner's state.
+type Reported struct{ State State }
+
+// Demanded carries what the callers of one gateway ask for.
+type Demanded struct {
+	Gateway string
+	Demands []dispatcher.Demand
+}
+
+// Wanted tells that a gateway has a request for an adapter.
+type Wanted struct{ Adapter registrar.AdapterID }
+
+// Fenced gives the number that orders carry from now on.
+type Fenced struct{ Fence int64 }
+
+// Ordered reports on an order.
+type Ordered struct {
+	Order  Order
+	Result Result
+}
+
+func (Tick) event()       {}
+func (Configured) event() {}
+func (Listed) event()     {}
+func (Reported) event()   {}
+func (Demanded) event()   {}
+func (Wanted) event()     {}
+func (Fenced) event()     {}
+func (Ordered) event()    {}
+
+// Effect is an output of a stocker, which its driver carries out.
+type Effect interface{ effect() }
+
+// Send gives the runner an order; Ordered answers it, and a new state follows.
+type Send struct{ Order Order }
+
+// Tell passes the runner's state on to the gateways.
+type Tell struct{ Report dispatcher.Report }
+
+func (Send) effect() {}
+func (Tell) effect() {}
+
+// Timing and limits of decisions.
+const (
+	demandLife     = 2 * time.Second // a gateway's demand counts this long; several lost datagrams
+	wantLife       = time.Second     // a want is repeated while its request waits
+	takeover       = 800 * time.Millisecond
+	loadWindow     = 5500 * time.Millisecond // of the weight store's limit, with a tenth to spare
+	busyRate       = 3.0                     // requests a second that one copy serves easily
+	gain           = 1.6                     // how much more a new copy must serve than the one that it replaces
+	comingBound    = 4                       // adapters that may be on their way to one runner
+	unsettledPause = 300 * time.Millisecond  // after an order without an answer, before the next one
+	refusedPause   = 100 * time.Millisecond  // after a refused order
+)
--- /dev/null
+++ b/internal/stocker/stocker.go
@@ -0,0 +1,208 @@
+package stocker
+
+import (
+	"slices"
+	"time"
+
+	"github.com/egretwall/egretwall/internal/dispatcher"
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+// Config configures a Stocker.
+type Config struct {
+	Address string // of the runner
+	Holder  string // who gives the orders
+}
+
+// Stocker decides for one runner. It is not safe for concurrent use.
+type Stocker struct {
+	cfg     Config
+	now     time.Duration
+	out     []Effect
+	current *registrar.Configuration
+	self    *registrar.Upstream // the runner's own entry in the list
+	peers   []*registrar.Upstream
+	state   State
+	settled bool // the state is newer than the last order's answer
+	fence   int64
+
+	sending  bool          // an order has no answer yet
+	pause    time.Duration // no order before it
+	leaving  registrar.ModelName
+	loading  registrar.ModelName
+	loaded   time.Duration // when loading should have finished
+	stored   time.Duration // the last load from the weight store began
+	started  bool
+	demands  map[string]demand
+	wants    []want
+	used     map[registrar.AdapterID]time.Duration // when an adapter was last wanted
+	lacking  map[registrar.ModelName]time.Duration
+	Counters Counters
+}
+
+type demand struct {
+	at  time.Duration
+	all []dispatcher.Demand
+}
+
+type want struct {
+	adapter registrar.AdapterID
+	at      time.Duration
+}
+
+// Counters counts what a stocker has done since it started.
+type Counters struct {
+	Loads    int `json:"loads"`
+	Unloads  int `json:"unloads"`
+	Adapters int `json:"adapters"`
+	Refused  int `json:"refused"`
+	Unknown  int `json:"unknown"`
+}
+
+// New returns a stocker that knows nothing of its runner.
+func New(cfg Config) *Stocker {
+	return &Stocker{
+		cfg: cfg, demands: map[string]demand{}, used: map[registrar.AdapterID]time.Duration{},
+		lacking: map[registrar.ModelName]time.Duration{},
+	}
+}
+
+// Reduce applies an event that happened at time now.
+func (s *Stocker) Reduce(now time.Duration, event Event) []Effect {
+	s.now = now
+	s.out = s.out[:0]
+	if !s.started {
+		s.started, s.stored = true, now // a predecessor may just have begun a load
+	}
+	switch ev := event.(type) {
+	case Tick:
+		s.decide()
+	case Configured:
+		s.current = ev.Configuration
+	case Listed:
+		s.list(ev.Upstreams)
+	case Reported:
+		s.observe(ev.State)
+		s.decide()
+		s.tell()
+	case Demanded:
+		s.demands[ev.Gateway] = demand{now, ev.Demands}
+	case Wanted:
+		s.want(ev.Adapter)
+		s.decide()
+	case Fenced:
+		s.fence = ev.Fence
+	case Ordered:
+		s.ordered(ev)
+	}
+	return s.out
+}
+
+func (s *Stocker) list(all []*registrar.Upstream) {
+	s.peers, s.self = all, nil
+	for _, u := range all {
+		if u.Address == s.cfg.Address && (s.self == nil || u.Born > s.self.Born) {
+			s.self = u
+		}
+	}
+}
+
+func (s *Stocker) observe(st State) {
+	if st.Born != s.state.Born {
+		s.leaving, s.loading = "", ""
+	}
+	s.state, s.settled = st, true
+	if !st.Busy && !s.sending {
+		s.leaving = ""
+		if s.now >= s.loaded || s.holds(s.loading) {
+			s.loading = ""
+		}
+	}
+}
+
+// holds tells whether the runner has the model in memory.
+func (s *Stocker) holds(m registrar.ModelName) bool {
+	return slices.ContainsFunc(s.state.Holdings, func(h registrar.Holding) bool { return h.Model == m })
+}
+
+// Gateways counts the gateways that have been heard lately.
+func (s *Stocker) Gateways() int {
+	n := 0
+	for _, d := range s.demands {
+		if s.now-d.at < demandLife {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *Stocker) tell() {
+	rep := dispatcher.Report{
+		Address: s.cfg.Address, Born: s.state.Born, Sequence: s.state.Sequence, Loading: s.loading,
+		Ready: max(0, s.loaded-s.now), Running: s.state.Running, Waiting: s.state.Waiting,
+		Used: s.state.Used, Total: s.state.Total, Draining: s.state.Draining, Gateways: s.Gateways(),
+	}
+	for _, h := range s.state.Holdings {
+		if h.Model != s.leaving {
+			rep.Holdings = append(rep.Holdings, h)
+		}
+	}
+	s.out = append(s.out, Tell{rep})
+}
+
+func (s *Stocker) want(a registrar.AdapterID) {
+	s.used[a] = s.now
+	for i := range s.wants {
+		if s.wants[i].adapter == a {
+			s.wants[i].at = s.now
+			return
+		}
+	}
+	s.wants = append(s.wants, want{a, s.now})
+}
+
+// send gives an order unless one is under way.
+func (s *Stocker) send(op Op, m registrar.ModelName, a registrar.AdapterName, reason string) {
+	o := Order{Op: op, Model: m, Adapter: a, Sequence: s.state.Sequence, Holder: s.cfg.Holder, Fence: s.fence, Reason: reason}
+	if s.self != nil && s.self.Born == s.state.Born {
+		o.Upstream = s.self.ID
+	}
+	s.sending = true
+	s.out = append(s.out, Send{o})
+}
+
+func (s *Stocker) ordered(ev Ordered) {
+	s.sending, s.settled = false, false
+	switch ev.Result {
+	case Begun, Done:
+		s.count(ev.Order)
+		s.took(ev.Order, ev.Result)
+	case Refused:
+		s.Counters.Refused++
+		s.pause = s.now + refusedPause
+	case Unknown:
+		s.Counters.Unknown++
+		s.pause = s.now + unsettledPause
+	}
+}
+
+// took remembers an accepted order until the next state shows it.
+func (s *Stocker) took(o Order, result Result) {
+	switch {
+	case o.Adapter != "":
+		s.wants = slices.DeleteFunc(s.wants, func(w want) bool { return w.adapter == registrar.AdapterID{Model: o.Model, Name: o.Adapter} })
+	case o.Op == Load && result == Begun:
+		s.loading, s.loaded = o.Model, s.now+s.loadTime(o.Model)
+	}
+}
+
+func (s *Stocker) count(o Order) {
+	switch {
+	case o.Adapter != "":
+		s.Counters.Adapters++
+	case o.Op == Load:
+		s.Counters.Loads++
+	default:
+		s.Counters.Unloads++
+	}
+}
--- /dev/null
+++ b/internal/stocker/stocker_test.go
@@ -0,0 +1,188 @@
+package stocker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretwall/egretwall/internal/dispatcher"
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+const (
+	self    = "10.0.0.1:80"
+	service = registrar.ServiceName("llm")
+)
+
+// bench is a stocker with a service of runners that hold three models each.
+type bench struct {
+	t       *testing.T
+	s       *Stocker
+	now     time.Duration
+	runners []*registrar.Upstream
+}
+
+func newBench(t *testing.T, holdings ...[]registrar.ModelName) *bench {
+	b := &bench{t: t, s: New(Config{Address: self, Holder: "side-1"})}
+	engine := &registrar.Engine{
+		Slots: 64, Weights: 220, AdapterSlots: 2, LoadRate: 1.8, Models: map[registrar.ModelName]registrar.Model{},
+	}
+	for _, m := range []registrar.ModelName{"a", "b", "c", "d"} {
+		engine.Models[m] = registrar.Model{Name: m, Weights: 72, Adapter: 1, Adapters: 9, Load: 5 * time.Second, DiskLoad: time.Second}
+	}
+	for i, models := range holdings {
+		u := &registrar.Upstream{
+			ID: registrar.UpstreamID(rune('p' + i)), Service: service, Address: self, State: registrar.Ready, Born: 7,
+		}
+		if i > 0 {
+			u.Address = "10.0.0.9:80"
+		}
+		for _, m := range models {
+			u.Holdings = append(u.Holdings, registrar.Holding{Model: m})
+		}
+		b.runners = append(b.runners, u)
+	}
+	b.reduce(Configured{&registrar.Configuration{Services: map[registrar.ServiceName]registrar.Service{service: {Name: service, Engine: engine}}}})
+	b.reduce(Listed{b.runners})
+	b.reduce(Fenced{41})
+	b.now += time.Minute
+	return b
+}
+
+// reduce returns the order that follows from an event, if there is one.
+func (b *bench) reduce(e Event) *Order {
+	for _, effect := range b.s.Reduce(b.now, e) {
+		if send, ok := effect.(Send); ok {
+			return &send.Order
+		}
+	}
+	return nil
+}
+
+// state is the own runner's state with its listed models.
+func (b *bench) state(sequence int64, adapters ...registrar.AdapterName) Reported {
+	st := State{Born: 7, Sequence: sequence}
+	for _, h := range b.runners[0].Holdings {
+		st.Holdings = append(st.Holdings, registrar.Holding{Model: h.Model})
+	}
+	if len(st.Holdings) > 0 {
+		st.Holdings[0].Adapters = adapters
+	}
+	return Reported{st}
+}
+
+func adapter(name registrar.AdapterName) registrar.AdapterID {
+	return registrar.AdapterID{Model: "a", Name: name}
+}
+
+func TestNoOrderBeforeTheStateShowsTheLastOne(t *testing.T) {
+	b := newBench(t, []registrar.ModelName{"a", "b", "c"}, []registrar.ModelName{"a", "d"})
+	require.Nil(t, b.reduce(b.state(0, "a1")))
+	first := b.reduce(Wanted{adapter("a2")})
+	require.NotNil(t, first)
+	require.EqualValues(t, 0, first.Sequence)
+	b.reduce(Ordered{*first, Begun})
+	require.Nil(t, b.reduce(Wanted{adapter("a3")}), "the second adapter place may be taken by the order under way")
+	next := b.reduce(b.state(1, "a1", "a2"))
+	require.NotNil(t, next)
+	require.Equal(t, Unload, next.Op)
+	require.EqualValues(t, 1, next.Sequence)
+}
+
+func TestAdaptersNeverExceedTheirPlaces(t *testing.T) {
+	b := newBench(t, []registrar.ModelName{"a", "b", "c"}, []registrar.ModelName{"a", "d"})
+	st := b.state(4, "a1")
+	st.State.Coming = []registrar.AdapterID{adapter("a2")}
+	b.reduce(st)
+	o := b.reduce(Wanted{adapter("a3")})
+	require.NotNil(t, o)
+	require.Equal(t, Unload, o.Op, "adapters on their way count")
+}
+
+func TestModelWithoutCopyIsLoadedByOneRunner(t *testing.T) {
+	holdings := [][]registrar.ModelName{{"a", "b"}, {"a", "b"}, {"a", "c"}}
+	loaders := 0
+	for own := range holdings {
+		holdings[0], holdings[own] = holdings[own], holdings[0]
+		b := newBench(t, holdings...)
+		ids := []registrar.UpstreamID{"p", "q", "r"}
+		ids[0], ids[own] = ids[own], ids[0]
+		for i, u := range b.runners {
+			u.ID = ids[i]
+		}
+		if o := b.reduce(b.state(0)); o != nil {
+			require.Equal(t, Load, o.Op)
+			require.EqualValues(t, "d", o.Model)
+			loaders++
+		}
+		holdings[0], holdings[own] = holdings[own], holdings[0]
+	}
+	require.Equal(t, 1, loaders)
+}
+
+func TestAnotherRunnerTakesOverAfterAWhile(t *testing.T) {
+	b := newBench(t, []registrar.ModelName{"a", "b"}, []registrar.ModelName{"a", "b"}, []registrar.ModelName{"a", "c"})
+	var o *Order
+	for range 30 {
+		if o = b.reduce(b.state(0)); o != nil {
+			break
+		}
+		b.now += 100 * time.Millisecond
+	}
+	require.NotNil(t, o, "the runners before this one have had their time")
+	require.EqualValues(t, "d", o.Model)
+}
+
+func TestLastCopyStays(t *testing.T) {
+	b := newBench(t, []registrar.ModelName{"a", "b", "c"}, []registrar.ModelName{"d"})
+	b.reduce(Demanded{"g", []dispatcher.Demand{{Model: "d", Rate: 500}}})
+	require.Nil(t, b.reduce(b.state(0)), "every held model has its only copy here")
+}
+
+func TestCopyFollowsDemand(t *testing.T) {
+	b := newBench(t, []registrar.ModelName{"a", "b", "c"}, []registrar.ModelName{"a", "b", "c"}, []registrar.ModelName{"d"})
+	var unloads []Order
+	for range 20 {
+		b.reduce(Demanded{"g", []dispatcher.Demand{{Model: "d", Rate: 500}}})
+		if o := b.reduce(b.state(0)); o != nil {
+			unloads = append(unloads, *o)
+			break
+		}
+		b.now += 100 * time.Millisecond
+	}
+	require.Len(t, unloads, 1)
+	require.Equal(t, Unload, unloads[0].Op)
+}
+
+func TestLoadsFromTheStoreArePaced(t *testing.T) {
+	b := newBench(t, []registrar.ModelName{"a"}, []registrar.ModelName{"a"})
+	first := b.reduce(b.state(0))
+	require.NotNil(t, first)
+	b.reduce(Ordered{*first, Begun})
+	b.runners[0].Holdings = append(b.runners[0].Holdings, registrar.Holding{Model: first.Model})
+	require.Nil(t, b.reduce(b.state(1)))
+	b.now += loadWindow
+	require.NotNil(t, b.reduce(b.state(1)))
+}
+
+func TestNoOrderWithoutAFencingNumber(t *testing.T) {
+	b := newBench(t, []registrar.ModelName{"a"}, []registrar.ModelName{"a"})
+	b.s.fence = 0
+	require.Nil(t, b.reduce(b.state(0)))
+}
+
+func TestReportLeavesOutAModelThatMakesWay(t *testing.T) {
+	b := newBench(t, []registrar.ModelName{"a", "b", "c"}, []registrar.ModelName{"a", "b", "c"}, []registrar.ModelName{"d"})
+	for range 20 {
+		b.reduce(Demanded{"g", []dispatcher.Demand{{Model: "d", Rate: 500}}})
+		for _, effect := range b.s.Reduce(b.now, b.state(0)) {
+			if tell, ok := effect.(Tell); ok && b.s.leaving != "" {
+				require.Len(t, tell.Report.Holdings, 2)
+				return
+			}
+		}
+		b.now += 100 * time.Millisecond
+	}
+	t.Fatal("no model made way")
+}
