--- a/internal/command/steward.go
+++ b/internal/command/steward.go
@@ -18,17 +18,24 @@
 	Bind: func(c *kingpin.CmdClause) Action {
 		flags := bindPlatform(c)
 		return func(ctx context.Context, s Streams) error {
-			cfg, err := loader.Steward(*flags.settings)
-			if err != nil {
-				return err
-			}
-			return flags.run(ctx, s, func(logger zerolog.Logger) (server, error) {
-				store := platform.NewStore(platform.StoreConfig{Address: cfg.Store})
-				return driver.NewSteward(driver.StewardConfig{
-					Name: cfg.Name, Service: registrar.ServiceName(cfg.Service), Upstream: cfg.Upstream, Peer: cfg.Peer,
-					Directory: store, Fencer: store, Runner: platform.NewRunner(cfg.Upstream), Logger: logger,
-				})
+			read := func() (driver.StewardConfig, error) { return stewardConfig(*flags.settings) }
+			return runOnPlatform(ctx, s, flags, read, func(cfg driver.StewardConfig, logger zerolog.Logger) (platformProcess[driver.StewardConfig], error) {
+				cfg.Logger = logger
+				return driver.NewSteward(cfg)
 			})
 		}
 	},
 }
+
+// stewardConfig reads the settings of a steward.
+func stewardConfig(path string) (driver.StewardConfig, error) {
+	s, err := loader.Steward(path)
+	if err != nil {
+		return driver.StewardConfig{}, err
+	}
+	store := platform.NewStore(platform.StoreConfig{Address: s.Store})
+	return driver.StewardConfig{
+		Name: s.Name, Service: registrar.ServiceName(s.Service), Upstream: s.Upstream, Peer: s.Peer,
+		Directory: store, Fencer: store, Runner: platform.NewRunner(s.Upstream),
+	}, nil
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -113,6 +113,11 @@
 	return d.out
 }
 
+// Allow replaces the retry budget.
+func (d *Dispatcher) Allow(a Allowance) {
+	d.cfg.Allowance = a
+}
+
 // Open counts the requests that have no final answer yet.
 func (d *Dispatcher) Open() int {
 	return len(d.requests)
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -104,6 +104,15 @@
 	}
 }
 
+// Reload takes over the settings that may change while the gateway runs: the
+// grace period and the retry budget.
+func (g *Gateway) Reload(cfg GatewayConfig) {
+	g.dir.mu.Lock()
+	defer g.dir.mu.Unlock()
+	g.cfg.Grace, g.cfg.Allowance = cfg.Grace, cfg.Allowance
+	g.dispatcher.Allow(cfg.Allowance)
+}
+
 // Run serves until ctx ends or the gateway has drained after Stop.
 func (g *Gateway) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -128,10 +137,13 @@
 // drain lets the balancer notice, then waits for open answers.
 func (g *Gateway) drain() error {
 	begun := time.Now()
+	g.dir.mu.Lock()
+	grace := g.cfg.Grace
+	g.dir.mu.Unlock()
 	g.cfg.Logger.Info().Int("open", g.relayer.Open()).Msg("draining")
 	g.relayer.Drain()
 	time.Sleep(drainNotice)
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(g.cfg.Grace-stopMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-stopMargin))
 	defer cancel()
 	if err := g.relayer.Shutdown(ctx); err != nil {
 		return fmt.Errorf("%d requests were open at the end of the grace period: %w", g.relayer.Open(), err)
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -73,6 +73,9 @@
 	}
 }
 
+// Reload takes over nothing: the addresses of a steward don't change while it runs.
+func (s *Steward) Reload(StewardConfig) {}
+
 // Run serves until ctx ends or Stop is called.
 func (s *Steward) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
