Claim loads from the weight store among stewards, and reset aborted sends

Each steward paced its own loads by the number of runners listed, and every steward in turn loaded the same missing model, since none knew of the others' loads. Ruled out: late orders (all loads in the log were taken at once). Stewards now tell each other what they hold and load, announce a load 60 ms before it, and count those of the last window. TestLoadsOfAllRunnersStayBelowTheStoresLimit plays it.

A closed connection still delivers what is held up; a reset one does not. TestAbortedRequestIsNotDelivered failed first.

--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -104,6 +104,8 @@
 	Total    registrar.Tokens    `json:"total"`
 	Draining bool                `json:"draining"`
 	Gateways int                 `json:"gateways"` // gateways that the steward hears
+	Claimed  bool                `json:"claimed"`  // Loading waits for its turn at the weight store
+	Stored   time.Duration       `json:"stored"`   // since the last load from the weight store began, negative before the first
 }
 
 func (Tick) event()       {}
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -228,22 +228,13 @@
 			all = append(all, u)
 			g.addresses[u.Address] = true
 			if service.Engine != nil {
-				g.stewards = append(g.stewards, g.stewardOf(u.Address)...)
+				g.stewards = append(g.stewards, stewardOf(u.Address, g.port)...)
 			}
 		}
 	}
 	g.apply(dispatcher.Listed{Upstreams: all})
 }
 
-// stewardOf returns the address of the steward beside a runner.
-func (g *Gateway) stewardOf(runner string) []netip.AddrPort {
-	a, err := netip.ParseAddrPort(runner)
-	if err != nil {
-		return nil // checked when the entry was read
-	}
-	return []netip.AddrPort{netip.AddrPortFrom(a.Addr(), g.port)}
-}
-
 // Configuration returns the one in force.
 func (g *Gateway) Configuration() *registrar.Configuration {
 	return g.current.Load()
@@ -312,7 +303,7 @@
 			g.boxes[ef.ID].Put(ef)
 			delete(g.boxes, ef.ID)
 		case dispatcher.Want:
-			g.tell(g.stewardOf(ef.Address), messenger.Message{Wanted: &ef.Adapter})
+			g.tell(stewardOf(ef.Address, g.port), messenger.Message{Wanted: &ef.Adapter})
 		case dispatcher.Note:
 			logNote(g.cfg.Logger, ef)
 		}
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/messenger"
 	"github.com/egretwall/egretwall/internal/registrar"
 	"github.com/egretwall/egretwall/internal/stocker"
@@ -30,8 +31,9 @@
 type StewardConfig struct {
 	Name      string
 	Service   registrar.ServiceName
-	Upstream  string // address of the runner beside it
-	Peer      string // address for datagrams; gateways use its port too
+	Upstream  string        // address of the runner beside it
+	Peer      string        // address for datagrams; gateways and other stewards use its port too
+	Window    time.Duration // over which loads from the weight store are counted
 	Directory Directory
 	Fencer    Fencer
 	Runner    stocker.Runner
@@ -44,6 +46,8 @@
 	dir      *directory
 	stocker  *stocker.Stocker // guarded by dir.mu
 	gateways map[netip.AddrPort]time.Duration
+	peers    []netip.AddrPort // the other stewards
+	port     uint16
 	orders   chan stocker.Order
 	asked    chan struct{}
 	stopping chan struct{}
@@ -57,10 +61,14 @@
 		cfg: cfg, dir: newDirectory(cfg.Directory, cfg.Logger, stewardListWait), gateways: map[netip.AddrPort]time.Duration{},
 		orders: make(chan stocker.Order, 1), asked: make(chan struct{}, 1), stopping: make(chan struct{}, 1),
 	}
-	s.stocker = stocker.New(stocker.Config{Address: cfg.Upstream, Holder: cfg.Name})
+	s.stocker = stocker.New(stocker.Config{Address: cfg.Upstream, Holder: cfg.Name, Window: cfg.Window})
 	s.dir.onConfiguration = func(c *registrar.Configuration) { s.apply(stocker.Configured{Configuration: c}) }
-	s.dir.onList = func() { s.apply(stocker.Listed{Upstreams: s.dir.registrar.Upstreams(cfg.Service)}) }
-	var err error
+	s.dir.onList = s.relist
+	peer, err := netip.ParseAddrPort(cfg.Peer)
+	if err != nil {
+		return nil, classifier.Wrap(classifier.Invalid, err, "peer address")
+	}
+	s.port = peer.Port()
 	s.messenger, err = messenger.New(messenger.Config{Address: cfg.Peer, Handle: s.hear, Logger: cfg.Logger})
 	return s, err
 }
@@ -147,9 +155,34 @@
 	}
 }
 
+// relist takes over the runners of the service.
+func (s *Steward) relist() {
+	all := s.dir.registrar.Upstreams(s.cfg.Service)
+	s.peers = nil
+	for _, u := range all {
+		if u.Address != s.cfg.Upstream {
+			s.peers = append(s.peers, stewardOf(u.Address, s.port)...)
+		}
+	}
+	s.apply(stocker.Listed{Upstreams: all})
+}
+
+// stewardOf returns the address of the steward beside a runner.
+func stewardOf(runner string, port uint16) []netip.AddrPort {
+	a, err := netip.ParseAddrPort(runner)
+	if err != nil {
+		return nil // checked when the entry was read
+	}
+	return []netip.AddrPort{netip.AddrPortFrom(a.Addr(), port)}
+}
+
 func (s *Steward) hear(from netip.AddrPort, m messenger.Message) {
 	s.dir.mu.Lock()
 	defer s.dir.mu.Unlock()
+	if m.Report != nil {
+		s.apply(stocker.Told{Report: *m.Report})
+		return
+	}
 	s.gateways[from] = s.dir.now()
 	if m.Demands != nil {
 		s.apply(stocker.Demanded{Gateway: from.String(), Demands: *m.Demands})
@@ -191,6 +224,12 @@
 		}
 		s.messenger.Send(gateway, data)
 	}
+	if !t.Peers {
+		return
+	}
+	for _, p := range s.peers {
+		s.messenger.Send(p, data)
+	}
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/loader/platform.go
+++ b/internal/loader/platform.go
@@ -20,11 +20,12 @@
 
 // StewardSettings configure a steward.
 type StewardSettings struct {
-	Name     string `json:"name"`
-	Service  string `json:"service"`  // of the runner beside it
-	Upstream string `json:"upstream"` // address of that runner
-	Peer     string `json:"peer"`     // address for datagrams; the port is the same on all instances
-	Store    string `json:"store"`    // the platform's store
+	Name     string              `json:"name"`
+	Service  string              `json:"service"`  // of the runner beside it
+	Upstream string              `json:"upstream"` // address of that runner
+	Peer     string              `json:"peer"`     // address for datagrams; the port is the same on all instances
+	Store    string              `json:"store"`    // the platform's store
+	Window   configurator.Millis `json:"window"`   // over which loads from the weight store are counted
 }
 
 // Gateway reads the settings of a gateway.
@@ -65,5 +66,8 @@
 		{"$.name", s.Name, "the name of this instance"},
 		{"$.service", s.Service, "the service of the runner beside this process"},
 	})
+	if s.Window <= 0 {
+		problems = append(problems, decoder.Problem{Path: "$.window", Text: "expected more than zero milliseconds"})
+	}
 	return append(problems, checkAddresses([][2]string{{"$.upstream", s.Upstream}, {"$.peer", s.Peer}, {"$.store", s.Store}})...)
 }
--- a/internal/relayer/events.go
+++ b/internal/relayer/events.go
@@ -32,13 +32,13 @@
 			end += len(eventEnd)
 			fresh, serr := out.sift(buf[:end])
 			if serr != nil {
-				_ = a.conn.Close()
+				a.conn.abort()
 				return outcomeOf(ctx, out), serr.Error()
 			}
 			if len(fresh) > 0 {
 				first := !out.started
 				if werr := out.push(a.response, fresh); werr != nil {
-					_ = a.conn.Close()
+					a.conn.abort()
 					return dispatcher.Closed, werr.Error()
 				}
 				if first {
@@ -54,7 +54,7 @@
 			err = errors.New("an event is too long")
 		}
 		if err != nil {
-			_ = a.conn.Close()
+			a.conn.abort()
 			return outcomeOf(ctx, out), err.Error()
 		}
 	}
@@ -63,7 +63,7 @@
 // endEvents completes a stream whose upstream has ended it.
 func (g *Gateway) endEvents(ctx context.Context, a *answer, out *outgoing, rest []byte) (dispatcher.Outcome, string) {
 	if len(rest) > 0 {
-		_ = a.conn.Close()
+		a.conn.abort()
 		return outcomeOf(ctx, out), "the stream ended amid an event"
 	}
 	a.release(g.pool)
--- a/internal/relayer/pool.go
+++ b/internal/relayer/pool.go
@@ -128,6 +128,16 @@
 	}
 }
 
+// abort drops the connection together with what has not been delivered yet, so
+// that a request held up on the way does not reach its upstream later.
+func (c *upstreamConn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// Fails only on a connection that is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // quiet tells whether the connection is open and has nothing to read: what an
 // upstream sends between requests belongs to none.
 func (c *upstreamConn) quiet() bool {
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -87,11 +87,11 @@
 // release keeps the connection for the next request if nothing speaks against it.
 func (a *answer) release(p *Pool) {
 	if !a.finished() || !a.conn.remember(a.response) || a.conn.reader.Buffered() > 0 {
-		_ = a.conn.Close()
+		a.conn.abort()
 		return
 	}
 	if err := a.conn.SetDeadline(time.Time{}); err != nil {
-		_ = a.conn.Close()
+		a.conn.abort()
 		return
 	}
 	p.Put(a.conn)
@@ -140,12 +140,12 @@
 		}
 		return dispatcher.Unsent, err.Error()
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, conn.abort)
 	defer stop()
-	unguard := box.Guard(func() { _ = conn.Close() })
+	unguard := box.Guard(conn.abort)
 	defer unguard()
 	if err := conn.SetDeadline(time.Now().Add(e.Budget + answerSlack)); err != nil {
-		_ = conn.Close()
+		conn.abort()
 		return dispatcher.Unsent, err.Error()
 	}
 	header := in.header.Clone()
@@ -157,7 +157,7 @@
 	written := in.write(conn, header)
 	resp, reply, err := g.receive(conn, in)
 	if err != nil {
-		_ = conn.Close()
+		conn.abort()
 		return outcomeOf(ctx, out), err.Error()
 	}
 	a := &answer{conn: conn, response: resp, reply: reply, written: written}
@@ -184,7 +184,7 @@
 		return g.notRun(a, e)
 	}
 	if !a.reply.Sealed || resp.Header.Get("Content-Encoding") != "" {
-		_ = a.conn.Close()
+		a.conn.abort()
 		if a.reply.Sealed {
 			return outcomeOf(ctx, out), errCoded.Error()
 		}
@@ -195,7 +195,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, answerBound))
 	if err != nil {
-		_ = a.conn.Close()
+		a.conn.abort()
 		return outcomeOf(ctx, out), err.Error()
 	}
 	a.release(g.pool)
@@ -216,7 +216,7 @@
 func (g *Gateway) notRun(a *answer, e dispatcher.Send) (dispatcher.Outcome, string) {
 	cause := "status " + strconv.Itoa(a.response.StatusCode)
 	if _, err := io.Copy(io.Discard, io.LimitReader(a.response.Body, answerBound)); err != nil {
-		_ = a.conn.Close()
+		a.conn.abort()
 	} else {
 		a.release(g.pool)
 	}
--- a/internal/stocker/deciding.go
+++ b/internal/stocker/deciding.go
@@ -99,25 +99,26 @@
 // model orders a model to come or to make way.
 func (s *Stocker) model(e *registrar.Engine) {
 	v := s.view(e)
-	m, reason := s.missing(v)
-	spare := func(x registrar.ModelName) bool { return v.copies[x] > 1 }
+	m, reason := s.missing(e, v)
 	if m == "" {
-		m, reason = s.short(v)
-		spare = func(x registrar.ModelName) bool {
-			return v.copies[x] > v.targets[x] && v.value(x, -1)*gain < v.value(m, 1)
-		}
+		m, reason = s.short(e, v)
+	}
+	if m != s.claim.model {
+		s.claim = claim{}
 	}
-	if m == "" || !s.mayLoad(e, v, m) {
+	if m == "" {
 		return
 	}
 	if s.free(e) >= e.Models[m].Weights {
-		if !slices.Contains(s.state.Warm, m) && !slices.Contains(s.state.Disk, m) {
-			s.stored = s.now
+		if s.turn(e, m) {
+			s.send(Load, m, "", reason)
 		}
-		s.send(Load, m, "", reason)
 		return
 	}
-	if victim, ok := s.victim(v, spare); ok {
+	if !s.atHand(m) && s.storeLoads(false) >= s.storeLimit(e) {
+		return
+	}
+	if victim, ok := s.victim(v, m); ok {
 		s.leaving = victim
 		s.tell()
 		s.send(Unload, victim, "", "for "+string(m))
@@ -158,6 +159,9 @@
 			v.holders[h.Model] = append(v.holders[h.Model], configurator.UpstreamName(u.ID))
 			v.copies[h.Model]++
 		}
+		if p := s.peerOf(u); p != nil && p.report.Loading != "" {
+			v.copies[p.report.Loading]++
+		}
 	}
 	for _, d := range s.demands {
 		if s.now-d.at > demandLife {
@@ -177,9 +181,53 @@
 	if u == s.self {
 		return s.state.Holdings
 	}
+	if p := s.peerOf(u); p != nil {
+		return p.report.Holdings
+	}
 	return u.Holdings
 }
 
+// peerOf returns what the steward of a runner said lately, nil when it is silent.
+func (s *Stocker) peerOf(u *registrar.Upstream) *peer {
+	p := s.others[u.Address]
+	if u == s.self || p == nil || p.report.Born != u.Born || s.now-p.at >= peerLife {
+		return nil
+	}
+	return p
+}
+
+// takes tells whether a runner could take a copy of the model: it has memory
+// left, or holds something that may make way.
+func (s *Stocker) takes(e *registrar.Engine, v *view, u *registrar.Upstream, m registrar.ModelName) bool {
+	free := e.Weights
+	spare := false
+	for _, h := range s.holdingsOf(u) {
+		if h.Model == m {
+			return false
+		}
+		free -= e.Models[h.Model].Weights
+		spare = spare || v.spare(h.Model, m) && !v.first(h.Model, u)
+	}
+	if p := s.peerOf(u); p != nil && p.report.Loading != "" {
+		return false
+	}
+	return spare || free >= e.Models[m].Weights
+}
+
+// spare tells whether a copy of a model may make way for one of another.
+func (v *view) spare(held, m registrar.ModelName) bool {
+	if v.copies[m] == 0 {
+		return v.copies[held] > 1
+	}
+	return v.copies[held] > v.targets[held] && v.value(held, -1)*gain < v.value(m, 1)
+}
+
+// first tells whether the runner is the first holder of the model in the
+// rendezvous order. It keeps its copy, so that the last two never go together.
+func (v *view) first(m registrar.ModelName, u *registrar.Upstream) bool {
+	return placer.Rank(string(m), v.holders[m])[0] == configurator.UpstreamName(u.ID)
+}
+
 // aim spreads the places of all runners over the models: one copy for each, and
 // the others by demand for a copy.
 func (v *view) aim(e *registrar.Engine) {
@@ -213,7 +261,7 @@
 }
 
 // missing returns a model without any copy that this runner should take.
-func (s *Stocker) missing(v *view) (registrar.ModelName, string) {
+func (s *Stocker) missing(e *registrar.Engine, v *view) (registrar.ModelName, string) {
 	var lacking []registrar.ModelName
 	for _, m := range v.models {
 		if v.copies[m] > 0 {
@@ -230,7 +278,7 @@
 	})
 	for _, m := range lacking {
 		since := s.now - s.lacking[m]
-		if s.rank(v, m) <= int(since/takeover) {
+		if s.rank(e, v, m) <= int(since/takeover) {
 			return m, "no copy"
 		}
 	}
@@ -238,11 +286,11 @@
 }
 
 // rank counts the runners that go before this one for a further copy.
-func (s *Stocker) rank(v *view, m registrar.ModelName) int {
+func (s *Stocker) rank(e *registrar.Engine, v *view, m registrar.ModelName) int {
 	own := s.order(s.self, m)
 	rank := 0
 	for _, u := range v.runners {
-		if u != s.self && !u.Holds(m) && s.order(u, m).before(own) {
+		if u != s.self && s.takes(e, v, u, m) && s.order(u, m).before(own) {
 			rank++
 		}
 	}
@@ -272,10 +320,10 @@
 
 // short returns the model whose copies serve most, if this runner should take a
 // further one.
-func (s *Stocker) short(v *view) (registrar.ModelName, string) {
+func (s *Stocker) short(e *registrar.Engine, v *view) (registrar.ModelName, string) {
 	var best registrar.ModelName
 	for _, m := range v.models {
-		if v.copies[m] >= v.targets[m] || s.holds(m) || s.rank(v, m) >= v.targets[m]-v.copies[m] {
+		if v.copies[m] >= v.targets[m] || s.holds(m) || s.rank(e, v, m) >= v.targets[m]-v.copies[m] {
 			continue
 		}
 		if best == "" || v.value(m, 0) > v.value(best, 0) {
@@ -285,32 +333,72 @@
 	return best, "demand"
 }
 
-// victim returns the held model that serves least among those that may go. The
-// first holder in the rendezvous order keeps its copy, so that the last two
-// copies never go together.
-func (s *Stocker) victim(v *view, spare func(registrar.ModelName) bool) (registrar.ModelName, bool) {
+// victim returns the held model that serves least among those that may make way
+// for m.
+func (s *Stocker) victim(v *view, m registrar.ModelName) (registrar.ModelName, bool) {
 	var best registrar.ModelName
 	for _, h := range s.state.Holdings {
-		m := h.Model
-		if !spare(m) || placer.Rank(string(m), v.holders[m])[0] == configurator.UpstreamName(s.self.ID) {
+		if !v.spare(h.Model, m) || v.first(h.Model, s.self) {
 			continue
 		}
-		if best == "" || v.value(m, 0) < v.value(best, 0) {
-			best = m
+		if best == "" || v.value(h.Model, 0) < v.value(best, 0) {
+			best = h.Model
 		}
 	}
 	return best, best != ""
 }
 
-// mayLoad tells whether the weight store has room for this runner's load. Each
-// runner begins so few that all together stay below its limit.
-func (s *Stocker) mayLoad(e *registrar.Engine, v *view, m registrar.ModelName) bool {
-	if slices.Contains(s.state.Warm, m) || slices.Contains(s.state.Disk, m) {
+// atHand tells whether a load of the model needs nothing from the weight store.
+func (s *Stocker) atHand(m registrar.ModelName) bool {
+	return slices.Contains(s.state.Warm, m) || slices.Contains(s.state.Disk, m)
+}
+
+// storeLimit is the number of loads from the weight store that all runners may
+// begin within the window.
+func (s *Stocker) storeLimit(e *registrar.Engine) int {
+	return int(e.LoadRate * s.cfg.Window.Seconds())
+}
+
+// storeLoads counts the loads that others have begun within the window, with
+// claims also those that go before this one's.
+func (s *Stocker) storeLoads(claims bool) int {
+	n := 0
+	for address, p := range s.others {
+		switch {
+		case p.storing && s.now-p.stored < s.cfg.Window:
+			n++
+		case claims && p.report.Claimed && s.now-p.at < peerLife && address < s.cfg.Address:
+			n++
+		}
+	}
+	return n
+}
+
+// turn tells whether the load of a model may begin. A load from the weight
+// store is announced first; when too many are, those of the lowest addresses
+// go. A new steward does not know of the loads before its start.
+func (s *Stocker) turn(e *registrar.Engine, m registrar.ModelName) bool {
+	if s.atHand(m) {
 		return true
 	}
-	limit := e.LoadRate * loadWindow.Seconds()
-	share := max(1, float64(len(v.runners))/max(1, limit))
-	return s.now-s.stored >= time.Duration(share*float64(loadWindow))
+	if s.now-s.born < s.cfg.Window || s.storing && s.now-s.stored < s.cfg.Window {
+		return false
+	}
+	if s.storeLoads(false) >= s.storeLimit(e) {
+		s.claim = claim{}
+		return false
+	}
+	if s.claim.model == "" {
+		s.claim = claim{m, s.now}
+		s.tell()
+		return false
+	}
+	if s.now-s.claim.at < claimDelay || s.storeLoads(true) >= s.storeLimit(e) {
+		return false
+	}
+	s.claim = claim{}
+	s.stored, s.storing = s.now, true
+	return true
 }
 
 // loadTime is how long a load of the model takes here.
--- a/internal/stocker/event.go
+++ b/internal/stocker/event.go
@@ -99,6 +99,9 @@
 	Demands []dispatcher.Demand
 }
 
+// Told carries the state of another runner of the service.
+type Told struct{ Report dispatcher.Report }
+
 // Wanted tells that a gateway has a request for an adapter.
 type Wanted struct{ Adapter registrar.AdapterID }
 
@@ -116,6 +119,7 @@
 func (Listed) event()     {}
 func (Reported) event()   {}
 func (Demanded) event()   {}
+func (Told) event()       {}
 func (Wanted) event()     {}
 func (Fenced) event()     {}
 func (Ordered) event()    {}
@@ -126,8 +130,12 @@
 // Send gives the runner an order; Ordered answers it, and a new state follows.
 type Send struct{ Order Order }
 
-// Tell passes the runner's state on to the gateways.
-type Tell struct{ Report dispatcher.Report }
+// Tell passes the runner's state on to the gateways, and to the other stewards
+// when they should know at once or have not heard for a while.
+type Tell struct {
+	Report dispatcher.Report
+	Peers  bool
+}
 
 func (Send) effect() {}
 func (Tell) effect() {}
@@ -135,12 +143,14 @@
 // Timing and limits of decisions.
 const (
 	demandLife     = 2 * time.Second // a gateway's demand counts this long; several lost datagrams
-	wantLife       = time.Second     // a want is repeated while its request waits
+	peerPeriod     = time.Second     // stewards hear of an unchanged state this often
+	peerLife       = 3 * time.Second // an older state of a peer gives way to the list's
+	claimDelay     = 60 * time.Millisecond
+	wantLife       = time.Second // a want is repeated while its request waits
 	takeover       = 800 * time.Millisecond
-	loadWindow     = 5500 * time.Millisecond // of the weight store's limit, with a tenth to spare
-	busyRate       = 3.0                     // requests a second that one copy serves easily
-	gain           = 1.6                     // how much more a new copy must serve than the one that it replaces
-	comingBound    = 4                       // adapters that may be on their way to one runner
-	unsettledPause = 300 * time.Millisecond  // after an order without an answer, before the next one
-	refusedPause   = 100 * time.Millisecond  // after a refused order
+	busyRate       = 3.0                    // requests a second that one copy serves easily
+	gain           = 1.6                    // how much more a new copy must serve than the one that it replaces
+	comingBound    = 4                      // adapters that may be on their way to one runner
+	unsettledPause = 300 * time.Millisecond // after an order without an answer, before the next one
+	refusedPause   = 100 * time.Millisecond // after a refused order
 )
--- a/internal/stocker/stocker.go
+++ b/internal/stocker/stocker.go
@@ -1,6 +1,7 @@
 package stocker
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -12,6 +13,8 @@
 type Config struct {
 	Address string // of the runner
 	Holder  string // who gives the orders
+	// Window is the span over which loads from the weight store are counted.
+	Window time.Duration
 }
 
 // Stocker decides for one runner. It is not safe for concurrent use.
@@ -32,6 +35,12 @@
 	loading  registrar.ModelName
 	loaded   time.Duration // when loading should have finished
 	stored   time.Duration // the last load from the weight store began
+	storing  bool          // there was one
+	born     time.Duration // of this stocker
+	claim    claim
+	others   map[string]*peer // by the runner's address
+	toldAt   time.Duration    // peers heard of the state
+	toldKey  string           // what they heard
 	started  bool
 	demands  map[string]demand
 	wants    []want
@@ -45,6 +54,20 @@
 	all []dispatcher.Demand
 }
 
+// claim announces a load from the weight store to the other stewards.
+type claim struct {
+	model registrar.ModelName // empty without a claim
+	at    time.Duration
+}
+
+// peer is another runner as its steward describes it.
+type peer struct {
+	report  dispatcher.Report
+	at      time.Duration
+	stored  time.Duration // its last load from the weight store began
+	storing bool
+}
+
 type want struct {
 	adapter registrar.AdapterID
 	at      time.Duration
@@ -63,7 +86,7 @@
 func New(cfg Config) *Stocker {
 	return &Stocker{
 		cfg: cfg, demands: map[string]demand{}, used: map[registrar.AdapterID]time.Duration{},
-		lacking: map[registrar.ModelName]time.Duration{},
+		lacking: map[registrar.ModelName]time.Duration{}, others: map[string]*peer{},
 	}
 }
 
@@ -72,7 +95,7 @@
 	s.now = now
 	s.out = s.out[:0]
 	if !s.started {
-		s.started, s.stored = true, now // a predecessor may just have begun a load
+		s.started, s.born = true, now
 	}
 	switch ev := event.(type) {
 	case Tick:
@@ -87,6 +110,8 @@
 		s.tell()
 	case Demanded:
 		s.demands[ev.Gateway] = demand{now, ev.Demands}
+	case Told:
+		s.hear(ev.Report)
 	case Wanted:
 		s.want(ev.Adapter)
 		s.decide()
@@ -136,18 +161,46 @@
 	return n
 }
 
+func (s *Stocker) hear(rep dispatcher.Report) {
+	if rep.Address == s.cfg.Address {
+		return
+	}
+	p := s.others[rep.Address]
+	if p == nil {
+		p = &peer{}
+		s.others[rep.Address] = p
+	}
+	p.report, p.at = rep, s.now
+	if rep.Stored >= 0 {
+		p.stored, p.storing = max(p.stored, s.now-rep.Stored), true
+	}
+}
+
+// tell describes the runner to gateways and, where due, to the other stewards.
 func (s *Stocker) tell() {
 	rep := dispatcher.Report{
 		Address: s.cfg.Address, Born: s.state.Born, Sequence: s.state.Sequence, Loading: s.loading,
-		Ready: max(0, s.loaded-s.now), Running: s.state.Running, Waiting: s.state.Waiting,
+		Ready: max(0, s.loaded-s.now), Running: s.state.Running, Waiting: s.state.Waiting, Stored: -1,
 		Used: s.state.Used, Total: s.state.Total, Draining: s.state.Draining, Gateways: s.Gateways(),
 	}
+	if s.storing {
+		rep.Stored = s.now - s.stored
+	}
+	if rep.Loading == "" && s.claim.model != "" {
+		rep.Loading, rep.Claimed = s.claim.model, true
+	}
+	key := fmt.Sprint(rep.Loading, rep.Claimed, s.stored)
 	for _, h := range s.state.Holdings {
 		if h.Model != s.leaving {
 			rep.Holdings = append(rep.Holdings, h)
+			key += " " + string(h.Model)
 		}
 	}
-	s.out = append(s.out, Tell{rep})
+	peers := key != s.toldKey || s.now-s.toldAt >= peerPeriod
+	if peers {
+		s.toldKey, s.toldAt = key, s.now
+	}
+	s.out = append(s.out, Tell{rep, peers})
 }
 
 func (s *Stocker) want(a registrar.AdapterID) {
