Plan copies for all runners, forecast demand, and refuse by the caller's patience

Cause, from a trial that printed what a gateway sees each second: half of the runners held only models in little demand and idled at 0 to 3 requests, while three to five runners with the busy models were full at 64; gateways that saw the same free runner filled it together (145 requests waiting at one); requests waited in gateways beyond the 2.4 s after which callers give up a silent stream.

Change: internal/allocator plans all runners from the list and the demand; models in little demand are spread so that each runner keeps memory for a busy one. Demand is counted in work and a rise is extended by 3 s. Gateways assume that the others send as much as they do. A request whose predicted wait is longer than its caller's patience is refused on arrival with that wait.

--- a/internal/dispatcher/budget.go
+++ b/internal/dispatcher/budget.go
@@ -17,10 +17,20 @@
 	at   time.Duration
 }
 
+// newBudget returns a budget with the savings of a quiet window.
+func newBudget(now time.Duration, a Allowance, gateways int) *budget {
+	return &budget{left: a.saved(gateways), at: now}
+}
+
+// saved is the part of the slack that one of the gateways may save up.
+func (a Allowance) saved(gateways int) float64 {
+	return a.Slack * slackShare / float64(max(1, gateways)) / 2
+}
+
 // earn adds what has been earned since the last call, and a share for each of
 // the requests.
 func (b *budget) earn(now time.Duration, a Allowance, gateways, requests int) {
-	slack := a.Slack * slackShare / float64(max(1, gateways)) / 2
+	slack := a.saved(gateways)
 	if a.Window > 0 {
 		b.left += slack * float64(now-b.at) / float64(a.Window)
 	}
--- a/internal/dispatcher/choosing.go
+++ b/internal/dispatcher/choosing.go
@@ -40,14 +40,15 @@
 	return nil
 }
 
-// roomy tells whether another request would find a slot at the upstream.
+// roomy tells whether another request would soon be started at the upstream.
 func (d *Dispatcher) roomy(s *server) bool {
 	if d.now < s.full {
 		return false
 	}
 	slots := float64(d.slots(s))
 	if s.fresh(d.now) {
-		return s.load(d.now, d.gateways) < slots*batchFill
+		all, waiting := s.load(d.now, d.gateways)
+		return all < slots*batchFill && waiting < slots*waitingFill
 	}
 	return s.open < max(minOpen, int(math.Ceil(slots*lineShare/float64(max(1, d.gateways)))))
 }
@@ -82,8 +83,10 @@
 	return nil
 }
 
+// cost compares upstreams, in requests of load.
 func (d *Dispatcher) cost(s *server) float64 {
-	cost := s.load(d.now, d.gateways) + failureRuns*float64(s.failures)
+	all, waiting := s.load(d.now, d.gateways)
+	cost := all + waitingCost*waiting + failureRuns*float64(s.failures)
 	if s.info.Domain != d.cfg.Domain {
 		cost += farCost
 	}
@@ -112,11 +115,19 @@
 	d.emit(Want{Address: s.info.Address, Adapter: registrar.AdapterID{Model: r.Model, Name: r.Adapter}})
 }
 
-// hopeless tells whether a waiting request can't be served, and when its caller
-// should come back.
+// patience is when the caller gives up if its answer has not begun.
+func (r *request) patience() time.Duration {
+	p := r.Deadline
+	if r.Route.Kind == registrar.Streaming {
+		p = min(p, r.arrived+max(silence, silentTargets*r.Route.Target, silentPauses*r.Route.Pause))
+	}
+	return p
+}
+
+// hopeless tells whether a waiting request can't be served before its caller
+// gives up, and when the caller should come back.
 func (d *Dispatcher) hopeless(r *request) (classifier.Kind, time.Duration) {
-	left := r.Deadline - d.now
-	waited := d.now - r.arrived
+	left := r.patience() - d.now
 	holders, usable, coming := 0, 0, time.Duration(-1)
 	for _, s := range d.groups[r.Service] {
 		if !s.takes() {
@@ -126,7 +137,7 @@
 		if model, _ := s.has(d.now, r.Model, ""); r.Model == "" || model {
 			holders++
 		}
-		if r.Model != "" && s.fresh(d.now) && s.report.Loading == r.Model {
+		if r.Model != "" && s.fresh(d.now) && s.report.Loading == r.Model && !s.report.Claimed {
 			ready := max(0, s.report.Ready-(d.now-s.at))
 			if coming < 0 || ready < coming {
 				coming = ready
@@ -134,16 +145,31 @@
 		}
 	}
 	switch {
-	case usable == 0 && waited > left:
-		return classifier.Busy, d.drainTime(r)
-	case usable > 0 && holders == 0 && coming < 0 && waited > time.Duration(coldPatience*float64(left)):
-		return classifier.Loading, d.loadTime(r)
-	case usable > 0 && holders == 0 && coming > left:
+	case usable == 0 || holders > 0 && coming < 0:
+		if wait := d.wait(r); wait > left {
+			return classifier.Busy, wait
+		}
+	case holders == 0 && coming > left:
 		return classifier.Loading, coming
+	case holders == 0 && coming < 0 && d.now-r.arrived > time.Duration(coldPatience*float64(left)):
+		return classifier.Loading, d.loadTime(r)
 	}
 	return classifier.None, 0
 }
 
+// wait estimates how long the requests before this one take, from how fast
+// those of the same kind went lately.
+func (d *Dispatcher) wait(r *request) time.Duration {
+	l := laneOf(r)
+	before := slices.Index(d.lanes[l], r) + 1
+	a := d.flows[flowOf(r)]
+	if a == nil || before <= waitingFree {
+		return 0
+	}
+	a.decay(d.now)
+	return time.Duration(float64(before) / max(a.value, leastFlow) * float64(time.Second))
+}
+
 // loadTime is the time that a load of the request's model takes.
 func (d *Dispatcher) loadTime(r *request) time.Duration {
 	if d.current == nil {
--- a/internal/dispatcher/demand.go
+++ b/internal/dispatcher/demand.go
@@ -9,33 +9,74 @@
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
-// demandLife is the time constant over which arrivals are averaged: short
-// against a load of weights, long against a gap between requests.
-const demandLife = 1500 * time.Millisecond
-
-// rate averages work that arrives.
-type rate struct {
-	perSecond float64
-	at        time.Duration
+// Time constants over which arrivals are averaged, and how far ahead demand is
+// forecast: loads of weights take seconds, so that they must begin before a
+// shift of demand is complete.
+const (
+	fastLife = 800 * time.Millisecond
+	slowLife = 2500 * time.Millisecond
+	ahead    = 3 * time.Second
+	mostRise = 3.0 // times the present demand that a forecast may be
+)
+
+// average is work that arrives a second, averaged over life.
+type average struct {
+	life  time.Duration
+	value float64
+	at    time.Duration
+}
+
+func (a *average) decay(now time.Duration) {
+	a.value *= math.Exp(-float64(now-a.at) / float64(a.life))
+	a.at = now
+}
+
+func (a *average) add(now time.Duration, work float64) {
+	a.decay(now)
+	a.value += work / a.life.Seconds()
+}
+
+// trend follows the demand for one model.
+type trend struct {
+	fast, slow average
+}
+
+func newTrend(now time.Duration) *trend {
+	return &trend{average{fastLife, 0, now}, average{slowLife, 0, now}}
 }
 
-func (r *rate) decay(now time.Duration) {
-	r.perSecond *= math.Exp(-float64(now-r.at) / float64(demandLife))
-	r.at = now
+func (t *trend) add(now time.Duration, work float64) {
+	t.fast.add(now, work)
+	t.slow.add(now, work)
 }
 
-func (r *rate) add(now time.Duration, work float64) {
-	r.decay(now)
-	r.perSecond += work / demandLife.Seconds()
+// forecast extends a rise of the demand; a fall is taken as it comes.
+func (t *trend) forecast(now time.Duration) float64 {
+	t.fast.decay(now)
+	t.slow.decay(now)
+	slope := (t.fast.value - t.slow.value) / (slowLife - fastLife).Seconds()
+	level := max(t.fast.value, t.slow.value)
+	if slope <= 0 {
+		return level
+	}
+	return min(t.fast.value+slope*ahead.Seconds(), level*mostRise)
 }
 
 // Demand is what callers of one gateway ask of a model.
 type Demand struct {
 	Service registrar.ServiceName `json:"service"`
 	Model   registrar.ModelName   `json:"model"`
-	Rate    float64               `json:"rate"`    // requests a second
-	Waiting int                   `json:"waiting"` // requests that wait for it
-	Target  time.Duration         `json:"target"`  // shortest target among those that wait
+	Work    float64               `json:"work"`    // a second, in prompt tokens
+	Waiting float64               `json:"waiting"` // work of the requests that wait for it
+}
+
+// outputCost is the work of an output token, in prompt tokens: what a step of a
+// full batch costs for one request against reading a token of a prompt.
+const outputCost = 3.5
+
+// work estimates what a request costs a runner, in prompt tokens.
+func (r *request) work() float64 {
+	return float64(r.Prompt) + outputCost*float64(r.Output)
 }
 
 func (d *Dispatcher) observe(r *request) {
@@ -44,25 +85,25 @@
 	}
 	m := d.demand[r.Model]
 	if m == nil {
-		m = &rate{at: d.now}
+		m = newTrend(d.now)
 		d.demand[r.Model] = m
 	}
-	m.add(d.now, 1)
+	m.add(d.now, r.work())
 }
 
-// minDemand is the rate below which a model counts as not asked for.
-const minDemand = 0.02
+// minDemand is the work a second below which a model counts as not asked for.
+const minDemand = 20
 
 // Demands lists what callers ask of models, by name.
 func (d *Dispatcher) Demands(now time.Duration) []Demand {
 	byModel := map[registrar.ModelName]*Demand{}
-	for m, r := range d.demand {
-		r.decay(now)
-		if r.perSecond < minDemand {
+	for m, t := range d.demand {
+		work := t.forecast(now)
+		if work < minDemand {
 			delete(d.demand, m)
 			continue
 		}
-		byModel[m] = &Demand{Model: m, Rate: r.perSecond}
+		byModel[m] = &Demand{Model: m, Work: work}
 	}
 	for l, waiting := range d.lanes {
 		if l.model == "" {
@@ -74,11 +115,8 @@
 			byModel[l.model] = m
 		}
 		m.Service = l.service
-		m.Waiting += len(waiting)
 		for _, r := range waiting {
-			if m.Target == 0 || r.Route.Target < m.Target {
-				m.Target = r.Route.Target
-			}
+			m.Waiting += r.work()
 		}
 	}
 	all := make([]Demand, 0, len(byModel))
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -31,7 +31,8 @@
 	order    []lane              // of lanes, for a fixed order of decisions
 	waiting  int
 	budgets  map[registrar.ServiceName]*budget
-	demand   map[registrar.ModelName]*rate
+	demand   map[registrar.ModelName]*trend
+	flows    map[flow]*average // sends a second
 	gateways int
 
 	Counters Counters
@@ -56,6 +57,16 @@
 	adapter registrar.AdapterName
 }
 
+// flow groups the requests that go through the same slots.
+type flow struct {
+	service registrar.ServiceName
+	model   registrar.ModelName
+}
+
+func flowOf(r *request) flow {
+	return flow{r.Service, r.Model}
+}
+
 type request struct {
 	Request
 	arrived   time.Duration
@@ -80,8 +91,9 @@
 		requests: map[RequestID]*request{},
 		lanes:    map[lane][]*request{},
 		budgets:  map[registrar.ServiceName]*budget{},
-		demand:   map[registrar.ModelName]*rate{},
-		gateways: 1,
+		demand:   map[registrar.ModelName]*trend{},
+		flows:    map[flow]*average{},
+		gateways: assumedGateways,
 	}
 }
 
@@ -135,7 +147,7 @@
 func (d *Dispatcher) budget(s registrar.ServiceName) *budget {
 	b := d.budgets[s]
 	if b == nil {
-		b = &budget{at: d.now}
+		b = newBudget(d.now, d.cfg.Allowance, d.gateways)
 		d.budgets[s] = b
 	}
 	return b
@@ -233,6 +245,11 @@
 	r.sent = d.now
 	s.open++
 	d.Counters.Sent++
+	f := flowOf(r)
+	if d.flows[f] == nil {
+		d.flows[f] = &average{life: flowLife, at: d.now}
+	}
+	d.flows[f].add(d.now, 1)
 	d.emit(Send{
 		ID: r.ID, Try: r.try, Upstream: s.info.ID, Address: s.info.Address,
 		Budget: r.Deadline - d.now, Priority: d.priority(r),
--- /dev/null
+++ b/internal/dispatcher/dispatcher_test.go
@@ -0,0 +1,331 @@
+package dispatcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+const (
+	plain   = registrar.ServiceName("plain")
+	runners = registrar.ServiceName("runners")
+)
+
+// desk is a dispatcher with two services.
+type desk struct {
+	t    *testing.T
+	d    *Dispatcher
+	now  time.Duration
+	next RequestID
+}
+
+func newDesk(t *testing.T) *desk {
+	k := &desk{t: t, d: New(Config{Domain: "a", Seed: 3, Allowance: Allowance{Slack: 56, Window: 10 * time.Second}})}
+	engine := &registrar.Engine{Slots: 64, Models: map[registrar.ModelName]registrar.Model{"m": {Name: "m", Load: 5 * time.Second}}}
+	k.reduce(Configured{&registrar.Configuration{Services: map[registrar.ServiceName]registrar.Service{
+		plain: {Name: plain}, runners: {Name: runners, Engine: engine},
+	}}})
+	return k
+}
+
+// reduce applies an event and returns the effects but for notes.
+func (k *desk) reduce(e Event) []Effect {
+	var effects []Effect
+	for _, effect := range k.d.Reduce(k.now, e) {
+		if _, ok := effect.(Note); !ok {
+			effects = append(effects, effect)
+		}
+	}
+	return effects
+}
+
+// list shows upstreams u1, u2 ... of a service, with the models that they hold.
+func (k *desk) list(s registrar.ServiceName, n int, models ...registrar.ModelName) []*registrar.Upstream {
+	var all []*registrar.Upstream
+	for i := range n {
+		u := &registrar.Upstream{
+			ID: registrar.UpstreamID(fmt.Sprint("u", i+1)), Service: s, Address: fmt.Sprintf("10.0.0.%d:80", i+1), Domain: "a", State: registrar.Ready, Slots: 6,
+		}
+		for _, m := range models {
+			u.Holdings = append(u.Holdings, registrar.Holding{Model: m})
+		}
+		all = append(all, u)
+	}
+	k.reduce(Listed{all})
+	return all
+}
+
+func route(kind registrar.Kind, attempts int) *registrar.Route {
+	return &registrar.Route{Kind: kind, Attempts: attempts, Target: 300 * time.Millisecond, Timeout: 4 * time.Second, Resumable: kind == registrar.Streaming}
+}
+
+// ask lets a request arrive and returns its id and the effects.
+func (k *desk) ask(r *registrar.Route, m registrar.ModelName) (RequestID, []Effect) {
+	k.next++
+	s := plain
+	if m != "" {
+		s = runners
+	}
+	return k.next, k.reduce(Arrived{Request{ID: k.next, Route: r, Service: s, Model: m, Prompt: 800, Output: 300, Deadline: k.now + 4*time.Second}})
+}
+
+func (k *desk) sent(effects []Effect) Send {
+	k.t.Helper()
+	require.NotEmpty(k.t, effects)
+	send, ok := effects[0].(Send)
+	require.True(k.t, ok, "%#v", effects[0])
+	return send
+}
+
+func (k *desk) answered(effects []Effect) Answer {
+	k.t.Helper()
+	require.NotEmpty(k.t, effects)
+	answer, ok := effects[len(effects)-1].(Answer)
+	require.True(k.t, ok, "%#v", effects)
+	return answer
+}
+
+func TestRequestsGoToTheLeastLoadedUpstream(t *testing.T) {
+	k := newDesk(t)
+	k.list(plain, 3)
+	seen := map[registrar.UpstreamID]int{}
+	for range 6 {
+		_, effects := k.ask(route(registrar.Idempotent, 2), "")
+		seen[k.sent(effects).Upstream]++
+	}
+	require.Equal(t, map[registrar.UpstreamID]int{"u1": 2, "u2": 2, "u3": 2}, seen)
+}
+
+func TestNonIdempotentRequestIsSentOnceWhenItsFateIsUnknown(t *testing.T) {
+	for _, outcome := range []Outcome{Unknown, Broken} {
+		k := newDesk(t)
+		k.list(plain, 3)
+		id, effects := k.ask(route(registrar.NonIdempotent, 2), "")
+		effects = k.reduce(Returned{ID: id, Try: k.sent(effects).Try, Outcome: outcome})
+		answer := k.answered(effects)
+		require.Equal(t, classifier.RanUnknown, classifier.AnswerOf(answer.Kind).Ran)
+		require.Zero(t, k.d.Open())
+	}
+}
+
+func TestRequestThatDidNotRunGoesElsewhere(t *testing.T) {
+	for _, outcome := range []Outcome{NotRun, Moved, Unsent} {
+		k := newDesk(t)
+		k.list(plain, 2)
+		id, effects := k.ask(route(registrar.NonIdempotent, 1), "")
+		first := k.sent(effects)
+		second := k.sent(k.reduce(Returned{ID: id, Try: first.Try, Outcome: outcome}))
+		require.NotEqual(t, first.Upstream, second.Upstream, outcome)
+	}
+}
+
+// A refusal says that the request has not run, so that it must not follow a
+// send that may have run.
+func TestNoRefusalAfterASendThatMayHaveRun(t *testing.T) {
+	k := newDesk(t)
+	k.list(plain, 2)
+	id, effects := k.ask(route(registrar.Idempotent, 3), "")
+	second := k.sent(k.reduce(Returned{ID: id, Try: k.sent(effects).Try, Outcome: Unknown}))
+	k.reduce(Listed{nil})
+	k.reduce(Returned{ID: id, Try: second.Try, Outcome: NotRun})
+	k.now += 5 * time.Second
+	answer := k.answered(k.reduce(Tick{}))
+	require.Equal(t, classifier.RanUnknown, classifier.AnswerOf(answer.Kind).Ran)
+}
+
+func TestRunsStayWithinTheRoutesAttempts(t *testing.T) {
+	k := newDesk(t)
+	k.list(plain, 4)
+	id, effects := k.ask(route(registrar.Idempotent, 2), "")
+	second := k.sent(k.reduce(Returned{ID: id, Try: k.sent(effects).Try, Outcome: Unknown}))
+	answer := k.answered(k.reduce(Returned{ID: id, Try: second.Try, Outcome: Unknown}))
+	require.Equal(t, classifier.Lost, answer.Kind)
+}
+
+func TestFailureOfTheUpstreamIsDeliveredInTheEnd(t *testing.T) {
+	k := newDesk(t)
+	k.list(plain, 2)
+	id, effects := k.ask(route(registrar.Idempotent, 2), "")
+	second := k.sent(k.reduce(Returned{ID: id, Try: k.sent(effects).Try, Outcome: Failed}))
+	require.Equal(t, []Effect{Deliver{id}}, k.reduce(Returned{ID: id, Try: second.Try, Outcome: Failed}))
+}
+
+// All gateways together may repeat a fifth of the requests and the slack.
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	const gateways, requests = 6, 100
+	k := newDesk(t)
+	k.list(plain, 4)
+	k.d.gateways = gateways
+	delete(k.d.budgets, plain)
+	repeats := 0
+	for range requests { // in one window of ten seconds
+		id, effects := k.ask(route(registrar.Idempotent, 2), "")
+		effects = k.reduce(Returned{ID: id, Try: k.sent(effects).Try, Outcome: Unknown})
+		if send, ok := effects[0].(Send); ok {
+			repeats++
+			k.reduce(Returned{ID: id, Try: send.Try, Outcome: Whole})
+		}
+		k.now += 100 * time.Millisecond
+	}
+	require.LessOrEqual(t, float64(gateways*repeats), 0.2*gateways*requests+56)
+	require.Greater(t, repeats, requests/10)
+}
+
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	k := newDesk(t)
+	all := k.list(plain, 2)
+	all[0].State = registrar.Draining
+	k.reduce(Listed{all})
+	for range minOpen {
+		_, effects := k.ask(route(registrar.NonIdempotent, 1), "")
+		require.EqualValues(t, "u2", k.sent(effects).Upstream)
+	}
+}
+
+func TestRequestWaitsForTheAdapter(t *testing.T) {
+	k := newDesk(t)
+	all := k.list(runners, 2, "m")
+	k.next++
+	effects := k.reduce(Arrived{Request{ID: k.next, Route: route(registrar.Streaming, 2), Service: runners, Model: "m", Adapter: "a1", Deadline: 4 * time.Second}})
+	require.Len(t, effects, 1)
+	want, ok := effects[0].(Want)
+	require.True(t, ok)
+	require.EqualValues(t, "a1", want.Adapter.Name)
+	effects = k.reduce(Reported{Report{Address: want.Address, Holdings: []registrar.Holding{{Model: "m", Adapters: []registrar.AdapterName{"a1"}}}}})
+	require.Equal(t, want.Address, k.sent(effects).Address)
+	require.Len(t, all, 2)
+}
+
+func TestModelThatNobodyHoldsIsRefusedBeforeItsCallerGivesUp(t *testing.T) {
+	k := newDesk(t)
+	k.list(runners, 2, "other")
+	_, effects := k.ask(route(registrar.Streaming, 2), "m")
+	require.Empty(t, effects)
+	for range 200 {
+		k.now += TickPeriod
+		if effects = k.reduce(Tick{}); len(effects) > 0 {
+			break
+		}
+	}
+	answer := k.answered(effects)
+	require.Equal(t, classifier.Loading, answer.Kind)
+	require.Less(t, k.now, silence, "callers give up a silent stream after that")
+}
+
+// A runner that loads the model in time is waited for.
+func TestRequestWaitsForAModelThatIsComing(t *testing.T) {
+	k := newDesk(t)
+	all := k.list(runners, 1)
+	k.reduce(Reported{Report{Address: all[0].Address, Loading: "m", Ready: time.Second}})
+	_, effects := k.ask(route(registrar.Streaming, 2), "m")
+	require.Empty(t, effects)
+	k.now += time.Second
+	effects = k.reduce(Reported{Report{Address: all[0].Address, Holdings: []registrar.Holding{{Model: "m"}}}})
+	require.Equal(t, all[0].Address, k.sent(effects).Address)
+}
+
+// When one runner becomes free, all gateways see it; each takes its part only.
+func TestGatewaysDoNotAllFillTheSameFreeRunner(t *testing.T) {
+	k := newDesk(t)
+	all := k.list(runners, 1, "m")
+	k.reduce(Reported{Report{Address: all[0].Address, Holdings: []registrar.Holding{{Model: "m"}}, Gateways: 6}})
+	sent := 0
+	for range 60 {
+		_, effects := k.ask(route(registrar.Streaming, 2), "m")
+		for _, e := range effects {
+			if _, ok := e.(Send); ok {
+				sent++
+			}
+		}
+	}
+	require.Positive(t, sent)
+	require.LessOrEqual(t, 6*sent, 64)
+}
+
+// With more requests than slots, those whose wait would outlast their caller
+// are refused on arrival and told when to come back.
+func TestOverloadIsRefusedOnArrival(t *testing.T) {
+	k := newDesk(t)
+	all := k.list(runners, 1, "m")
+	holdings := []registrar.Holding{{Model: "m"}}
+	report := func(running, waiting int) []Effect {
+		return k.reduce(Reported{Report{Address: all[0].Address, Holdings: holdings, Gateways: 1, Running: running, Waiting: waiting}})
+	}
+	report(0, 0)
+	var open []Send
+	for range 8 {
+		_, effects := k.ask(route(registrar.Streaming, 2), "m")
+		open = append(open, k.sent(effects))
+	}
+	refused := 0
+	for range 60 {
+		report(64, 9)
+		_, effects := k.ask(route(registrar.Streaming, 2), "m")
+		for _, e := range effects {
+			if a, ok := e.(Answer); ok {
+				require.Equal(t, classifier.Busy, a.Kind)
+				require.GreaterOrEqual(t, a.RetryAfter, retryFloor)
+				refused++
+			}
+		}
+	}
+	require.Positive(t, refused)
+	require.Less(t, refused, 60, "some may wait")
+	require.Len(t, open, 8)
+}
+
+func TestTimeLimitEndsASend(t *testing.T) {
+	k := newDesk(t)
+	k.list(plain, 1)
+	id, effects := k.ask(route(registrar.NonIdempotent, 1), "")
+	k.sent(effects)
+	k.now += 4 * time.Second
+	require.Equal(t, []Effect{Abort{id, classifier.Expired}, Answer{ID: id, Kind: classifier.Expired}}, k.reduce(Tick{}))
+	require.Zero(t, k.d.Open())
+}
+
+func TestUrgentRequestsGoFirst(t *testing.T) {
+	k := newDesk(t)
+	night, urgent := route(registrar.Streaming, 1), route(registrar.Streaming, 1)
+	night.Priority, night.Target = 1, 4*time.Second
+	first, _ := k.ask(night, "m")
+	second, _ := k.ask(urgent, "m")
+	effects := k.list2(1, "m")
+	require.Len(t, effects, 2)
+	require.Equal(t, second, effects[0].(Send).ID)
+	require.Equal(t, first, effects[1].(Send).ID)
+}
+
+// list2 shows runners and returns the effects.
+func (k *desk) list2(n int, models ...registrar.ModelName) []Effect {
+	var all []*registrar.Upstream
+	for i := range n {
+		u := &registrar.Upstream{ID: registrar.UpstreamID(fmt.Sprint("r", i)), Service: runners, Address: fmt.Sprintf("10.0.1.%d:80", i), State: registrar.Ready}
+		for _, m := range models {
+			u.Holdings = append(u.Holdings, registrar.Holding{Model: m})
+		}
+		all = append(all, u)
+	}
+	return k.reduce(Listed{all})
+}
+
+// A rise is forecast, so that copies are loaded before it is complete.
+func TestDemandForecastRunsAheadOfARise(t *testing.T) {
+	tr := newTrend(0)
+	now := time.Duration(0)
+	for step := range 40 { // a rise from nothing to 40 a second in four seconds
+		now += 100 * time.Millisecond
+		tr.add(now, float64(step)/10)
+	}
+	require.Greater(t, tr.forecast(now), 45.0)
+	for range 100 {
+		now += 100 * time.Millisecond
+		tr.add(now, 4)
+	}
+	require.InDelta(t, 40, tr.forecast(now), 8)
+}
--- a/internal/dispatcher/returning.go
+++ b/internal/dispatcher/returning.go
@@ -100,7 +100,11 @@
 // tick lets time-outs pass.
 func (d *Dispatcher) tick() {
 	for _, r := range d.sorted() {
-		if d.now < r.Deadline-timeoutSlack {
+		limit := r.Deadline
+		if r.server == nil && !r.began {
+			limit = r.patience()
+		}
+		if d.now < limit-timeoutSlack {
 			if r.server == nil {
 				d.reconsider(r)
 			}
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -72,13 +72,19 @@
 	return s.told && now-s.at < reportLife
 }
 
-// load estimates the requests at the upstream, of all gateways.
-func (s *server) load(now time.Duration, gateways int) float64 {
+// load estimates the requests at the upstream and those among them that wait
+// there, of all gateways. The others are taken to have sent as much since the
+// report as this one has, so that they don't all fill the same free slots.
+func (s *server) load(now time.Duration, gateways int) (all, waiting float64) {
 	if !s.fresh(now) {
-		return float64(s.open * max(1, gateways))
+		return float64(s.open * max(1, gateways)), 0
 	}
-	others := max(0, s.report.Running+s.report.Waiting-s.ownThen)
-	return float64(others + s.open)
+	since := s.open - s.ownThen
+	if since > 0 {
+		since *= max(1, gateways)
+	}
+	all = max(float64(s.open), float64(s.report.Running+s.report.Waiting+since))
+	return all, float64(s.report.Waiting + max(0, since))
 }
 
 // holdings lists what the upstream holds by the newest source.
--- a/internal/dispatcher/timing.go
+++ b/internal/dispatcher/timing.go
@@ -15,19 +15,32 @@
 	timeoutSlack = 20 * time.Millisecond  // the caller's answer leaves this much before its limit
 	retryFloor   = 200 * time.Millisecond // shortest Retry-After
 	coldPatience = 0.5                    // share of the time left that a request may wait for its model
+	flowLife     = time.Second            // over which sends are averaged
+)
+
+// Callers give up a stream that is silent for the longest of these.
+const (
+	silence       = 2 * time.Second
+	silentTargets = 4 // targets of the route
+	silentPauses  = 8 // longest pauses of the route
 )
 
 // Limits of decisions.
 const (
-	waitingBound  = 400 // requests that may wait at one gateway; their bodies bound its memory
-	refusalTries  = 3   // sends that upstreams refused, for one request
-	minOpen       = 3   // sends that one gateway may always have open at an upstream
-	lineShare     = 1.5 // work units that the gateways together may have open for each slot of a plain service
-	batchFill     = 1.0 // share of a runner's batch that is filled before requests wait here
-	farCost       = 0.6 // requests of load that an upstream in another failure domain may have less
-	latePriority  = 7   // of requests that missed their target, admitted after all others
-	priorityRange = 5   // routes' priorities above it count as it
-	failureRuns   = 4.0 // requests of load that each recent failure weighs
+	waitingBound    = 400  // requests that may wait at one gateway; their bodies bound its memory
+	refusalTries    = 3    // sends that upstreams refused, for one request
+	minOpen         = 3    // sends that one gateway may always have open at an upstream
+	lineShare       = 1.5  // work units that the gateways together may have open for each slot of a plain service
+	batchFill       = 1.0  // share of a runner's batch that is filled before requests wait here
+	waitingFill     = 0.15 // of a batch's slots may be taken by requests that wait at the upstream; what a target leaves time for
+	waitingCost     = 4.0  // requests of load that each of them weighs: it delays all later ones
+	waitingFree     = 3    // requests that may wait here whatever the flow
+	leastFlow       = 0.5  // sends a second; a slower flow says nothing
+	farCost         = 0.6  // requests of load that an upstream in another failure domain may have less
+	latePriority    = 7    // of requests that missed their target, admitted after all others
+	assumedGateways = 8    // until a steward says how many there are; more than the users run today
+	priorityRange   = 5    // routes' priorities above it count as it
+	failureRuns     = 4.0  // requests of load that each recent failure weighs
 )
 
 // Shares of the retry budget that one gateway may use. All gateways together
--- a/internal/stocker/deciding.go
+++ b/internal/stocker/deciding.go
@@ -1,15 +1,16 @@
 package stocker
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
-	"github.com/egretwall/egretwall/internal/placer"
+	"github.com/egretwall/egretwall/internal/allocator"
 	"github.com/egretwall/egretwall/internal/registrar"
-	"github.com/egretwall/egretwall/pkg/configurator"
 )
 
+// planner shares out the runners' memory.
+var planner = allocator.New(allocator.Config{Gain: copyGain, Spread: copySpread, Least: copyWork})
+
 // engine describes the runners of the steward's service, nil before the
 // configuration and the list are known.
 func (s *Stocker) engine() *registrar.Engine {
@@ -96,17 +97,15 @@
 	return oldest, found
 }
 
-// model orders a model to come or to make way.
+// model orders a model to come or to make way, as the plan says.
 func (s *Stocker) model(e *registrar.Engine) {
 	v := s.view(e)
-	m, reason := s.missing(e, v)
-	if m == "" {
-		m, reason = s.short(e, v)
-	}
+	m, reason := s.lacks(e, v)
 	if m != s.claim.model {
 		s.claim = claim{}
 	}
 	if m == "" {
+		s.leaving = ""
 		return
 	}
 	if s.free(e) >= e.Models[m].Weights {
@@ -118,65 +117,85 @@
 	if !s.atHand(m) && s.storeLoads(false) >= s.storeLimit(e) {
 		return
 	}
-	if victim, ok := s.victim(v, m); ok {
-		s.leaving = victim
-		s.tell()
-		s.send(Unload, victim, "", "for "+string(m))
+	s.makeWay(v, m)
+}
+
+// makeWay orders a model that the plan has elsewhere to be unloaded. That is
+// announced first: gateways stop sending for it, and of two stewards that want
+// to give up the last copies at once, both see that the other's is going.
+func (s *Stocker) makeWay(v *view, m registrar.ModelName) {
+	if s.leaving == "" || !s.holds(s.leaving) || !v.spare(s.leaving, s.self.ID) {
+		victim, ok := s.victim(v)
+		s.leaving, s.left = victim, s.now
+		if ok {
+			s.tell()
+		}
+		return
+	}
+	if s.now-s.left >= claimDelay {
+		s.send(Unload, s.leaving, "", "for "+string(m))
 	}
 }
 
 // view is what a steward knows of all runners of the service.
 type view struct {
-	runners []*registrar.Upstream // that take work
-	holders map[registrar.ModelName][]configurator.UpstreamName
-	copies  map[registrar.ModelName]int
-	rates   map[registrar.ModelName]float64
-	waiting map[registrar.ModelName]int
-	targets map[registrar.ModelName]int
-	models  []registrar.ModelName // by name
+	holders map[registrar.ModelName][]registrar.UpstreamID // that don't give the model up
+	coming  map[registrar.ModelName]int                    // being loaded
+	work    map[registrar.ModelName]float64
+	plan    *allocator.Plan
 }
 
-// value is the demand that each copy serves if there were more of them.
-func (v *view) value(m registrar.ModelName, more int) float64 {
-	return v.rates[m] / float64(max(1, v.copies[m]+more))
+// spare tells whether a runner's copy may go: another runner has one and should
+// keep it.
+func (v *view) spare(m registrar.ModelName, self registrar.UpstreamID) bool {
+	if v.plan.Has(self, m) {
+		return false
+	}
+	return slices.ContainsFunc(v.holders[m], func(u registrar.UpstreamID) bool { return u != self && v.plan.Has(u, m) })
 }
 
+// view plans for the runners of the list and the demand of the gateways.
 func (s *Stocker) view(e *registrar.Engine) *view {
 	v := &view{
-		holders: map[registrar.ModelName][]configurator.UpstreamName{}, copies: map[registrar.ModelName]int{},
-		rates: map[registrar.ModelName]float64{}, waiting: map[registrar.ModelName]int{}, targets: map[registrar.ModelName]int{},
+		holders: map[registrar.ModelName][]registrar.UpstreamID{}, coming: map[registrar.ModelName]int{},
+		work: map[registrar.ModelName]float64{},
 	}
-	for m := range e.Models {
-		v.models = append(v.models, m)
+	for _, d := range s.demands {
+		if s.now-d.at > demandLife {
+			continue
+		}
+		for _, m := range d.all {
+			v.work[m.Model] += m.Work + m.Waiting
+		}
 	}
-	slices.Sort(v.models)
+	var runners []allocator.Runner
 	for _, u := range s.peers {
 		if u.State != registrar.Ready {
 			continue
 		}
-		v.runners = append(v.runners, u)
+		r := allocator.Runner{ID: u.ID, Memory: e.Weights, Near: slices.Concat(u.Warm, u.Disk), Active: u == s.self || s.peerOf(u) != nil || s.now-s.born < peerLife}
 		for _, h := range s.holdingsOf(u) {
-			v.holders[h.Model] = append(v.holders[h.Model], configurator.UpstreamName(u.ID))
-			v.copies[h.Model]++
+			r.Holds = append(r.Holds, h.Model)
+			v.holders[h.Model] = append(v.holders[h.Model], u.ID)
 		}
-		if p := s.peerOf(u); p != nil && p.report.Loading != "" {
-			v.copies[p.report.Loading]++
+		if m := s.loadingAt(u); m != "" {
+			r.Holds = append(r.Holds, m)
+			v.coming[m]++
 		}
+		runners = append(runners, r)
 	}
-	for _, d := range s.demands {
-		if s.now-d.at > demandLife {
-			continue
-		}
-		for _, m := range d.all {
-			v.rates[m.Model] += m.Rate
-			v.waiting[m.Model] += m.Waiting
-		}
+	var models []allocator.Model
+	for _, m := range e.Models {
+		models = append(models, allocator.Model{Name: m.Name, Weights: m.Weights, Work: v.work[m.Name]})
+	}
+	if s.plan == nil || s.now-s.planned >= planLife {
+		s.plan, s.planned = planner.Plan(runners, models), s.now
 	}
-	v.aim(e)
+	v.plan = s.plan
 	return v
 }
 
-// holdingsOf prefers the runner's own state to its entry in the list.
+// holdingsOf prefers what a runner's steward says to its entry in the list.
 func (s *Stocker) holdingsOf(u *registrar.Upstream) []registrar.Holding {
 	if u == s.self {
 		return s.state.Holdings
@@ -187,6 +206,17 @@
 	return u.Holdings
 }
 
+// loadingAt returns the model that a runner is loading, empty when none is.
+func (s *Stocker) loadingAt(u *registrar.Upstream) registrar.ModelName {
+	if u == s.self {
+		return s.loading
+	}
+	if p := s.peerOf(u); p != nil {
+		return p.report.Loading
+	}
+	return ""
+}
+
 // peerOf returns what the steward of a runner said lately, nil when it is silent.
 func (s *Stocker) peerOf(u *registrar.Upstream) *peer {
 	p := s.others[u.Address]
@@ -196,153 +226,42 @@
 	return p
 }
 
-// takes tells whether a runner could take a copy of the model: it has memory
-// left, or holds something that may make way.
-func (s *Stocker) takes(e *registrar.Engine, v *view, u *registrar.Upstream, m registrar.ModelName) bool {
-	free := e.Weights
-	spare := false
-	for _, h := range s.holdingsOf(u) {
-		if h.Model == m {
-			return false
-		}
-		free -= e.Models[h.Model].Weights
-		spare = spare || v.spare(h.Model, m) && !v.first(h.Model, u)
-	}
-	if p := s.peerOf(u); p != nil && p.report.Loading != "" {
-		return false
-	}
-	return spare || free >= e.Models[m].Weights
-}
-
-// spare tells whether a copy of a model may make way for one of another.
-func (v *view) spare(held, m registrar.ModelName) bool {
-	if v.copies[m] == 0 {
-		return v.copies[held] > 1
-	}
-	return v.copies[held] > v.targets[held] && v.value(held, -1)*gain < v.value(m, 1)
-}
-
-// first tells whether the runner is the first holder of the model in the
-// rendezvous order. It keeps its copy, so that the last two never go together.
-func (v *view) first(m registrar.ModelName, u *registrar.Upstream) bool {
-	return placer.Rank(string(m), v.holders[m])[0] == configurator.UpstreamName(u.ID)
-}
-
-// aim spreads the places of all runners over the models: one copy for each, and
-// the others by demand for a copy.
-func (v *view) aim(e *registrar.Engine) {
-	var largest registrar.Megabytes
-	for _, m := range e.Models {
-		largest = max(largest, m.Weights)
-	}
-	if largest <= 0 || len(v.runners) == 0 {
-		return
-	}
-	places := len(v.runners) * int(e.Weights/largest)
-	for _, m := range v.models {
-		v.targets[m] = 1
-		places--
-	}
-	for ; places > 0; places-- {
-		best := registrar.ModelName("")
-		for _, m := range v.models {
-			if v.targets[m] >= len(v.runners) || v.rates[m] < busyRate*float64(v.targets[m]) {
-				continue
-			}
-			if best == "" || v.rates[m]/float64(v.targets[m]) > v.rates[best]/float64(v.targets[best]) {
-				best = m
-			}
-		}
-		if best == "" {
-			return
-		}
-		v.targets[best]++
-	}
-}
-
-// missing returns a model without any copy that this runner should take.
-func (s *Stocker) missing(e *registrar.Engine, v *view) (registrar.ModelName, string) {
-	var lacking []registrar.ModelName
-	for _, m := range v.models {
-		if v.copies[m] > 0 {
-			delete(s.lacking, m)
+// lacks returns the planned model that the runner does not hold and that serves
+// most. Models that nobody asks for leave a part of the store's limit to others.
+func (s *Stocker) lacks(e *registrar.Engine, v *view) (registrar.ModelName, string) {
+	var best registrar.ModelName
+	var top float64
+	for _, m := range v.plan.Of(s.self.ID) {
+		if s.holds(m) || s.loading == m {
 			continue
 		}
-		if _, ok := s.lacking[m]; !ok {
-			s.lacking[m] = s.now
-		}
-		lacking = append(lacking, m)
-	}
-	slices.SortStableFunc(lacking, func(a, b registrar.ModelName) int {
-		return cmp.Or(cmp.Compare(v.waiting[b], v.waiting[a]), cmp.Compare(v.rates[b], v.rates[a]))
-	})
-	for _, m := range lacking {
-		since := s.now - s.lacking[m]
-		if s.rank(e, v, m) <= int(since/takeover) {
-			return m, "no copy"
-		}
-	}
-	return "", ""
-}
-
-// rank counts the runners that go before this one for a further copy.
-func (s *Stocker) rank(e *registrar.Engine, v *view, m registrar.ModelName) int {
-	own := s.order(s.self, m)
-	rank := 0
-	for _, u := range v.runners {
-		if u != s.self && s.takes(e, v, u, m) && s.order(u, m).before(own) {
-			rank++
-		}
-	}
-	return rank
-}
-
-// order ranks a runner for a copy: those with the weights at hand go first.
-type order struct {
-	tier  int
-	score uint64
-}
-
-func (o order) before(other order) bool {
-	return o.tier < other.tier || o.tier == other.tier && o.score > other.score
-}
-
-func (s *Stocker) order(u *registrar.Upstream, m registrar.ModelName) order {
-	o := order{tier: 2, score: placer.Score(string(m), string(u.ID))}
-	switch {
-	case slices.Contains(u.Warm, m):
-		o.tier = 0
-	case slices.Contains(u.Disk, m):
-		o.tier = 1
-	}
-	return o
-}
-
-// short returns the model whose copies serve most, if this runner should take a
-// further one.
-func (s *Stocker) short(e *registrar.Engine, v *view) (registrar.ModelName, string) {
-	var best registrar.ModelName
-	for _, m := range v.models {
-		if v.copies[m] >= v.targets[m] || s.holds(m) || s.rank(e, v, m) >= v.targets[m]-v.copies[m] {
+		copies := len(v.holders[m]) + v.coming[m]
+		value := v.work[m] / (float64(copies) + 0.5)
+		if value == 0 && (copies > 0 || !s.atHand(m) && s.storeLoads(false) >= s.storeLimit(e)-idleShare) {
 			continue
 		}
-		if best == "" || v.value(m, 0) > v.value(best, 0) {
-			best = m
+		if best == "" || value > top {
+			best, top = m, value
 		}
 	}
+	if len(v.holders[best])+v.coming[best] == 0 {
+		return best, "no copy"
+	}
 	return best, "demand"
 }
 
-// victim returns the held model that serves least among those that may make way
-// for m.
-func (s *Stocker) victim(v *view, m registrar.ModelName) (registrar.ModelName, bool) {
+// victim returns the held model with the least work for a copy among those that
+// may go.
+func (s *Stocker) victim(v *view) (registrar.ModelName, bool) {
 	var best registrar.ModelName
+	var least float64
 	for _, h := range s.state.Holdings {
-		if !v.spare(h.Model, m) || v.first(h.Model, s.self) {
+		if !v.spare(h.Model, s.self.ID) {
 			continue
 		}
-		if best == "" || v.value(h.Model, 0) < v.value(best, 0) {
-			best = h.Model
+		value := v.work[h.Model] / float64(len(v.holders[h.Model]))
+		if best == "" || value < least {
+			best, least = h.Model, value
 		}
 	}
 	return best, best != ""
--- a/internal/stocker/event.go
+++ b/internal/stocker/event.go
@@ -142,14 +142,16 @@
 
 // Timing and limits of decisions.
 const (
-	demandLife     = 2 * time.Second // a gateway's demand counts this long; several lost datagrams
-	peerPeriod     = time.Second     // stewards hear of an unchanged state this often
-	peerLife       = 3 * time.Second // an older state of a peer gives way to the list's
+	demandLife     = 2 * time.Second        // a gateway's demand counts this long; several lost datagrams
+	peerPeriod     = time.Second            // stewards hear of an unchanged state this often
+	peerLife       = 3 * time.Second        // an older state of a peer gives way to the list's
+	planLife       = 250 * time.Millisecond // a plan is kept this long; demand is told as often
 	claimDelay     = 60 * time.Millisecond
-	wantLife       = time.Second // a want is repeated while its request waits
-	takeover       = 800 * time.Millisecond
-	busyRate       = 3.0                    // requests a second that one copy serves easily
-	gain           = 1.6                    // how much more a new copy must serve than the one that it replaces
+	wantLife       = time.Second            // a want is repeated while its request waits
+	copyGain       = 1.35                   // how much more a new copy must serve than a present one
+	copySpread     = 0.75                   // models with less work get more copies than their share, against the next shift
+	copyWork       = 8000.0                 // prompt tokens a second that one copy serves easily
+	idleShare      = 3                      // loads of the store's limit that are kept for models in demand
 	comingBound    = 4                      // adapters that may be on their way to one runner
 	unsettledPause = 300 * time.Millisecond // after an order without an answer, before the next one
 	refusedPause   = 100 * time.Millisecond // after a refused order
--- a/internal/stocker/stocker.go
+++ b/internal/stocker/stocker.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/allocator"
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
@@ -29,15 +30,18 @@
 	settled bool // the state is newer than the last order's answer
 	fence   int64
 
-	sending  bool          // an order has no answer yet
-	pause    time.Duration // no order before it
-	leaving  registrar.ModelName
+	sending  bool                // an order has no answer yet
+	pause    time.Duration       // no order before it
+	leaving  registrar.ModelName // makes way
+	left     time.Duration       // since when gateways and stewards know it
 	loading  registrar.ModelName
 	loaded   time.Duration // when loading should have finished
 	stored   time.Duration // the last load from the weight store began
 	storing  bool          // there was one
 	born     time.Duration // of this stocker
 	claim    claim
+	plan     *allocator.Plan
+	planned  time.Duration    // when the plan was made
 	others   map[string]*peer // by the runner's address
 	toldAt   time.Duration    // peers heard of the state
 	toldKey  string           // what they heard
@@ -45,7 +49,6 @@
 	demands  map[string]demand
 	wants    []want
 	used     map[registrar.AdapterID]time.Duration // when an adapter was last wanted
-	lacking  map[registrar.ModelName]time.Duration
 	Counters Counters
 }
 
@@ -86,7 +89,7 @@
 func New(cfg Config) *Stocker {
 	return &Stocker{
 		cfg: cfg, demands: map[string]demand{}, used: map[registrar.AdapterID]time.Duration{},
-		lacking: map[registrar.ModelName]time.Duration{}, others: map[string]*peer{},
+		others: map[string]*peer{},
 	}
 }
 
@@ -137,8 +140,10 @@
 		s.leaving, s.loading = "", ""
 	}
 	s.state, s.settled = st, true
-	if !st.Busy && !s.sending {
+	if !s.holds(s.leaving) {
 		s.leaving = ""
+	}
+	if !st.Busy && !s.sending {
 		if s.now >= s.loaded || s.holds(s.loading) {
 			s.loading = ""
 		}
