--- a/internal/dispatcher/choosing.go
+++ b/internal/dispatcher/choosing.go
@@ -94,14 +94,23 @@
 }
 
 // wantAdapter asks the steward of a runner with the model for the adapter. The
-// rendezvous order lets all gateways ask the same runner.
+// rendezvous order lets all gateways ask the same runner. A runner that loads a
+// model takes no other order meanwhile.
 func (d *Dispatcher) wantAdapter(r *request, group []*server) {
-	var names []configurator.UpstreamName
+	var names, busy []configurator.UpstreamName
 	for _, s := range group {
-		if model, _ := s.has(d.now, r.Model, ""); model && s.takes() && d.now >= s.avoid {
+		if model, _ := s.has(d.now, r.Model, ""); !model || !s.takes() || d.now < s.avoid {
+			continue
+		}
+		if s.fresh(d.now) && s.report.Busy {
+			busy = append(busy, configurator.UpstreamName(s.info.ID))
+		} else {
 			names = append(names, configurator.UpstreamName(s.info.ID))
 		}
 	}
+	if len(names) == 0 {
+		names = busy
+	}
 	if len(names) == 0 {
 		return
 	}
--- a/internal/dispatcher/demand.go
+++ b/internal/dispatcher/demand.go
@@ -9,14 +9,11 @@
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
-// Time constants over which arrivals are averaged, and how far ahead demand is
-// forecast: loads of weights take seconds, so that they must begin before a
-// shift of demand is complete.
+// Time constants over which arrivals are averaged: the fast one shows a shift
+// of demand early, the slow one is steady.
 const (
 	fastLife = 800 * time.Millisecond
 	slowLife = 2500 * time.Millisecond
-	ahead    = 3 * time.Second
-	mostRise = 3.0 // times the present demand that a forecast may be
 )
 
 // average is work that arrives a second, averaged over life.
@@ -38,35 +35,26 @@
 
 // trend follows the demand for one model.
 type trend struct {
-	fast, slow average
+	fast, slow, count average
 }
 
 func newTrend(now time.Duration) *trend {
-	return &trend{average{fastLife, 0, now}, average{slowLife, 0, now}}
+	return &trend{average{fastLife, 0, now}, average{slowLife, 0, now}, average{fastLife, 0, now}}
 }
 
 func (t *trend) add(now time.Duration, work float64) {
 	t.fast.add(now, work)
 	t.slow.add(now, work)
-}
-
-// forecast extends a rise of the demand; a fall is taken as it comes.
-func (t *trend) forecast(now time.Duration) float64 {
-	t.fast.decay(now)
-	t.slow.decay(now)
-	slope := (t.fast.value - t.slow.value) / (slowLife - fastLife).Seconds()
-	level := max(t.fast.value, t.slow.value)
-	if slope <= 0 {
-		return level
-	}
-	return min(t.fast.value+slope*ahead.Seconds(), level*mostRise)
+	t.count.add(now, 1)
 }
 
 // Demand is what callers of one gateway ask of a model.
 type Demand struct {
 	Service registrar.ServiceName `json:"service"`
 	Model   registrar.ModelName   `json:"model"`
-	Work    float64               `json:"work"`    // a second, in prompt tokens
+	Work    float64               `json:"work"`    // a second, in prompt tokens, averaged over seconds
+	Recent  float64               `json:"recent"`  // the same over less than a second
+	Sample  float64               `json:"sample"`  // requests that Recent is from
 	Waiting float64               `json:"waiting"` // work of the requests that wait for it
 }
 
@@ -98,12 +86,14 @@
 func (d *Dispatcher) Demands(now time.Duration) []Demand {
 	byModel := map[registrar.ModelName]*Demand{}
 	for m, t := range d.demand {
-		work := t.forecast(now)
-		if work < minDemand {
+		t.fast.decay(now)
+		t.slow.decay(now)
+		t.count.decay(now)
+		if t.slow.value < minDemand {
 			delete(d.demand, m)
 			continue
 		}
-		byModel[m] = &Demand{Model: m, Work: work}
+		byModel[m] = &Demand{Model: m, Work: t.slow.value, Recent: t.fast.value, Sample: t.count.value * fastLife.Seconds()}
 	}
 	for l, waiting := range d.lanes {
 		if l.model == "" {
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -103,6 +103,7 @@
 	Used     registrar.Tokens    `json:"used"` // KV memory that can't yield
 	Total    registrar.Tokens    `json:"total"`
 	Draining bool                `json:"draining"`
+	Busy     bool                `json:"busy"`     // it takes no orders now
 	Gateways int                 `json:"gateways"` // gateways that the steward hears
 	Claimed  bool                `json:"claimed"`  // Loading waits for its turn at the weight store
 	Stored   time.Duration       `json:"stored"`   // since the last load from the weight store began, negative before the first
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -20,6 +20,7 @@
 	ownThen  int           // own sends under way when the report came
 	wanted   map[lane]time.Duration
 	listed   bool
+	gone     bool // another instance answers at its address
 }
 
 // list takes over the live upstreams.
@@ -140,7 +141,7 @@
 
 // takes tells whether the upstream may get new work.
 func (s *server) takes() bool {
-	return s.listed && s.info.State == registrar.Ready && (!s.told || !s.report.Draining)
+	return s.listed && !s.gone && s.info.State == registrar.Ready && (!s.told || !s.report.Draining)
 }
 
 // slots counts the work units that the upstream runs at once.
--- a/internal/stocker/deciding.go
+++ b/internal/stocker/deciding.go
@@ -26,10 +26,9 @@
 	if e == nil || !s.settled || s.fence == 0 || s.sending || s.now < s.pause || s.state.Draining || s.self.State != registrar.Ready {
 		return
 	}
-	if s.adapter(e) || s.state.Busy {
-		return
+	if !s.state.Busy && !s.adapter(e) {
+		s.model(e)
 	}
-	s.model(e)
 }
 
 // free is the memory that is not taken by what the runner holds or fetches.
@@ -160,14 +159,23 @@
 		holders: map[registrar.ModelName][]registrar.UpstreamID{}, coming: map[registrar.ModelName]int{},
 		work: map[registrar.ModelName]float64{},
 	}
+	totals := map[registrar.ModelName]forecast{}
 	for _, d := range s.demands {
 		if s.now-d.at > demandLife {
 			continue
 		}
 		for _, m := range d.all {
-			v.work[m.Model] += m.Work + m.Waiting
+			f := totals[m.Model]
+			f.steady += m.Work
+			f.recent += m.Recent
+			f.sample += m.Sample
+			f.waiting += m.Waiting
+			totals[m.Model] = f
 		}
 	}
+	for m, f := range totals {
+		v.work[m] = f.work()
+	}
 	var runners []allocator.Runner
 	for _, u := range s.peers {
 		if u.State != registrar.Ready {
--- a/internal/stocker/stocker.go
+++ b/internal/stocker/stocker.go
@@ -186,7 +186,7 @@
 	rep := dispatcher.Report{
 		Address: s.cfg.Address, Born: s.state.Born, Sequence: s.state.Sequence, Loading: s.loading,
 		Ready: max(0, s.loaded-s.now), Running: s.state.Running, Waiting: s.state.Waiting, Stored: -1,
-		Used: s.state.Used, Total: s.state.Total, Draining: s.state.Draining, Gateways: s.Gateways(),
+		Used: s.state.Used, Total: s.state.Total, Draining: s.state.Draining, Busy: s.state.Busy, Gateways: s.Gateways(),
 	}
 	if s.storing {
 		rep.Stored = s.now - s.stored
