Prefer runners with the weights at hand, keep copies in use, call the store less

A copy now goes only when as many others hold the model as the plan asks for, and fetching from the weight store costs a runner as much as the copy's load.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -121,6 +121,23 @@
 	return p
 }
 
+// fetch is the load that a runner may have more than others to get a copy,
+// because it need not wait for the weight store: that of the copy itself.
+func (m *planned) fetch(s *slot) float64 {
+	if slices.Contains(s.Holds, m.Name) || slices.Contains(s.Near, m.Name) {
+		return 0
+	}
+	return m.Work / float64(m.copies)
+}
+
+// fetchQuiet is the same for a model in little demand, in models.
+func (m *planned) fetchQuiet(s *slot) float64 {
+	if slices.Contains(s.Holds, m.Name) || slices.Contains(s.Near, m.Name) {
+		return 0
+	}
+	return 1
+}
+
 // targets decides on the number of copies of each model and returns the models
 // with the most work first.
 func (a *Allocator) targets(slots []*slot, models []Model) []*planned {
@@ -204,7 +221,7 @@
 			}
 			best := a.best(p, slots, m, func(s *slot) bool {
 				return s.quiet < most && (!stay || slices.Contains(s.Holds, m.Name))
-			}, func(s *slot) float64 { return float64(s.quiet) })
+			}, func(s *slot) float64 { return float64(s.quiet) + m.fetchQuiet(s) })
 			if best != nil {
 				p.add(best, m)
 			}
@@ -222,7 +239,7 @@
 			for len(p.spots[m.Name]) < m.copies {
 				best := a.best(p, slots, m, func(s *slot) bool {
 					return !stay || slices.Contains(s.Holds, m.Name)
-				}, func(s *slot) float64 { return s.load })
+				}, func(s *slot) float64 { return s.load + m.fetch(s) })
 				if best == nil {
 					break
 				}
--- a/internal/driver/directory.go
+++ b/internal/driver/directory.go
@@ -13,8 +13,7 @@
 
 // Timing of the directory.
 const (
-	listWait    = 1500 * time.Millisecond // how long the store holds a call without news; a silent connection is found soon after
-	listPause   = 500 * time.Millisecond  // least time between calls for the list: heartbeats come more often
+	listWait    = 1500 * time.Millisecond // how long the store holds a call for the list without news
 	lapseReturn = 2300 * time.Millisecond // entries that lapsed during an outage are back by then
 )
 
@@ -37,15 +36,21 @@
 	source    Directory
 	logger    zerolog.Logger
 	start     time.Time
-	pause     time.Duration // between calls for the list
+	pace      pace
 	// onConfiguration and onList run with mu held.
 	onConfiguration func(*registrar.Configuration)
 	onList          func()
 }
 
-func newDirectory(source Directory, logger zerolog.Logger, pause time.Duration) *directory {
+// pace is how often the store is called.
+type pace struct {
+	hold  time.Duration // how long the store holds a call for the configuration without news; a silent connection is found soon after
+	pause time.Duration // least time between calls for the list, in which heartbeats are frequent
+}
+
+func newDirectory(source Directory, logger zerolog.Logger, p pace) *directory {
 	return &directory{
-		registrar: registrar.New(registrar.Config{Return: lapseReturn}), source: source, logger: logger, start: time.Now(), pause: pause,
+		registrar: registrar.New(registrar.Config{Return: lapseReturn}), source: source, logger: logger, start: time.Now(), pace: p,
 	}
 }
 
@@ -58,13 +63,13 @@
 	var g sync.WaitGroup
 	g.Go(func() {
 		watcher.New(watcher.Config{
-			Store: d.source, Topic: d.source.OperatorTopic(), Wait: listWait, Logger: d.logger,
+			Store: d.source, Topic: d.source.OperatorTopic(), Wait: d.pace.hold, Logger: d.logger,
 			OnAll: d.configure, OnChange: d.configure, OnReach: func(bool) {},
 		}).Run(ctx)
 	})
 	g.Go(func() {
 		watcher.New(watcher.Config{
-			Store: d.source, Topic: d.source.ListTopic(), Wait: listWait, Pause: d.pause, Logger: d.logger,
+			Store: d.source, Topic: d.source.ListTopic(), Wait: listWait, Pause: d.pace.pause, Logger: d.logger,
 			OnAll:    func(r []watcher.Record) { d.list(r, true) },
 			OnChange: func(r []watcher.Record) { d.list(r, false) },
 			OnReach: func(up bool) {
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -27,6 +27,11 @@
 	stopMargin   = 300 * time.Millisecond // before the platform kills the process
 )
 
+// gatewayPace keeps the list and the configuration well within the two seconds
+// after which an upstream that leaves must get nothing and a configuration must
+// be in force.
+var gatewayPace = pace{hold: 2500 * time.Millisecond, pause: time.Second}
+
 // GatewayConfig describes a gateway.
 type GatewayConfig struct {
 	Name      string
@@ -65,7 +70,7 @@
 // NewGateway listens on the gateway's addresses.
 func NewGateway(cfg GatewayConfig) (*Gateway, error) {
 	g := &Gateway{
-		cfg: cfg, dir: newDirectory(cfg.Directory, cfg.Logger, listPause), boxes: map[dispatcher.RequestID]*relayer.Mailbox{},
+		cfg: cfg, dir: newDirectory(cfg.Directory, cfg.Logger, gatewayPace), boxes: map[dispatcher.RequestID]*relayer.Mailbox{},
 		addresses: map[string]bool{}, stopping: make(chan struct{}, 1),
 	}
 	g.dispatcher = dispatcher.New(dispatcher.Config{Domain: cfg.Domain, Seed: rand.Uint64(), Allowance: cfg.Allowance})
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -16,12 +16,15 @@
 
 // Timing of stewards.
 const (
-	reportPeriod    = 150 * time.Millisecond // of the runner's own state, which lags by as much
-	gatewayLife     = 3 * time.Second        // a gateway that is silent longer gets no reports
-	fencePause      = 300 * time.Millisecond // between tries to get a fencing number
-	stewardListWait = 2 * time.Second        // least time between calls for the list; a load takes longer
+	reportPeriod = 150 * time.Millisecond // of the runner's own state, which lags by as much
+	gatewayLife  = 3 * time.Second        // a gateway that is silent longer gets no reports
+	fencePause   = 300 * time.Millisecond // between tries to get a fencing number
 )
 
+// stewardPace is slower than a gateway's: loads take seconds, and stewards hear
+// of each other's runners directly.
+var stewardPace = pace{hold: 10 * time.Second, pause: 2500 * time.Millisecond}
+
 // Fencer hands out fencing numbers that only rise.
 type Fencer interface {
 	Fence(ctx context.Context, holder string) (int64, error)
@@ -58,7 +61,7 @@
 // NewSteward listens on the steward's address.
 func NewSteward(cfg StewardConfig) (*Steward, error) {
 	s := &Steward{
-		cfg: cfg, dir: newDirectory(cfg.Directory, cfg.Logger, stewardListWait), gateways: map[netip.AddrPort]time.Duration{},
+		cfg: cfg, dir: newDirectory(cfg.Directory, cfg.Logger, stewardPace), gateways: map[netip.AddrPort]time.Duration{},
 		orders: make(chan stocker.Order, 1), asked: make(chan struct{}, 1), stopping: make(chan struct{}, 1),
 	}
 	s.stocker = stocker.New(stocker.Config{Address: cfg.Upstream, Holder: cfg.Name, Window: cfg.Window})
--- a/internal/stocker/deciding.go
+++ b/internal/stocker/deciding.go
@@ -144,13 +144,20 @@
 	plan    *allocator.Plan
 }
 
-// spare tells whether a runner's copy may go: another runner has one and should
-// keep it.
+// spare tells whether a runner's copy may go: the plan has the model elsewhere
+// only, and as many others hold it as the plan asks for.
 func (v *view) spare(m registrar.ModelName, self registrar.UpstreamID) bool {
 	if v.plan.Has(self, m) {
 		return false
 	}
-	return slices.ContainsFunc(v.holders[m], func(u registrar.UpstreamID) bool { return u != self && v.plan.Has(u, m) })
+	others, planned := 0, false
+	for _, u := range v.holders[m] {
+		if u != self {
+			others++
+			planned = planned || v.plan.Has(u, m)
+		}
+	}
+	return planned && others >= len(v.plan.Runners(m))
 }
 
 // view plans for the runners of the list and the demand of the gateways.
--- a/internal/stocker/event.go
+++ b/internal/stocker/event.go
@@ -150,7 +150,7 @@
 	wantLife       = time.Second            // a want is repeated while its request waits
 	copyGain       = 1.35                   // how much more a new copy must serve than a present one
 	copySpread     = 0.75                   // models with less work get more copies than their share, against the next shift
-	copyWork       = 8000.0                 // prompt tokens a second that one copy serves easily
+	copyWork       = 16000.0                // prompt tokens a second that one copy serves easily
 	idleShare      = 3                      // loads of the store's limit that are kept for models in demand
 	comingBound    = 4                      // adapters that may be on their way to one runner
 	unsettledPause = 300 * time.Millisecond // after an order without an answer, before the next one
