--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -4,11 +4,11 @@
 	"context"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/rs/zerolog"
 
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/driver"
 	"github.com/egretwall/egretwall/internal/loader"
+	"github.com/egretwall/egretwall/internal/observer"
 	"github.com/egretwall/egretwall/internal/registrar"
 	"github.com/egretwall/egretwall/platform"
 )
@@ -20,8 +20,8 @@
 		flags := bindPlatform(c)
 		return func(ctx context.Context, s Streams) error {
 			read := func() (driver.GatewayConfig, error) { return gatewayConfig(*flags.settings) }
-			return runOnPlatform(ctx, s, flags, read, func(cfg driver.GatewayConfig, logger zerolog.Logger) (platformProcess[driver.GatewayConfig], error) {
-				cfg.Logger = logger
+			return runOnPlatform(ctx, s, flags, read, func(cfg driver.GatewayConfig, logger *observer.BoundedLog) (platformProcess[driver.GatewayConfig], error) {
+				cfg.Log = logger
 				return driver.NewGateway(cfg)
 			})
 		}
@@ -35,7 +35,7 @@
 		return driver.GatewayConfig{}, err
 	}
 	return driver.GatewayConfig{
-		Name: s.Name, Domain: registrar.DomainName(s.Domain), Callers: s.Callers, Health: s.Health, Peer: s.Peer,
+		Name: s.Name, Domain: registrar.DomainName(s.Domain), Callers: s.Callers, Health: s.Health, Peer: s.Peer, Admin: s.Admin,
 		Grace: s.Grace.Duration(), Allowance: dispatcher.Allowance{Slack: s.Slack, Window: s.Window.Duration()},
 		Directory: platform.NewStore(platform.StoreConfig{Address: s.Store}), Dialect: platform.Dialect{}, Ready: platform.ReadinessPath,
 	}, nil
--- a/internal/command/platform.go
+++ b/internal/command/platform.go
@@ -7,7 +7,6 @@
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/rs/zerolog"
 
 	"github.com/egretwall/egretwall/internal/observer"
 	"github.com/egretwall/egretwall/platform"
@@ -35,15 +34,16 @@
 
 // runOnPlatform serves until the process has drained after SIGTERM or SIGINT.
 // SIGHUP reads the settings again; a file with mistakes changes nothing.
-func runOnPlatform[C any](ctx context.Context, s Streams, flags platformFlags, read func() (C, error), build func(C, zerolog.Logger) (platformProcess[C], error)) error {
+func runOnPlatform[C any](ctx context.Context, s Streams, flags platformFlags, read func() (C, error), build func(C, *observer.BoundedLog) (platformProcess[C], error)) error {
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	signal.Ignore(syscall.SIGPIPE)
-	logger, err := observer.NewLogger(s.Out, *flags.level)
+	logger, err := observer.NewBoundedLogger(s.Out, *flags.level)
 	if err != nil {
 		return err
 	}
+	defer func() { _ = logger.Close() }()
 	cfg, err := read()
 	if err != nil {
 		return err
--- a/internal/command/steward.go
+++ b/internal/command/steward.go
@@ -4,10 +4,10 @@
 	"context"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/rs/zerolog"
 
 	"github.com/egretwall/egretwall/internal/driver"
 	"github.com/egretwall/egretwall/internal/loader"
+	"github.com/egretwall/egretwall/internal/observer"
 	"github.com/egretwall/egretwall/internal/registrar"
 	"github.com/egretwall/egretwall/platform"
 )
@@ -19,8 +19,8 @@
 		flags := bindPlatform(c)
 		return func(ctx context.Context, s Streams) error {
 			read := func() (driver.StewardConfig, error) { return stewardConfig(*flags.settings) }
-			return runOnPlatform(ctx, s, flags, read, func(cfg driver.StewardConfig, logger zerolog.Logger) (platformProcess[driver.StewardConfig], error) {
-				cfg.Logger = logger
+			return runOnPlatform(ctx, s, flags, read, func(cfg driver.StewardConfig, logger *observer.BoundedLog) (platformProcess[driver.StewardConfig], error) {
+				cfg.Log = logger
 				return driver.NewSteward(cfg)
 			})
 		}
@@ -35,7 +35,7 @@
 	}
 	store := platform.NewStore(platform.StoreConfig{Address: s.Store})
 	return driver.StewardConfig{
-		Name: s.Name, Service: registrar.ServiceName(s.Service), Upstream: s.Upstream, Peer: s.Peer, Window: s.Window.Duration(),
+		Name: s.Name, Service: registrar.ServiceName(s.Service), Upstream: s.Upstream, Peer: s.Peer, Admin: s.Admin, Window: s.Window.Duration(),
 		Directory: store, Fencer: store, Runner: platform.NewRunner(s.Upstream),
 	}, nil
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -326,10 +326,18 @@
 	d.finish(r, kind, 0)
 }
 
+// held is the time from the arrival to the last send, or to now without one.
+func (r *request) held(now time.Duration) time.Duration {
+	if r.try == 0 {
+		return now - r.arrived
+	}
+	return r.sent - r.arrived
+}
+
 func (d *Dispatcher) finish(r *request, kind classifier.Kind, after time.Duration) {
 	d.emit(Note{
 		Name: "request failed", Request: r.Name, Peer: peerOf(r), Kind: kind, Cause: r.lastCause,
-		Try: r.try, Waiting: d.waiting, Age: d.reportAge(r.server),
+		Try: r.try, Waiting: d.waiting, Age: d.reportAge(r.server), Held: r.held(d.now), Took: d.now - r.arrived,
 	})
 	d.emit(Answer{ID: r.ID, Kind: kind, RetryAfter: after})
 	d.forget(r)
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -163,7 +163,9 @@
 	Cause   string
 	Age     time.Duration // of the report that decided, zero when none did
 	Try     Try
-	Waiting int // requests that wait here
+	Waiting int           // requests that wait here
+	Held    time.Duration // between the request's arrival and its last send
+	Took    time.Duration // between its arrival and now
 }
 
 func (Send) effect()    {}
--- a/internal/dispatcher/returning.go
+++ b/internal/dispatcher/returning.go
@@ -21,6 +21,7 @@
 	switch ev.Outcome {
 	case Whole:
 		d.Counters.Whole++
+		d.emit(Note{Name: "request served", Request: r.Name, Peer: s.info.ID, Try: r.try, Waiting: d.waiting, Age: d.reportAge(s), Held: r.sent - r.arrived, Took: d.now - r.arrived})
 		s.failures = max(0, s.failures-1)
 		delete(d.requests, r.ID)
 	case Closed:
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -10,11 +10,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/messenger"
+	"github.com/egretwall/egretwall/internal/observer"
 	"github.com/egretwall/egretwall/internal/registrar"
 	"github.com/egretwall/egretwall/internal/relayer"
 )
@@ -44,7 +43,20 @@
 	Directory Directory
 	Dialect   relayer.Dialect
 	Ready     string // path on which the balancer asks
-	Logger    zerolog.Logger
+	Admin     string // address for operators
+	Log       *observer.BoundedLog
+}
+
+// GatewayMetrics is what a gateway counts; times are milliseconds.
+type GatewayMetrics struct {
+	dispatcher.Counters
+	Open        int                     `json:"open"`
+	Waiting     int                     `json:"waiting"`
+	Connections int64                   `json:"connections"` // opened to upstreams
+	Dropped     int64                   `json:"dropped"`     // log lines
+	Held        observer.LatencySummary `json:"held"`        // from arrival to the last send
+	First       observer.LatencySummary `json:"first"`       // from arrival to the first part of the answer
+	Whole       observer.LatencySummary `json:"whole"`       // from arrival to the whole answer
 }
 
 // Gateway runs a dispatcher behind a relayer.
@@ -64,14 +76,21 @@
 	port      uint16
 	listener  net.Listener
 	health    net.Listener
-	stopping  chan struct{}
+	admin     *observer.Admin
+
+	connections        atomic.Int64
+	held, first, whole *observer.Latency
+	arrivals           map[dispatcher.RequestID]time.Duration // of requests whose answer has not begun
+	stopping           chan struct{}
 }
 
 // NewGateway listens on the gateway's addresses.
 func NewGateway(cfg GatewayConfig) (*Gateway, error) {
 	g := &Gateway{
-		cfg: cfg, dir: newDirectory(cfg.Directory, cfg.Logger, gatewayPace), boxes: map[dispatcher.RequestID]*relayer.Mailbox{},
+		cfg: cfg, dir: newDirectory(cfg.Directory, cfg.Log.Logger, gatewayPace), boxes: map[dispatcher.RequestID]*relayer.Mailbox{},
 		addresses: map[string]bool{}, stopping: make(chan struct{}, 1),
+		held: observer.NewLatency(), first: observer.NewLatency(), whole: observer.NewLatency(),
+		arrivals: map[dispatcher.RequestID]time.Duration{},
 	}
 	g.dispatcher = dispatcher.New(dispatcher.Config{Domain: cfg.Domain, Seed: rand.Uint64(), Allowance: cfg.Allowance})
 	g.dir.onConfiguration = func(c *registrar.Configuration) {
@@ -83,13 +102,20 @@
 		g.listed = true
 		g.relist()
 	}
-	g.relayer = relayer.New(relayer.Config{Dialect: cfg.Dialect, Decider: g, Logger: cfg.Logger})
+	g.relayer = relayer.New(relayer.Config{Dialect: cfg.Dialect, Decider: g, Logger: cfg.Log.Logger})
 	peer, err := netip.ParseAddrPort(cfg.Peer)
 	if err != nil {
 		return nil, classifier.Wrap(classifier.Invalid, err, "peer address")
 	}
 	g.port = peer.Port()
-	if g.messenger, err = messenger.New(messenger.Config{Address: cfg.Peer, Handle: g.hear, Logger: cfg.Logger}); err != nil {
+	if g.messenger, err = messenger.New(messenger.Config{Address: cfg.Peer, Handle: g.hear, Logger: cfg.Log.Logger}); err != nil {
+		return nil, err
+	}
+	g.relayer.Pool().Opened = func() { g.connections.Add(1) }
+	g.admin, err = observer.NewAdmin(observer.AdminConfig{
+		Name: cfg.Name, Address: cfg.Admin, Health: func() bool { return !g.relayer.Draining() }, Dump: g.dump, Metrics: g.metrics,
+	})
+	if err != nil {
 		return nil, err
 	}
 	if g.health, err = net.Listen("tcp", cfg.Health); err != nil {
@@ -123,9 +149,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	health := &http.Server{Handler: http.HandlerFunc(g.answerHealth), ReadHeaderTimeout: time.Second}
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	go func() { failed <- health.Serve(g.health) }()
 	go func() { failed <- g.relayer.Serve(g.listener) }()
+	go func() { failed <- g.admin.Run(ctx) }()
 	go g.dir.run(ctx)
 	go g.messenger.Run(ctx)
 	go g.tick(ctx)
@@ -145,7 +172,7 @@
 	g.dir.mu.Lock()
 	grace := g.cfg.Grace
 	g.dir.mu.Unlock()
-	g.cfg.Logger.Info().Int("open", g.relayer.Open()).Msg("draining")
+	g.cfg.Log.Logger.Info().Int("open", g.relayer.Open()).Msg("draining")
 	g.relayer.Drain()
 	time.Sleep(drainNotice)
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-stopMargin))
@@ -196,16 +223,33 @@
 		}
 		if sweeping {
 			swept = now
+			g.cfg.Log.Report()
 			g.relayer.Pool().Sweep(func(a string) bool { return addresses[a] })
 		}
 	}
 }
 
+func (g *Gateway) dump() any {
+	g.dir.mu.Lock()
+	defer g.dir.mu.Unlock()
+	return g.dispatcher.Dump()
+}
+
+func (g *Gateway) metrics() any {
+	g.dir.mu.Lock()
+	defer g.dir.mu.Unlock()
+	return GatewayMetrics{
+		Counters: g.dispatcher.Counters, Open: g.dispatcher.Open(), Waiting: g.dispatcher.Waiting(),
+		Connections: g.connections.Load(), Dropped: g.cfg.Log.Limit.Dropped(),
+		Held: g.held.Summary(), First: g.first.Summary(), Whole: g.whole.Summary(),
+	}
+}
+
 func (g *Gateway) tell(to []netip.AddrPort, m messenger.Message) {
 	m.Name = g.cfg.Name
 	data, err := messenger.Encode(m)
 	if err != nil {
-		g.cfg.Logger.Error().Err(err).Msg("message not encoded")
+		g.cfg.Log.Logger.Error().Err(err).Msg("message not encoded")
 		return
 	}
 	for _, a := range to {
@@ -258,6 +302,7 @@
 	req.ID = g.next
 	req.Service = pickService(req.Route)
 	g.boxes[req.ID] = box
+	g.arrivals[req.ID] = g.dir.now()
 	g.apply(dispatcher.Arrived{Request: req})
 	return req.ID
 }
@@ -284,15 +329,23 @@
 	defer g.dir.mu.Unlock()
 	g.apply(e)
 	switch ev := e.(type) {
+	case dispatcher.Began:
+		g.first.Record(g.dir.now() - g.arrivals[ev.ID])
 	case dispatcher.Left:
-		delete(g.boxes, ev.ID)
+		g.forget(ev.ID)
 	case dispatcher.Returned:
 		if ev.Outcome == dispatcher.Whole || ev.Outcome == dispatcher.Closed {
-			delete(g.boxes, ev.ID)
+			g.forget(ev.ID)
 		}
 	}
 }
 
+// forget drops a request that has its final answer.
+func (g *Gateway) forget(id dispatcher.RequestID) {
+	delete(g.boxes, id)
+	delete(g.arrivals, id)
+}
+
 // apply reduces an event and carries out the effects; dir.mu is held.
 func (g *Gateway) apply(e dispatcher.Event) {
 	for _, effect := range g.dispatcher.Reduce(g.dir.now(), e) {
@@ -303,22 +356,23 @@
 			g.boxes[ef.ID].Put(ef)
 		case dispatcher.Answer:
 			g.boxes[ef.ID].Put(ef)
-			delete(g.boxes, ef.ID)
+			g.forget(ef.ID)
 		case dispatcher.Deliver:
 			g.boxes[ef.ID].Put(ef)
-			delete(g.boxes, ef.ID)
+			g.forget(ef.ID)
 		case dispatcher.Want:
 			g.tell(stewardOf(ef.Address, g.port), messenger.Message{Wanted: &ef.Adapter})
 		case dispatcher.Note:
-			logNote(g.cfg.Logger, ef)
+			g.note(ef)
 		}
 	}
 }
 
-func logNote(logger zerolog.Logger, n dispatcher.Note) {
-	ev := logger.Info()
+// note logs a decision and records its times.
+func (g *Gateway) note(n dispatcher.Note) {
+	ev := g.cfg.Log.Info()
 	if n.Kind != classifier.None {
-		ev = logger.Warn().Str("kind", string(n.Kind))
+		ev = g.cfg.Log.Warn().Str("kind", string(n.Kind))
 	}
 	if n.Request != "" {
 		ev = ev.Str("request", n.Request)
@@ -332,5 +386,20 @@
 	if n.Age > 0 {
 		ev = ev.Int64("age", n.Age.Milliseconds())
 	}
-	ev.Int("try", int(n.Try)).Int("waiting", n.Waiting).Msg(n.Name)
+	if n.Took > 0 {
+		ev = ev.Int64("held", n.Held.Milliseconds()).Int64("took", n.Took.Milliseconds())
+		g.held.Record(n.Held)
+	}
+	if n.Took > 0 && n.Kind == classifier.None {
+		g.whole.Record(n.Took)
+	}
+	ev.Int("try", int(n.Try)).Int("waiting", n.Waiting).Int64("version", g.version()).Msg(n.Name)
+}
+
+// version is that of the configuration in force, zero without one.
+func (g *Gateway) version() int64 {
+	if c := g.current.Load(); c != nil {
+		return int64(c.Version)
+	}
+	return 0
 }
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -6,10 +6,9 @@
 	"sync"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/messenger"
+	"github.com/egretwall/egretwall/internal/observer"
 	"github.com/egretwall/egretwall/internal/registrar"
 	"github.com/egretwall/egretwall/internal/stocker"
 )
@@ -40,7 +39,15 @@
 	Directory Directory
 	Fencer    Fencer
 	Runner    stocker.Runner
-	Logger    zerolog.Logger
+	Admin     string // address for operators
+	Log       *observer.BoundedLog
+}
+
+// StewardMetrics is what a steward counts.
+type StewardMetrics struct {
+	stocker.Counters
+	Gateways int   `json:"gateways"` // heard lately
+	Dropped  int64 `json:"dropped"`  // log lines
 }
 
 // Steward runs a stocker beside a model runner.
@@ -56,12 +63,13 @@
 	stopping chan struct{}
 
 	messenger *messenger.Messenger
+	admin     *observer.Admin
 }
 
 // NewSteward listens on the steward's address.
 func NewSteward(cfg StewardConfig) (*Steward, error) {
 	s := &Steward{
-		cfg: cfg, dir: newDirectory(cfg.Directory, cfg.Logger, stewardPace), gateways: map[netip.AddrPort]time.Duration{},
+		cfg: cfg, dir: newDirectory(cfg.Directory, cfg.Log.Logger, stewardPace), gateways: map[netip.AddrPort]time.Duration{},
 		orders: make(chan stocker.Order, 1), asked: make(chan struct{}, 1), stopping: make(chan struct{}, 1),
 	}
 	s.stocker = stocker.New(stocker.Config{Address: cfg.Upstream, Holder: cfg.Name, Window: cfg.Window})
@@ -72,10 +80,27 @@
 		return nil, classifier.Wrap(classifier.Invalid, err, "peer address")
 	}
 	s.port = peer.Port()
-	s.messenger, err = messenger.New(messenger.Config{Address: cfg.Peer, Handle: s.hear, Logger: cfg.Logger})
+	if s.messenger, err = messenger.New(messenger.Config{Address: cfg.Peer, Handle: s.hear, Logger: cfg.Log.Logger}); err != nil {
+		return nil, err
+	}
+	s.admin, err = observer.NewAdmin(observer.AdminConfig{
+		Name: cfg.Name, Address: cfg.Admin, Health: func() bool { return true }, Dump: s.dump, Metrics: s.metrics,
+	})
 	return s, err
 }
 
+func (s *Steward) dump() any {
+	s.dir.mu.Lock()
+	defer s.dir.mu.Unlock()
+	return s.stocker.Dump(s.dir.now())
+}
+
+func (s *Steward) metrics() any {
+	s.dir.mu.Lock()
+	defer s.dir.mu.Unlock()
+	return StewardMetrics{Counters: s.stocker.Counters, Gateways: s.stocker.Gateways(), Dropped: s.cfg.Log.Limit.Dropped()}
+}
+
 // Stop ends the steward; it has no requests to finish.
 func (s *Steward) Stop() {
 	select {
@@ -95,13 +120,17 @@
 	for _, part := range []func(context.Context){s.dir.run, s.messenger.Run, s.fence, s.poll, s.order} {
 		g.Go(func() { part(ctx) })
 	}
+	failed := make(chan error, 1)
+	g.Go(func() { failed <- s.admin.Run(ctx) })
+	var err error
 	select {
+	case err = <-failed:
 	case <-s.stopping:
 	case <-ctx.Done():
 	}
 	cancel()
 	g.Wait()
-	return nil
+	return err
 }
 
 // fence gets the number that this run's orders carry.
@@ -109,11 +138,11 @@
 	for ctx.Err() == nil {
 		fence, err := s.cfg.Fencer.Fence(ctx, s.cfg.Name)
 		if err == nil {
-			s.cfg.Logger.Info().Int64("fence", fence).Msg("fencing number taken")
+			s.cfg.Log.Logger.Info().Int64("fence", fence).Msg("fencing number taken")
 			s.reduce(stocker.Fenced{Fence: fence})
 			return
 		}
-		s.cfg.Logger.Warn().Err(err).Msg("no fencing number")
+		s.cfg.Log.Logger.Warn().Err(err).Msg("no fencing number")
 		pause(ctx, fencePause)
 	}
 }
@@ -128,8 +157,9 @@
 		}
 		if (err == nil) != up && ctx.Err() == nil {
 			up = err == nil
-			s.cfg.Logger.Info().Bool("up", up).AnErr("cause", err).Int64("born", state.Born).Msg("runner reached or lost")
+			s.cfg.Log.Logger.Info().Bool("up", up).AnErr("cause", err).Int64("born", state.Born).Msg("runner reached or lost")
 		}
+		s.cfg.Log.Report()
 		t := time.NewTimer(reportPeriod)
 		select {
 		case <-t.C:
@@ -147,7 +177,7 @@
 			return
 		case o := <-s.orders:
 			result, err := s.cfg.Runner.Order(ctx, o)
-			s.cfg.Logger.Info().Str("op", string(o.Op)).Str("model", string(o.Model)).Str("adapter", string(o.Adapter)).
+			s.cfg.Log.Logger.Info().Str("op", string(o.Op)).Str("model", string(o.Model)).Str("adapter", string(o.Adapter)).
 				Int64("sequence", o.Sequence).Str("reason", o.Reason).Str("result", string(result)).AnErr("cause", err).Msg("order")
 			s.reduce(stocker.Ordered{Order: o, Result: result})
 			select {
@@ -217,7 +247,7 @@
 func (s *Steward) tell(t stocker.Tell) {
 	data, err := messenger.Encode(messenger.Message{Name: s.cfg.Name, Report: &t.Report})
 	if err != nil {
-		s.cfg.Logger.Error().Err(err).Msg("report not encoded")
+		s.cfg.Log.Logger.Error().Err(err).Msg("report not encoded")
 		return
 	}
 	for gateway, heard := range s.gateways {
--- a/internal/loader/platform.go
+++ b/internal/loader/platform.go
@@ -12,6 +12,7 @@
 	Callers string              `json:"callers"` // address for callers
 	Health  string              `json:"health"`  // address on which the balancer asks
 	Peer    string              `json:"peer"`    // address for datagrams; the port is the same on all instances
+	Admin   string              `json:"admin"`   // address for operators: metrics, dump
 	Store   string              `json:"store"`   // the platform's store
 	Grace   configurator.Millis `json:"grace"`   // from SIGTERM to SIGKILL
 	Slack   float64             `json:"slack"`   // repeats in a window beyond a share of the requests, of all gateways
@@ -24,6 +25,7 @@
 	Service  string              `json:"service"`  // of the runner beside it
 	Upstream string              `json:"upstream"` // address of that runner
 	Peer     string              `json:"peer"`     // address for datagrams; the port is the same on all instances
+	Admin    string              `json:"admin"`    // address for operators: metrics, dump
 	Store    string              `json:"store"`    // the platform's store
 	Window   configurator.Millis `json:"window"`   // over which loads from the weight store are counted
 }
@@ -48,7 +50,7 @@
 		{"$.domain", s.Domain, "the failure domain of this instance"},
 	})
 	problems = append(problems, checkAddresses([][2]string{
-		{"$.callers", s.Callers}, {"$.health", s.Health}, {"$.peer", s.Peer}, {"$.store", s.Store},
+		{"$.callers", s.Callers}, {"$.health", s.Health}, {"$.peer", s.Peer}, {"$.admin", s.Admin}, {"$.store", s.Store},
 	})...)
 	for path, ms := range map[string]configurator.Millis{"$.grace": s.Grace, "$.window": s.Window} {
 		if ms <= 0 {
@@ -69,5 +71,5 @@
 	if s.Window <= 0 {
 		problems = append(problems, decoder.Problem{Path: "$.window", Text: "expected more than zero milliseconds"})
 	}
-	return append(problems, checkAddresses([][2]string{{"$.upstream", s.Upstream}, {"$.peer", s.Peer}, {"$.store", s.Store}})...)
+	return append(problems, checkAddresses([][2]string{{"$.upstream", s.Upstream}, {"$.peer", s.Peer}, {"$.admin", s.Admin}, {"$.store", s.Store}})...)
 }
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -104,6 +104,7 @@
 	r := router.New()
 	r.GET("/healthz", a.health)
 	r.GET("/debug/vars", expvarhandler.ExpvarHandler)
+	r.GET(MetricsPath, a.metrics)
 	r.GET("/dump", a.dump)
 	a.server = &fasthttp.Server{Handler: r.Handler, NoDefaultServerHeader: true, CloseOnShutdown: true, IdleTimeout: 10 * time.Second}
 	return a, nil
@@ -129,6 +130,19 @@
 	ctx.SetBodyString("ok\n")
 }
 
+// MetricsPath is where an admin server shows the metrics of its own process.
+const MetricsPath = "/metrics"
+
+func (a *Admin) metrics(ctx *fasthttp.RequestCtx) {
+	data, err := json.MarshalIndent(a.cfg.Metrics(), "", " ")
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(data, '\n'))
+}
+
 func (a *Admin) dump(ctx *fasthttp.RequestCtx) {
 	state := a.cfg.Dump()
 	data, err := json.MarshalIndent(state, "", "  ")
