Send what reached nobody elsewhere without the retry budget; weigh error rates

At 10 to 16 s 217 sends ended with status 500 from one runner whose other answers succeeded: the count of failures fell with each success, so that it got its full share of requests.

Change: a send that reached no upstream is no repeat; an upstream at whose address nothing listens is left alone until its next heartbeat; an upstream's error rate, forgotten over 4 s, weighs in the choice. TestRequestsFindAnotherUpstreamWithoutTheBudget and TestUpstreamThatFailsOftenGetsLess failed first.

Ruled out: placement (runners with the models had free slots).

--- a/internal/dispatcher/choosing.go
+++ b/internal/dispatcher/choosing.go
@@ -86,7 +86,7 @@
 // cost compares upstreams, in requests of load.
 func (d *Dispatcher) cost(s *server) float64 {
 	all, waiting := s.load(d.now, d.gateways)
-	cost := all + waitingCost*waiting + failureRuns*float64(s.failures)
+	cost := all + waitingCost*waiting + errorCost*s.errorRate(d.now)
 	if s.info.Domain != d.cfg.Domain {
 		cost += farCost
 	}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -74,6 +74,7 @@
 	try       Try
 	runs      int // sends that may have run
 	refusals  int // sends that upstreams refused
+	unsent    int // sends that reached no upstream
 	began     bool
 	kept      bool // a failure of an upstream is kept as the answer
 	maybe     bool // an earlier send may have run
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -138,6 +138,56 @@
 	require.Equal(t, classifier.RanUnknown, classifier.AnswerOf(answer.Kind).Ran)
 }
 
+// A crashed upstream refuses connections; what it refused has reached nobody, so
+// that the retry budget has nothing to do with it.
+func TestRequestsFindAnotherUpstreamWithoutTheBudget(t *testing.T) {
+	k := newDesk(t)
+	all := k.list(plain, 2)
+	k.d.budgets[plain] = &budget{}
+	k.d.cfg.Allowance = Allowance{}
+	absent := 0
+	for range 20 {
+		id, effects := k.ask(route(registrar.NonIdempotent, 1), "")
+		send := k.sent(effects)
+		if send.Upstream == "u1" {
+			absent++
+			send = k.sent(k.reduce(Returned{ID: id, Try: send.Try, Outcome: Absent}))
+		}
+		require.EqualValues(t, "u2", send.Upstream)
+		k.reduce(Returned{ID: id, Try: send.Try, Outcome: Whole})
+	}
+	require.Equal(t, 1, absent, "it is left alone until its next heartbeat")
+	all[0].Beat++
+	k.reduce(Listed{all})
+	seen := map[registrar.UpstreamID]bool{}
+	for range 4 {
+		_, effects := k.ask(route(registrar.NonIdempotent, 1), "")
+		seen[k.sent(effects).Upstream] = true
+	}
+	require.True(t, seen["u1"])
+}
+
+// An upstream that fails some of its requests gets few, although the others
+// succeed.
+func TestUpstreamThatFailsOftenGetsLess(t *testing.T) {
+	k := newDesk(t)
+	k.list(plain, 4)
+	count := map[registrar.UpstreamID]int{}
+	for n := range 400 {
+		id, effects := k.ask(route(registrar.NonIdempotent, 1), "")
+		send := k.sent(effects)
+		count[send.Upstream]++
+		outcome := Whole
+		if send.Upstream == "u1" && n%5 < 2 {
+			outcome = Failed
+		}
+		k.reduce(Returned{ID: id, Try: send.Try, Outcome: outcome})
+		k.now += 10 * time.Millisecond
+	}
+	require.Less(t, count["u1"], 40)
+	require.Positive(t, count["u1"])
+}
+
 func TestRunsStayWithinTheRoutesAttempts(t *testing.T) {
 	k := newDesk(t)
 	k.list(plain, 4)
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -71,6 +71,7 @@
 	Moved   Outcome = "moved"   // another instance has the address; it did not run it
 	Missing Outcome = "missing" // the upstream doesn't hold the model or adapter
 	Unsent  Outcome = "unsent"  // it never left the process
+	Absent  Outcome = "absent"  // nothing listens at the upstream's address
 	Unknown Outcome = "unknown" // it was sent and no usable answer came
 	Broken  Outcome = "broken"  // a part of the answer has reached the caller
 	Closed  Outcome = "closed"  // the caller closed its connection
--- a/internal/dispatcher/returning.go
+++ b/internal/dispatcher/returning.go
@@ -22,7 +22,8 @@
 	case Whole:
 		d.Counters.Whole++
 		d.emit(Note{Name: "request served", Request: r.Name, Peer: s.info.ID, Try: r.try, Waiting: d.waiting, Age: d.reportAge(s), Held: r.sent - r.arrived, Took: d.now - r.arrived})
-		s.failures = max(0, s.failures-1)
+		s.failures = 0
+		s.result(d.now, false)
 		delete(d.requests, r.ID)
 	case Closed:
 		d.Counters.Left++
@@ -38,9 +39,12 @@
 		d.again(r, s, classifier.Loading)
 	case Unsent:
 		s.fail(d.now)
-		d.again(r, s, classifier.Busy)
+		d.elsewhere(r, s)
+	case Absent:
+		s.absent, s.lastBeat = true, s.info.Beat
+		d.elsewhere(r, s)
 	case Failed:
-		s.strikes(d.now)
+		s.result(d.now, true)
 		r.kept, r.maybe = true, true
 		r.runs++
 		d.repeat(r, s, classifier.Lost)
@@ -76,6 +80,22 @@
 	d.enqueue(r)
 }
 
+// elsewhere sends a request that has not reached an upstream to another one.
+// That is no repeat: no upstream has seen it.
+func (d *Dispatcher) elsewhere(r *request, s *server) {
+	r.avoid = s.info.ID
+	r.unsent++
+	if r.unsent >= unsentTries || d.now >= r.Deadline-timeoutSlack {
+		if r.began {
+			d.lose(r, classifier.Broken)
+			return
+		}
+		d.refuse(r, classifier.Busy, d.drainTime(r))
+		return
+	}
+	d.enqueue(r)
+}
+
 // repeat runs a request that may have run once more where that is allowed.
 func (d *Dispatcher) repeat(r *request, s *server, kind classifier.Kind) {
 	r.avoid = s.info.ID
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -21,6 +21,9 @@
 	wanted   map[lane]time.Duration
 	listed   bool
 	gone     bool // another instance answers at its address
+	absent   bool // nothing listened at its address when its last heartbeat was lastBeat
+	lastBeat int64
+	errors   average // share of the sends that failed lately
 }
 
 // list takes over the live upstreams.
@@ -127,13 +130,26 @@
 	return kept
 }
 
-// strikes counts a failure that the upstream answered itself.
-func (s *server) strikes(time.Duration) {
-	s.failures++
+// result records whether a send succeeded.
+func (s *server) result(now time.Duration, failed bool) {
+	rate := s.errorRate(now) * (1 - errorShare)
+	if failed {
+		rate += errorShare
+	}
+	s.errors.value = rate
+}
+
+// errorRate is the share of sends that failed lately. It falls with time, so
+// that an upstream that gets little work because of it is tried again.
+func (s *server) errorRate(now time.Duration) float64 {
+	s.errors.life = errorLife
+	s.errors.decay(now)
+	return s.errors.value
 }
 
 // fail counts a failure and avoids the upstream for a while.
 func (s *server) fail(now time.Duration) {
+	s.result(now, true)
 	s.failures++
 	pause := min(avoidFirst<<min(s.failures-1, 8), avoidLimit)
 	s.avoid = max(s.avoid, now+pause)
@@ -141,6 +157,9 @@
 
 // takes tells whether the upstream may get new work.
 func (s *server) takes() bool {
+	if s.absent && s.info.Beat <= s.lastBeat {
+		return false
+	}
 	return s.listed && !s.gone && s.info.State == registrar.Ready && (!s.told || !s.report.Draining)
 }
 
--- a/internal/dispatcher/timing.go
+++ b/internal/dispatcher/timing.go
@@ -15,6 +15,7 @@
 	timeoutSlack = 20 * time.Millisecond  // the caller's answer leaves this much before its limit
 	retryFloor   = 200 * time.Millisecond // shortest Retry-After
 	coldPatience = 0.5                    // share of the time left that a request may wait for its model
+	errorLife    = 4 * time.Second        // over which an error rate is forgotten
 	flowLife     = time.Second            // over which sends are averaged
 )
 
@@ -28,6 +29,7 @@
 // Limits of decisions.
 const (
 	waitingBound    = 400  // requests that may wait at one gateway; their bodies bound its memory
+	unsentTries     = 8    // sends that reached no upstream, for one request
 	refusalTries    = 3    // sends that upstreams refused, for one request
 	minOpen         = 3    // sends that one gateway may always have open at an upstream
 	lineShare       = 1.5  // work units that the gateways together may have open for each slot of a plain service
@@ -40,7 +42,8 @@
 	latePriority    = 7    // of requests that missed their target, admitted after all others
 	assumedGateways = 8    // until a steward says how many there are; more than the users run today
 	priorityRange   = 5    // routes' priorities above it count as it
-	failureRuns     = 4.0  // requests of load that each recent failure weighs
+	errorCost       = 60.0 // requests of load that an upstream may have less for each unit of its error rate, a full batch for one that always fails
+	errorShare      = 0.2  // weight of the last send in the error rate
 )
 
 // Shares of the retry budget that one gateway may use. All gateways together
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/egretwall/egretwall/internal/dispatcher"
@@ -138,6 +139,9 @@
 		if ctx.Err() != nil {
 			return dispatcher.Closed, "caller left"
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return dispatcher.Absent, err.Error()
+		}
 		return dispatcher.Unsent, err.Error()
 	}
 	stop := context.AfterFunc(ctx, conn.abort)
