--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,8 @@
 decoders:
 	for t in decoder:FuzzDecode generator:FuzzGenerate loader:FuzzSettings acceptor:FuzzParseCall forwarder:FuzzReadEvent forwarder:FuzzEngineBody recorder:FuzzDecode; do \
 		go test -run '^$$' -fuzz $${t#*:}'$$' -fuzztime 10s ./internal/$${t%:*} || exit 1; done
+	for t in FuzzDecodeServer FuzzDecodeConfiguration FuzzSplitRecords; do \
+		go test -run '^$$' -fuzz $$t'$$' -fuzztime 10s ./platform || exit 1; done
 
 mutants:
 	go test -count=1 -v -run 'Mutants|Chunks|LostOrders|Reverting|Forgetting|HistoryCheck' ./internal/reducer ./internal/follower ./internal/reserver ./internal/demonstrator
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -148,8 +148,15 @@
 
 func (r *Registrar) regroup() {
 	r.groups = map[ServiceName][]*Upstream{}
+	latest := map[string]int64{} // start of the newest instance by address
+	for _, e := range r.entries {
+		latest[e.upstream.Address] = max(latest[e.upstream.Address], e.upstream.Born)
+	}
 	for _, e := range r.entries {
 		u := &e.upstream
+		if u.Born < latest[u.Address] {
+			continue // its address belongs to another instance now
+		}
 		r.groups[u.Service] = append(r.groups[u.Service], u)
 	}
 	for _, g := range r.groups {
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -13,6 +13,12 @@
 	return Change{ID: id, Upstream: &Upstream{ID: id, Service: "s", Address: "10.0.0.1:80", Born: born, Beat: beat, State: state}}
 }
 
+// at moves the entry of a change to another address.
+func at(c Change, address string) Change {
+	c.Upstream.Address = address
+	return c
+}
+
 func ids(r *Registrar) []UpstreamID {
 	var all []UpstreamID
 	for _, u := range r.Upstreams("s") {
@@ -75,3 +81,12 @@
 	r.Replace(0, []Change{upstream("b", 1, 2, Ready)})
 	require.Equal(t, []UpstreamID{"b"}, ids(r))
 }
+
+// An entry lives on for seconds after its instance has ended; the newest
+// instance of an address has it.
+func TestAddressBelongsToItsNewestInstance(t *testing.T) {
+	r := New(Config{})
+	r.Apply(0, []Change{upstream("a", 1, 9, Ready), at(upstream("b", 1, 1, Ready), "10.0.0.2:80")})
+	r.Apply(0, []Change{upstream("c", 5, 1, Ready)})
+	require.Equal(t, []UpstreamID{"b", "c"}, ids(r))
+}
