Move streams from silent upstreams, and tell gateways of lost runners

Callers give up a stream after 2.4 s of silence; a runner that hangs kept it until then.

Cause: only a failed connection ended a send. Now a repeatable stream whose runner has room and yet is silent for twice the target (or four pauses between events) goes on elsewhere, if another upstream can take it and the retry budget allows; otherwise it is waited for. A steward tells when its runner does not answer, and an upstream without reports for 0.8 s comes last.

--- a/internal/dispatcher/choosing.go
+++ b/internal/dispatcher/choosing.go
@@ -61,7 +61,7 @@
 	for _, avoided := range []bool{false, true} {
 		ties := 0
 		for _, s := range group {
-			shunned := d.now < s.avoid || s.info.ID == r.avoid
+			shunned := d.now < s.avoid || s.info.ID == r.avoid || s.silent(d.now)
 			if !s.takes() || shunned != avoided || !allowed(s) {
 				continue
 			}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -72,9 +72,10 @@
 	arrived   time.Duration
 	server    *server // of the send under way
 	try       Try
-	runs      int // sends that may have run
-	refusals  int // sends that upstreams refused
-	unsent    int // sends that reached no upstream
+	runs      int  // sends that may have run
+	refusals  int  // sends that upstreams refused
+	unsent    int  // sends that reached no upstream
+	switched  bool // the budget has been spent for the next send
 	began     bool
 	kept      bool // a failure of an upstream is kept as the answer
 	maybe     bool // an earlier send may have run
@@ -119,6 +120,8 @@
 		d.leave(ev.ID)
 	case Began:
 		d.begin(ev)
+	case Stalled:
+		d.stalled(ev)
 	case Returned:
 		d.returned(ev)
 		d.pump()
@@ -251,10 +254,14 @@
 		d.flows[f] = &average{life: flowLife, at: d.now}
 	}
 	d.flows[f].add(d.now, 1)
-	d.emit(Send{
+	e := Send{
 		ID: r.ID, Try: r.try, Upstream: s.info.ID, Address: s.info.Address,
 		Budget: r.Deadline - d.now, Priority: d.priority(r),
-	})
+	}
+	if r.Route.Kind == registrar.Streaming && r.Route.Repeatable() {
+		e.First, e.Gap = max(stallTargets*r.Route.Target, stallFloor), max(stallPauses*r.Route.Pause, stallFloor)
+	}
+	d.emit(e)
 }
 
 func (d *Dispatcher) priority(r *request) int {
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -329,6 +329,58 @@
 	require.Len(t, open, 8)
 }
 
+// A stream whose runner has room and yet is silent goes on elsewhere.
+func TestSilentStreamGoesOnElsewhere(t *testing.T) {
+	k := newDesk(t)
+	all := k.list(runners, 2, "m")
+	id, effects := k.ask(route(registrar.Streaming, 2), "m")
+	first := k.sent(effects)
+	require.Positive(t, first.First)
+	k.now += first.First
+	for _, u := range all {
+		k.reduce(Reported{Report{Address: u.Address, Holdings: u.Holdings, Running: 1}})
+	}
+	require.Equal(t, []Effect{Switch{id}}, k.reduce(Stalled{id, first.Try}))
+	require.Empty(t, k.reduce(Stalled{id, first.Try}), "once")
+	second := k.sent(k.reduce(Returned{ID: id, Try: first.Try, Outcome: Unknown}))
+	require.NotEqual(t, first.Upstream, second.Upstream)
+}
+
+// Silence is no reason to end an answer that nobody else can go on with.
+func TestSilentStreamWithoutAnotherUpstreamIsWaitedFor(t *testing.T) {
+	k := newDesk(t)
+	k.list(runners, 1, "m")
+	id, effects := k.ask(route(registrar.Streaming, 2), "m")
+	require.Empty(t, k.reduce(Stalled{id, k.sent(effects).Try}))
+	k = newDesk(t)
+	k.list(runners, 2, "m")
+	once := route(registrar.Streaming, 2)
+	once.Resumable = false
+	id, effects = k.ask(once, "m")
+	require.Zero(t, k.sent(effects).First)
+	require.Empty(t, k.reduce(Stalled{id, 1}))
+}
+
+// A full runner makes its requests wait; that is not silence.
+func TestStreamAtAFullRunnerIsWaitedFor(t *testing.T) {
+	k := newDesk(t)
+	all := k.list(runners, 2, "m")
+	id, effects := k.ask(route(registrar.Streaming, 2), "m")
+	for _, u := range all {
+		k.reduce(Reported{Report{Address: u.Address, Holdings: u.Holdings, Running: 60, Waiting: 3}})
+	}
+	require.Empty(t, k.reduce(Stalled{id, k.sent(effects).Try}))
+}
+
+func TestUpstreamThatItsStewardHasLostComesLast(t *testing.T) {
+	k := newDesk(t)
+	all := k.list(runners, 2, "m")
+	k.reduce(Reported{Report{Address: all[0].Address, Holdings: all[0].Holdings, Lost: true}})
+	k.reduce(Reported{Report{Address: all[1].Address, Holdings: all[1].Holdings, Running: 40}})
+	_, effects := k.ask(route(registrar.Streaming, 2), "m")
+	require.EqualValues(t, "u2", k.sent(effects).Upstream)
+}
+
 func TestTimeLimitEndsASend(t *testing.T) {
 	k := newDesk(t)
 	k.list(plain, 1)
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -52,6 +52,13 @@
 	Try Try
 }
 
+// Stalled tells that nothing of an upstream's answer has come for as long as its
+// Send allows.
+type Stalled struct {
+	ID  RequestID
+	Try Try
+}
+
 // Returned tells how a send ended.
 type Returned struct {
 	ID      RequestID
@@ -105,6 +112,7 @@
 	Total    registrar.Tokens    `json:"total"`
 	Draining bool                `json:"draining"`
 	Busy     bool                `json:"busy"`     // it takes no orders now
+	Lost     bool                `json:"lost"`     // it does not answer its steward
 	Gateways int                 `json:"gateways"` // gateways that the steward hears
 	Claimed  bool                `json:"claimed"`  // Loading waits for its turn at the weight store
 	Stored   time.Duration       `json:"stored"`   // since the last load from the weight store began, negative before the first
@@ -117,6 +125,7 @@
 func (Arrived) event()    {}
 func (Left) event()       {}
 func (Began) event()      {}
+func (Stalled) event()    {}
 func (Returned) event()   {}
 
 // Effect is an output of the dispatcher, which its driver carries out.
@@ -130,8 +139,13 @@
 	Address  string
 	Budget   time.Duration // time left for the answer
 	Priority int           // 0 is admitted first
+	First    time.Duration // without an answer's beginning for so long it is Stalled, never when zero
+	Gap      time.Duration // the same between two parts of the answer
 }
 
+// Switch stops the send under way, so that another upstream may go on.
+type Switch struct{ ID RequestID }
+
 // Answer ends a request without an upstream's answer.
 type Answer struct {
 	ID         RequestID
@@ -173,5 +187,6 @@
 func (Answer) effect()  {}
 func (Deliver) effect() {}
 func (Abort) effect()   {}
+func (Switch) effect()  {}
 func (Want) effect()    {}
 func (Note) effect()    {}
--- a/internal/dispatcher/returning.go
+++ b/internal/dispatcher/returning.go
@@ -102,10 +102,11 @@
 	b := d.budget(r.Service)
 	b.earn(d.now, d.cfg.Allowance, d.gateways, 0)
 	left := r.Deadline - d.now
-	if !r.Route.Repeatable() || r.runs >= max(1, r.Route.Attempts) || left < minimumRun(r) || !b.spend() {
+	if !r.Route.Repeatable() || r.runs >= max(1, r.Route.Attempts) || left < minimumRun(r) || !r.switched && !b.spend() {
 		d.lose(r, kind)
 		return
 	}
+	r.switched = false
 	d.Counters.Repeated++
 	if r.began {
 		d.Counters.Resumed++
@@ -113,6 +114,45 @@
 	d.enqueue(r)
 }
 
+// stalled moves a stream to another upstream if the one that has it has room
+// and yet is silent, or is not heard of any more. Without another upstream to go
+// on, silence is no reason to end an answer.
+func (d *Dispatcher) stalled(ev Stalled) {
+	r := d.requests[ev.ID]
+	if r == nil || r.try != ev.Try || r.server == nil || r.switched {
+		return
+	}
+	s := r.server
+	if !r.Route.Repeatable() || r.runs+1 >= max(1, r.Route.Attempts) || r.Deadline-d.now < minimumRun(r) || !r.began && !d.idle(s) {
+		return
+	}
+	avoid := r.avoid
+	r.avoid = s.info.ID
+	other := d.choose(r)
+	if other == nil || other == s {
+		r.avoid = avoid
+		return
+	}
+	b := d.budget(r.Service)
+	b.earn(d.now, d.cfg.Allowance, d.gateways, 0)
+	if !b.spend() {
+		return
+	}
+	r.switched = true
+	r.lastCause = "silent upstream"
+	d.emit(Note{Name: "upstream silent", Request: r.Name, Peer: s.info.ID, Try: r.try, Waiting: d.waiting, Age: d.reportAge(s)})
+	d.emit(Switch{r.ID})
+}
+
+// idle tells whether a request at the upstream should have begun by now.
+func (d *Dispatcher) idle(s *server) bool {
+	if s.silent(d.now) {
+		return true
+	}
+	all, waiting := s.load(d.now, d.gateways)
+	return all < float64(d.slots(s))*idleFill && waiting <= idleWaiting
+}
+
 // minimumRun is the time below which a further run has no chance.
 func minimumRun(r *request) time.Duration {
 	return min(r.Route.Target, retryFloor) / 2
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -76,6 +76,12 @@
 	return s.told && now-s.at < reportLife
 }
 
+// silent tells whether the upstream, or the steward beside it, has stopped
+// answering.
+func (s *server) silent(now time.Duration) bool {
+	return s.told && (s.report.Lost || now-s.at >= silentReports)
+}
+
 // load estimates the requests at the upstream and those among them that wait
 // there, of all gateways. The others are taken to have sent as much since the
 // report as this one has, so that they don't all fill the same free slots.
--- a/internal/dispatcher/timing.go
+++ b/internal/dispatcher/timing.go
@@ -7,16 +7,18 @@
 
 // Timing of decisions.
 const (
-	reportLife   = 2 * time.Second        // an older report says nothing of the load; several lost datagrams
-	wantPeriod   = 60 * time.Millisecond  // an adapter is asked for again, a lost datagram and its answer
-	avoidFirst   = 200 * time.Millisecond // after a failed send, doubled with each further one
-	avoidLimit   = 3 * time.Second        // longest avoidance, a crashed upstream's restart
-	fullPause    = 40 * time.Millisecond  // after an upstream said that it is full, about one work unit
-	timeoutSlack = 20 * time.Millisecond  // the caller's answer leaves this much before its limit
-	retryFloor   = 200 * time.Millisecond // shortest Retry-After
-	coldPatience = 0.5                    // share of the time left that a request may wait for its model
-	errorLife    = 4 * time.Second        // over which an error rate is forgotten
-	flowLife     = time.Second            // over which sends are averaged
+	reportLife    = 2 * time.Second        // an older report says nothing of the load; several lost datagrams
+	silentReports = 800 * time.Millisecond // without reports an upstream's instance may be gone; five lost ones
+	stallFloor    = 700 * time.Millisecond // shortest silence for which a stream is moved
+	wantPeriod    = 60 * time.Millisecond  // an adapter is asked for again, a lost datagram and its answer
+	avoidFirst    = 200 * time.Millisecond // after a failed send, doubled with each further one
+	avoidLimit    = 3 * time.Second        // longest avoidance, a crashed upstream's restart
+	fullPause     = 40 * time.Millisecond  // after an upstream said that it is full, about one work unit
+	timeoutSlack  = 20 * time.Millisecond  // the caller's answer leaves this much before its limit
+	retryFloor    = 200 * time.Millisecond // shortest Retry-After
+	coldPatience  = 0.5                    // share of the time left that a request may wait for its model
+	errorLife     = 4 * time.Second        // over which an error rate is forgotten
+	flowLife      = time.Second            // over which sends are averaged
 )
 
 // Callers give up a stream that is silent for the longest of these.
@@ -29,6 +31,10 @@
 // Limits of decisions.
 const (
 	waitingBound    = 400  // requests that may wait at one gateway; their bodies bound its memory
+	stallTargets    = 2    // targets of the route without a beginning before a stream is moved
+	stallPauses     = 4    // longest pauses of the route without an event before a stream is moved
+	idleFill        = 0.7  // of a batch below which a request that was sent should have begun
+	idleWaiting     = 2.0  // requests that wait at such an upstream
 	unsentTries     = 8    // sends that reached no upstream, for one request
 	refusalTries    = 3    // sends that upstreams refused, for one request
 	minOpen         = 3    // sends that one gateway may always have open at an upstream
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -352,6 +352,8 @@
 		switch ef := effect.(type) {
 		case dispatcher.Send:
 			g.boxes[ef.ID].Put(ef)
+		case dispatcher.Switch:
+			g.boxes[ef.ID].Put(ef)
 		case dispatcher.Abort:
 			g.boxes[ef.ID].Put(ef)
 		case dispatcher.Answer:
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -152,8 +152,11 @@
 	up := true
 	for ctx.Err() == nil {
 		state, err := s.cfg.Runner.Report(ctx)
-		if err == nil {
+		switch {
+		case err == nil:
 			s.reduce(stocker.Reported{State: state})
+		case ctx.Err() == nil:
+			s.reduce(stocker.Lost{})
 		}
 		if (err == nil) != up && ctx.Err() == nil {
 			up = err == nil
--- a/internal/relayer/events.go
+++ b/internal/relayer/events.go
@@ -22,11 +22,14 @@
 }
 
 // relayEvents passes the whole events of a stream on as they come.
-func (g *Gateway) relayEvents(ctx context.Context, a *answer, out *outgoing, e dispatcher.Send) (dispatcher.Outcome, string) {
+func (g *Gateway) relayEvents(ctx context.Context, a *answer, out *outgoing, e dispatcher.Send, stall *stall) (dispatcher.Outcome, string) {
 	buf := make([]byte, 0, readBuffer)
 	chunk := make([]byte, readBuffer)
 	for {
 		n, err := a.response.Body.Read(chunk)
+		if n > 0 {
+			stall.progress()
+		}
 		buf = append(buf, chunk[:n]...)
 		if end := bytes.LastIndex(buf, eventEnd); n > 0 && end >= 0 {
 			end += len(eventEnd)
--- a/internal/relayer/mailbox.go
+++ b/internal/relayer/mailbox.go
@@ -21,13 +21,18 @@
 	return &Mailbox{signal: make(chan struct{}, 1)}
 }
 
-// Put adds an effect. An Abort also stops the send under way.
+// Put adds an effect. An Abort or Switch also stops the send under way.
 func (m *Mailbox) Put(e dispatcher.Effect) {
 	m.mu.Lock()
-	m.queue = append(m.queue, e)
 	var abort func()
-	if _, ok := e.(dispatcher.Abort); ok {
+	switch e.(type) {
+	case dispatcher.Abort:
+		m.queue = append(m.queue, e)
 		abort, m.ended = m.abort, true
+	case dispatcher.Switch:
+		abort = m.abort
+	default:
+		m.queue = append(m.queue, e)
 	}
 	m.mu.Unlock()
 	if abort != nil {
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -148,6 +148,8 @@
 	defer stop()
 	unguard := box.Guard(conn.abort)
 	defer unguard()
+	stall := newStall(e, func() { g.cfg.Decider.Reduce(dispatcher.Stalled{ID: e.ID, Try: e.Try}) })
+	defer stall.stop()
 	if err := conn.SetDeadline(time.Now().Add(e.Budget + answerSlack)); err != nil {
 		conn.abort()
 		return dispatcher.Unsent, err.Error()
@@ -165,8 +167,7 @@
 		return outcomeOf(ctx, out), err.Error()
 	}
 	a := &answer{conn: conn, response: resp, reply: reply, written: written}
-	outcome, cause := g.take(ctx, a, out, e)
-	return outcome, cause
+	return g.take(ctx, a, out, e, stall)
 }
 
 // outcomeOf is the outcome of a send whose connection failed.
@@ -181,7 +182,7 @@
 }
 
 // take passes an answer on, or tells why it can't be.
-func (g *Gateway) take(ctx context.Context, a *answer, out *outgoing, e dispatcher.Send) (dispatcher.Outcome, string) {
+func (g *Gateway) take(ctx context.Context, a *answer, out *outgoing, e dispatcher.Send, stall *stall) (dispatcher.Outcome, string) {
 	resp := a.response
 	status := resp.StatusCode
 	if a.reply.NotRun || status == http.StatusMisdirectedRequest {
@@ -195,7 +196,7 @@
 		return outcomeOf(ctx, out), errShape.Error() + " (status " + strconv.Itoa(status) + ")"
 	}
 	if status < 300 && isEventStream(resp.Header) {
-		return g.relayEvents(ctx, a, out, e)
+		return g.relayEvents(ctx, a, out, e, stall)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, answerBound))
 	if err != nil {
--- a/internal/stocker/event.go
+++ b/internal/stocker/event.go
@@ -93,6 +93,9 @@
 // Reported carries the runner's state.
 type Reported struct{ State State }
 
+// Lost tells that the runner doesn't answer.
+type Lost struct{}
+
 // Demanded carries what the callers of one gateway ask for.
 type Demanded struct {
 	Gateway string
@@ -118,6 +121,7 @@
 func (Configured) event() {}
 func (Listed) event()     {}
 func (Reported) event()   {}
+func (Lost) event()       {}
 func (Demanded) event()   {}
 func (Told) event()       {}
 func (Wanted) event()     {}
--- a/internal/stocker/stocker.go
+++ b/internal/stocker/stocker.go
@@ -28,6 +28,7 @@
 	peers   []*registrar.Upstream
 	state   State
 	settled bool // the state is newer than the last order's answer
+	lost    bool // the runner doesn't answer
 	fence   int64
 
 	sending  bool                // an order has no answer yet
@@ -111,6 +112,9 @@
 		s.observe(ev.State)
 		s.decide()
 		s.tell()
+	case Lost:
+		s.lost, s.settled = true, false
+		s.tell()
 	case Demanded:
 		s.demands[ev.Gateway] = demand{now, ev.Demands}
 	case Told:
@@ -139,7 +143,7 @@
 	if st.Born != s.state.Born {
 		s.leaving, s.loading = "", ""
 	}
-	s.state, s.settled = st, true
+	s.state, s.settled, s.lost = st, true, false
 	if !s.holds(s.leaving) {
 		s.leaving = ""
 	}
@@ -186,7 +190,7 @@
 	rep := dispatcher.Report{
 		Address: s.cfg.Address, Born: s.state.Born, Sequence: s.state.Sequence, Loading: s.loading,
 		Ready: max(0, s.loaded-s.now), Running: s.state.Running, Waiting: s.state.Waiting, Stored: -1,
-		Used: s.state.Used, Total: s.state.Total, Draining: s.state.Draining, Busy: s.state.Busy, Gateways: s.Gateways(),
+		Used: s.state.Used, Total: s.state.Total, Draining: s.state.Draining, Busy: s.state.Busy, Lost: s.lost, Gateways: s.Gateways(),
 	}
 	if s.storing {
 		rep.Stored = s.now - s.stored
@@ -194,7 +198,7 @@
 	if rep.Loading == "" && s.claim.model != "" {
 		rep.Loading, rep.Claimed = s.claim.model, true
 	}
-	key := fmt.Sprint(rep.Loading, rep.Claimed, s.stored)
+	key := fmt.Sprint(rep.Loading, rep.Claimed, s.stored, s.lost)
 	for _, h := range s.state.Holdings {
 		if h.Model != s.leaving {
 			rep.Holdings = append(rep.Holdings, h)
