--- a/internal/stocker/deciding.go
+++ b/internal/stocker/deciding.go
@@ -109,7 +109,7 @@
 	}
 	if s.free(e) >= e.Models[m].Weights {
 		if s.turn(e, m) {
-			s.send(Load, m, "", reason)
+			s.send(Load, m, "", reason+", from "+s.source(m))
 		}
 		return
 	}
@@ -282,6 +282,17 @@
 	return best, best != ""
 }
 
+// source names where a load of the model comes from.
+func (s *Stocker) source(m registrar.ModelName) string {
+	switch {
+	case slices.Contains(s.state.Warm, m):
+		return "memory"
+	case slices.Contains(s.state.Disk, m):
+		return "disk"
+	}
+	return "store"
+}
+
 // atHand tells whether a load of the model needs nothing from the weight store.
 func (s *Stocker) atHand(m registrar.ModelName) bool {
 	return slices.Contains(s.state.Warm, m) || slices.Contains(s.state.Disk, m)
