Shorter and rarer messages with many gateways; find holders by model

Change: most reports leave out what the runner holds; both kinds come less often with more receivers; models asked for by few are left out and figures rounded. Fields that nothing used are gone.

--- /dev/null
+++ b/internal/dispatcher/bench_test.go
@@ -0,0 +1,40 @@
+package dispatcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+// BenchmarkRequest takes a request from its arrival to its answer at 600
+// runners, three models on each.
+func BenchmarkRequest(b *testing.B) {
+	const runnerCount, modelCount = 600, 840
+	d := New(Config{Domain: "a", Seed: 1, Allowance: Allowance{Slack: 100, Window: 10 * time.Second}})
+	d.Reduce(0, Configured{&registrar.Configuration{Services: map[registrar.ServiceName]registrar.Service{runners: {Engine: &registrar.Engine{Slots: 64}}}}})
+	var all []*registrar.Upstream
+	for i := range runnerCount {
+		u := &registrar.Upstream{ID: registrar.UpstreamID(fmt.Sprint("u", i)), Service: runners, Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), State: registrar.Ready}
+		for j := range 3 {
+			u.Holdings = append(u.Holdings, registrar.Holding{Model: registrar.ModelName(fmt.Sprint("m", (3*i+j)%modelCount))})
+		}
+		all = append(all, u)
+	}
+	d.Reduce(0, Listed{all})
+	r := route(registrar.Streaming, 2)
+	models := make([]registrar.ModelName, modelCount)
+	for i := range models {
+		models[i] = registrar.ModelName(fmt.Sprint("m", i))
+	}
+	now := time.Duration(0)
+	id := RequestID(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		id++
+		now += time.Millisecond
+		d.Reduce(now, Arrived{Request{ID: id, Route: r, Service: runners, Model: models[int(id)%modelCount], Prompt: 800, Output: 300, Deadline: now + time.Second}})
+		d.Reduce(now, Returned{ID: id, Try: 1, Outcome: Whole})
+	}
+}
--- a/internal/dispatcher/choosing.go
+++ b/internal/dispatcher/choosing.go
@@ -23,10 +23,10 @@
 
 // choose returns the upstream for the next send, nil when none can take it now.
 func (d *Dispatcher) choose(r *request) *server {
-	group := d.groups[r.Service]
 	if r.Model == "" {
-		return d.least(r, group, d.roomy)
+		return d.least(r, d.groups[r.Service], d.roomy)
 	}
+	group := d.holders(flowOf(r))
 	holds := func(s *server) bool {
 		model, adapter := s.has(d.now, r.Model, r.Adapter)
 		return model && adapter && d.roomy(s)
@@ -40,6 +40,30 @@
 	return nil
 }
 
+// holders lists the upstreams that hold a model by their report or by the list.
+func (d *Dispatcher) holders(f flow) []*server {
+	if d.index == nil {
+		d.index = map[flow][]*server{}
+		for service, group := range d.groups {
+			for _, s := range group {
+				d.addHolder(service, s)
+			}
+		}
+	}
+	return d.index[f]
+}
+
+func (d *Dispatcher) addHolder(service registrar.ServiceName, s *server) {
+	for _, holdings := range [][]registrar.Holding{s.info.Holdings, s.report.Holdings} {
+		for _, h := range holdings {
+			f := flow{service, h.Model}
+			if listed := d.index[f]; len(listed) == 0 || listed[len(listed)-1] != s {
+				d.index[f] = append(listed, s)
+			}
+		}
+	}
+}
+
 // roomy tells whether another request would soon be started at the upstream.
 func (d *Dispatcher) roomy(s *server) bool {
 	if d.now < s.full {
--- a/internal/dispatcher/demand.go
+++ b/internal/dispatcher/demand.go
@@ -50,12 +50,11 @@
 
 // Demand is what callers of one gateway ask of a model.
 type Demand struct {
-	Service registrar.ServiceName `json:"service"`
-	Model   registrar.ModelName   `json:"model"`
-	Work    float64               `json:"work"`    // a second, in prompt tokens, averaged over seconds
-	Recent  float64               `json:"recent"`  // the same over less than a second
-	Sample  float64               `json:"sample"`  // requests that Recent is from
-	Waiting float64               `json:"waiting"` // work of the requests that wait for it
+	Model   registrar.ModelName `json:"model"`
+	Work    float64             `json:"work"`              // a second, in prompt tokens, averaged over seconds
+	Recent  float64             `json:"recent"`            // the same over less than a second
+	Sample  float64             `json:"sample"`            // requests that Recent is from
+	Waiting float64             `json:"waiting,omitempty"` // work of the requests that wait for it
 }
 
 // outputCost is the work of an output token, in prompt tokens: what a step of a
@@ -80,7 +79,7 @@
 }
 
 // minDemand is the work a second below which a model counts as not asked for.
-const minDemand = 20
+const minDemand = 100
 
 // Demands lists what callers ask of models, by name.
 func (d *Dispatcher) Demands(now time.Duration) []Demand {
@@ -93,7 +92,10 @@
 			delete(d.demand, m)
 			continue
 		}
-		byModel[m] = &Demand{Model: m, Work: t.slow.value, Recent: t.fast.value, Sample: t.count.value * fastLife.Seconds()}
+		byModel[m] = &Demand{
+			Model: m, Work: math.Round(t.slow.value), Recent: math.Round(t.fast.value),
+			Sample: math.Round(10*t.count.value*fastLife.Seconds()) / 10,
+		}
 	}
 	for l, waiting := range d.lanes {
 		if l.model == "" {
@@ -104,7 +106,6 @@
 			m = &Demand{Model: l.model}
 			byModel[l.model] = m
 		}
-		m.Service = l.service
 		for _, r := range waiting {
 			m.Waiting += r.work()
 		}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -26,6 +26,7 @@
 	current  *registrar.Configuration
 	servers  map[registrar.UpstreamID]*server
 	groups   map[registrar.ServiceName][]*server // by id
+	index    map[flow][]*server                  // by what they hold; nil when it must be made anew
 	requests map[RequestID]*request
 	lanes    map[lane][]*request // waiting, the first to go first
 	order    []lane              // of lanes, for a fixed order of decisions
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -381,6 +381,17 @@
 	require.EqualValues(t, "u2", k.sent(effects).Upstream)
 }
 
+// Most reports leave out what a runner holds.
+func TestPartialReportKeepsWhatTheRunnerHolds(t *testing.T) {
+	k := newDesk(t)
+	all := k.list(runners, 2)
+	k.reduce(Reported{Report{Address: all[1].Address, Partial: true}})
+	k.reduce(Reported{Report{Address: all[0].Address, Holdings: []registrar.Holding{{Model: "m"}}}})
+	k.reduce(Reported{Report{Address: all[0].Address, Partial: true, Running: 3}})
+	_, effects := k.ask(route(registrar.Streaming, 2), "m")
+	require.EqualValues(t, "u1", k.sent(effects).Upstream)
+}
+
 func TestTimeLimitEndsASend(t *testing.T) {
 	k := newDesk(t)
 	k.list(plain, 1)
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -94,7 +94,6 @@
 	Adapter  registrar.AdapterName
 	Prompt   registrar.Tokens
 	Output   registrar.Tokens
-	Session  string        // the last part of its prompt
 	Deadline time.Duration // when the caller stops waiting
 }
 
@@ -102,20 +101,21 @@
 type Report struct {
 	Address  string              `json:"address"`
 	Born     int64               `json:"born"`
-	Sequence int64               `json:"sequence"` // orders accepted
-	Holdings []registrar.Holding `json:"holdings"`
-	Loading  registrar.ModelName `json:"loading"` // under way, empty when none is
-	Ready    time.Duration       `json:"ready"`   // until Loading has finished
-	Running  int                 `json:"running"`
-	Waiting  int                 `json:"waiting"`
-	Used     registrar.Tokens    `json:"used"` // KV memory that can't yield
-	Total    registrar.Tokens    `json:"total"`
-	Draining bool                `json:"draining"`
-	Busy     bool                `json:"busy"`     // it takes no orders now
-	Lost     bool                `json:"lost"`     // it does not answer its steward
-	Gateways int                 `json:"gateways"` // gateways that the steward hears
-	Claimed  bool                `json:"claimed"`  // Loading waits for its turn at the weight store
-	Stored   time.Duration       `json:"stored"`   // since the last load from the weight store began, negative before the first
+	Sequence int64               `json:"sequence,omitempty"` // orders accepted
+	Partial  bool                `json:"partial,omitempty"`  // Holdings are left out since they are as in the last report
+	Holdings []registrar.Holding `json:"holdings,omitempty"`
+	Loading  registrar.ModelName `json:"loading,omitempty"` // under way, empty when none is
+	Ready    time.Duration       `json:"ready,omitempty"`   // until Loading has finished
+	Running  int                 `json:"running,omitempty"`
+	Waiting  int                 `json:"waiting,omitempty"`
+	Used     registrar.Tokens    `json:"used,omitempty"` // KV memory that can't yield
+	Total    registrar.Tokens    `json:"total,omitempty"`
+	Draining bool                `json:"draining,omitempty"`
+	Busy     bool                `json:"busy,omitempty"`     // it takes no orders now
+	Lost     bool                `json:"lost,omitempty"`     // it does not answer its steward
+	Gateways int                 `json:"gateways,omitempty"` // gateways that the steward hears
+	Claimed  bool                `json:"claimed,omitempty"`  // Loading waits for its turn at the weight store
+	Stored   time.Duration       `json:"stored,omitempty"`   // since the last load from the weight store began, negative before the first
 }
 
 func (Tick) event()       {}
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -31,7 +31,7 @@
 	for _, s := range d.servers {
 		s.listed = false
 	}
-	d.groups = map[registrar.ServiceName][]*server{}
+	d.groups, d.index = map[registrar.ServiceName][]*server{}, nil
 	for _, u := range all {
 		s := d.servers[u.ID]
 		if s == nil || !s.info.Same(u) {
@@ -60,10 +60,23 @@
 		if s.info.Address != rep.Address || rep.Born != s.info.Born || s.told && rep.Sequence < s.report.Sequence {
 			continue
 		}
+		if rep.Partial {
+			if !s.told {
+				continue // the whole report comes within a second
+			}
+			rep.Holdings = s.report.Holdings
+		}
+		if !sameModels(s.report.Holdings, rep.Holdings) {
+			d.index = nil
+		}
 		s.report, s.told, s.at, s.ownThen = rep, true, d.now, s.open
 	}
 }
 
+func sameModels(a, b []registrar.Holding) bool {
+	return slices.EqualFunc(a, b, func(x, y registrar.Holding) bool { return x.Model == y.Model })
+}
+
 func (d *Dispatcher) reportAge(s *server) time.Duration {
 	if s == nil || !s.told {
 		return 0
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -20,7 +20,8 @@
 
 // Timing of gateways.
 const (
-	demandPeriod = 250 * time.Millisecond // of what stewards hear of the demand, well below a load's time
+	demandPeriod = 250 * time.Millisecond // shortest between two words on the demand, well below a load's time
+	stewardPause = 8 * time.Millisecond   // the same for each steward, so that many stewards hear it less often
 	sweepPeriod  = time.Second            // of closing idle connections to upstreams
 	drainNotice  = 3 * time.Second        // the balancer asks once a second and needs two misses
 	stopMargin   = 300 * time.Millisecond // before the platform kills the process
@@ -211,7 +212,7 @@
 		g.dir.expire()
 		g.apply(dispatcher.Tick{})
 		var demands []dispatcher.Demand
-		telling, sweeping := now-told >= demandPeriod, now-swept >= sweepPeriod
+		telling, sweeping := now-told >= max(demandPeriod, time.Duration(len(g.stewards))*stewardPause), now-swept >= sweepPeriod
 		if telling {
 			told = now
 			demands = g.dispatcher.Demands(now)
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -260,7 +260,7 @@
 		}
 		s.messenger.Send(gateway, data)
 	}
-	if !t.Peers {
+	if t.Report.Partial {
 		return
 	}
 	for _, p := range s.peers {
--- a/internal/registrar/configuration.go
+++ b/internal/registrar/configuration.go
@@ -72,8 +72,7 @@
 	Priority  int           // 0 is the most urgent
 	Service   ServiceName   // empty with a split
 	Split     []Share
-	Attempts  int // upstreams that may run one attempt of a caller
-	Sticky    bool
+	Attempts  int  // upstreams that may run one attempt of a caller
 	Resumable bool // a stream may go on at another upstream
 }
 
@@ -85,15 +84,13 @@
 
 // Service describes a group of upstreams.
 type Service struct {
-	Name        ServiceName
-	Connections int     // connections that one upstream accepts from all callers
-	Engine      *Engine // nil for plain services
+	Name   ServiceName
+	Engine *Engine // nil for plain services
 }
 
 // Engine describes the model runners of a service.
 type Engine struct {
 	Slots        int
-	Memory       Tokens // tokens that fit into a runner's KV memory
 	Weights      Megabytes
 	AdapterSlots int
 	LoadRate     float64 // loads a second that the weight store allows all runners together
--- a/internal/registrar/upstream.go
+++ b/internal/registrar/upstream.go
@@ -1,7 +1,5 @@
 package registrar
 
-import "time"
-
 // State tells whether an upstream takes new work.
 type State string
 
@@ -24,8 +22,6 @@
 	Holdings []Holding   // what its memory holds; empty for plain services
 	Warm     []ModelName // weights in its host's memory
 	Disk     []ModelName // weights on its host's disk
-	Left     time.Duration
-	Leaves   bool // it is gone when Left has passed
 }
 
 // Holding is a model in an upstream's memory, with the adapters that are ready.
--- a/internal/relayer/dialect.go
+++ b/internal/relayer/dialect.go
@@ -29,8 +29,7 @@
 	Adapter registrar.AdapterName
 	Prompt  registrar.Tokens
 	Output  registrar.Tokens
-	Session string // the last part of the prompt
-	After   int64  // id of the last event that the caller has, negative without one
+	After   int64 // id of the last event that the caller has, negative without one
 }
 
 // Reply is what the headers of an upstream's answer say.
--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -147,7 +147,7 @@
 	box := NewMailbox()
 	id := g.cfg.Decider.Arrive(dispatcher.Request{
 		Name: in.call.Name, Route: route, Model: in.call.Model, Adapter: in.call.Adapter,
-		Prompt: in.call.Prompt, Output: in.call.Output, Session: in.call.Session, Deadline: now + budget,
+		Prompt: in.call.Prompt, Output: in.call.Output, Deadline: now + budget,
 	}, box)
 	out.last = in.call.After
 	for {
--- a/internal/stocker/event.go
+++ b/internal/stocker/event.go
@@ -134,12 +134,9 @@
 // Send gives the runner an order; Ordered answers it, and a new state follows.
 type Send struct{ Order Order }
 
-// Tell passes the runner's state on to the gateways, and to the other stewards
-// when they should know at once or have not heard for a while.
-type Tell struct {
-	Report dispatcher.Report
-	Peers  bool
-}
+// Tell passes the runner's state on to the gateways. A report that is not
+// partial goes to the other stewards too.
+type Tell struct{ Report dispatcher.Report }
 
 func (Send) effect() {}
 func (Tell) effect() {}
@@ -147,7 +144,9 @@
 // Timing and limits of decisions.
 const (
 	demandLife     = 2 * time.Second        // a gateway's demand counts this long; several lost datagrams
-	peerPeriod     = time.Second            // stewards hear of an unchanged state this often
+	wholePeriod    = time.Second            // an unchanged state is told whole this often, and to stewards
+	gatewayPause   = 10 * time.Millisecond  // between reports for each gateway, so that many gateways get fewer
+	longestPause   = 400 * time.Millisecond // between reports, half of what gateways take for silence
 	peerLife       = 3 * time.Second        // an older state of a peer gives way to the list's
 	planLife       = 250 * time.Millisecond // a plan is kept this long; demand is told as often
 	claimDelay     = 60 * time.Millisecond
--- a/internal/stocker/fleet_test.go
+++ b/internal/stocker/fleet_test.go
@@ -65,7 +65,7 @@
 			f.order(m, ef.Order)
 		case Tell:
 			for _, other := range f.members {
-				if ef.Peers && other != m && f.rnd.Float64() > 0.02 {
+				if !ef.Report.Partial && other != m && f.rnd.Float64() > 0.02 {
 					f.reduce(other, Told{ef.Report})
 				}
 			}
--- a/internal/stocker/stocker.go
+++ b/internal/stocker/stocker.go
@@ -31,26 +31,27 @@
 	lost    bool // the runner doesn't answer
 	fence   int64
 
-	sending  bool                // an order has no answer yet
-	pause    time.Duration       // no order before it
-	leaving  registrar.ModelName // makes way
-	left     time.Duration       // since when gateways and stewards know it
-	loading  registrar.ModelName
-	loaded   time.Duration // when loading should have finished
-	stored   time.Duration // the last load from the weight store began
-	storing  bool          // there was one
-	born     time.Duration // of this stocker
-	claim    claim
-	plan     *allocator.Plan
-	planned  time.Duration    // when the plan was made
-	others   map[string]*peer // by the runner's address
-	toldAt   time.Duration    // peers heard of the state
-	toldKey  string           // what they heard
-	started  bool
-	demands  map[string]demand
-	wants    []want
-	used     map[registrar.AdapterID]time.Duration // when an adapter was last wanted
-	Counters Counters
+	sending   bool                // an order has no answer yet
+	pause     time.Duration       // no order before it
+	leaving   registrar.ModelName // makes way
+	left      time.Duration       // since when gateways and stewards know it
+	loading   registrar.ModelName
+	loaded    time.Duration // when loading should have finished
+	stored    time.Duration // the last load from the weight store began
+	storing   bool          // there was one
+	born      time.Duration // of this stocker
+	claim     claim
+	plan      *allocator.Plan
+	planned   time.Duration    // when the plan was made
+	others    map[string]*peer // by the runner's address
+	toldAt    time.Duration    // the last report
+	toldWhole time.Duration    // the last report that was not partial
+	toldKey   string           // what it said, but for the load
+	started   bool
+	demands   map[string]demand
+	wants     []want
+	used      map[registrar.AdapterID]time.Duration // when an adapter was last wanted
+	Counters  Counters
 }
 
 type demand struct {
@@ -185,7 +186,8 @@
 	}
 }
 
-// tell describes the runner to gateways and, where due, to the other stewards.
+// tell describes the runner to gateways and, when it has changed or was not
+// told whole for a while, to the other stewards.
 func (s *Stocker) tell() {
 	rep := dispatcher.Report{
 		Address: s.cfg.Address, Born: s.state.Born, Sequence: s.state.Sequence, Loading: s.loading,
@@ -198,18 +200,23 @@
 	if rep.Loading == "" && s.claim.model != "" {
 		rep.Loading, rep.Claimed = s.claim.model, true
 	}
-	key := fmt.Sprint(rep.Loading, rep.Claimed, s.stored, s.lost)
 	for _, h := range s.state.Holdings {
 		if h.Model != s.leaving {
 			rep.Holdings = append(rep.Holdings, h)
-			key += " " + string(h.Model)
 		}
 	}
-	peers := key != s.toldKey || s.now-s.toldAt >= peerPeriod
-	if peers {
-		s.toldKey, s.toldAt = key, s.now
+	key := fmt.Sprint(rep.Loading, rep.Claimed, s.stored, rep.Lost, rep.Busy, rep.Draining, rep.Holdings)
+	pause := min(longestPause, time.Duration(rep.Gateways)*gatewayPause)
+	switch {
+	case key != s.toldKey || s.now-s.toldWhole >= wholePeriod:
+		s.toldKey, s.toldWhole = key, s.now
+	case s.now-s.toldAt < pause:
+		return
+	default:
+		rep.Partial, rep.Holdings = true, nil
 	}
-	s.out = append(s.out, Tell{rep, peers})
+	s.toldAt = s.now
+	s.out = append(s.out, Tell{rep})
 }
 
 func (s *Stocker) want(a registrar.AdapterID) {
