Count all adapters of a model in the wait before its runners

The wait was estimated from the place among requests for the same adapter, although all adapters of a model wait for the same slots. TestOverloadOfManyAdaptersIsRefusedOnArrival failed first.

--- a/internal/dispatcher/choosing.go
+++ b/internal/dispatcher/choosing.go
@@ -190,17 +190,16 @@
 	return classifier.None, 0
 }
 
-// wait estimates how long the requests before this one take, from how fast
-// those of the same kind went lately.
+// wait estimates how long the requests before this one take, whichever adapter
+// they are for, from how fast those of the same model went lately.
 func (d *Dispatcher) wait(r *request) time.Duration {
-	l := laneOf(r)
-	before := slices.Index(d.lanes[l], r) + 1
-	a := d.flows[flowOf(r)]
-	if a == nil || before <= waitingFree {
+	f := d.stream(r)
+	before := r.place - (f.sent - r.sentBefore)
+	if before <= waitingFree {
 		return 0
 	}
-	a.decay(d.now)
-	return time.Duration(float64(before) / max(a.value, leastFlow) * float64(time.Second))
+	f.rate.decay(d.now)
+	return time.Duration(float64(before) / max(f.rate.value, leastFlow) * float64(time.Second))
 }
 
 // loadTime is the time that a load of the request's model takes.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -33,7 +33,7 @@
 	waiting  int
 	budgets  map[registrar.ServiceName]*budget
 	demand   map[registrar.ModelName]*trend
-	flows    map[flow]*average // sends a second
+	flows    map[flow]*stream
 	gateways int
 
 	Counters Counters
@@ -64,25 +64,45 @@
 	model   registrar.ModelName
 }
 
+// stream counts the requests of a flow.
+type stream struct {
+	rate    average // sends a second
+	sent    int
+	waiting int
+}
+
+func (d *Dispatcher) stream(r *request) *stream {
+	f := flowOf(r)
+	s := d.flows[f]
+	if s == nil {
+		s = &stream{rate: average{life: flowLife, at: d.now}}
+		d.flows[f] = s
+	}
+	return s
+}
+
 func flowOf(r *request) flow {
 	return flow{r.Service, r.Model}
 }
 
 type request struct {
 	Request
-	arrived   time.Duration
-	server    *server // of the send under way
-	try       Try
-	runs      int  // sends that may have run
-	refusals  int  // sends that upstreams refused
-	unsent    int  // sends that reached no upstream
-	switched  bool // the budget has been spent for the next send
-	began     bool
-	kept      bool // a failure of an upstream is kept as the answer
-	maybe     bool // an earlier send may have run
-	avoid     registrar.UpstreamID
-	sent      time.Duration
-	lastCause string
+	arrived  time.Duration
+	server   *server // of the send under way
+	try      Try
+	runs     int // sends that may have run
+	refusals int // sends that upstreams refused
+	unsent   int // sends that reached no upstream
+	place    int // among the waiting requests of its flow when it began to wait
+	// sentBefore counts the flow's sends when it began to wait.
+	sentBefore int
+	switched   bool // the budget has been spent for the next send
+	began      bool
+	kept       bool // a failure of an upstream is kept as the answer
+	maybe      bool // an earlier send may have run
+	avoid      registrar.UpstreamID
+	sent       time.Duration
+	lastCause  string
 }
 
 // New returns a dispatcher without a configuration.
@@ -95,7 +115,7 @@
 		lanes:    map[lane][]*request{},
 		budgets:  map[registrar.ServiceName]*budget{},
 		demand:   map[registrar.ModelName]*trend{},
-		flows:    map[flow]*average{},
+		flows:    map[flow]*stream{},
 		gateways: assumedGateways,
 	}
 }
@@ -204,6 +224,9 @@
 	at, _ := slices.BinarySearchFunc(d.lanes[l], r, d.before)
 	d.lanes[l] = slices.Insert(d.lanes[l], at, r)
 	d.waiting++
+	f := d.stream(r)
+	f.waiting++
+	r.place, r.sentBefore = f.waiting, f.sent
 }
 
 func (d *Dispatcher) dequeue(r *request) {
@@ -214,6 +237,7 @@
 	}
 	d.lanes[l] = slices.Delete(d.lanes[l], i, i+1)
 	d.waiting--
+	d.stream(r).waiting--
 	if len(d.lanes[l]) == 0 {
 		delete(d.lanes, l)
 		d.order = slices.DeleteFunc(d.order, func(x lane) bool { return x == l })
@@ -250,11 +274,9 @@
 	r.sent = d.now
 	s.open++
 	d.Counters.Sent++
-	f := flowOf(r)
-	if d.flows[f] == nil {
-		d.flows[f] = &average{life: flowLife, at: d.now}
-	}
-	d.flows[f].add(d.now, 1)
+	f := d.stream(r)
+	f.rate.add(d.now, 1)
+	f.sent++
 	e := Send{
 		ID: r.ID, Try: r.try, Upstream: s.info.ID, Address: s.info.Address,
 		Budget: r.Deadline - d.now, Priority: d.priority(r),
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -297,6 +297,27 @@
 	require.LessOrEqual(t, 6*sent, 64)
 }
 
+// Requests for many adapters of one model wait for the same slots.
+func TestOverloadOfManyAdaptersIsRefusedOnArrival(t *testing.T) {
+	k := newDesk(t)
+	all := k.list(runners, 1, "m")
+	var adapters []registrar.AdapterName
+	for i := range 40 {
+		adapters = append(adapters, registrar.AdapterName(fmt.Sprint("a", i)))
+	}
+	k.reduce(Reported{Report{Address: all[0].Address, Gateways: 1, Running: 64, Waiting: 9, Holdings: []registrar.Holding{{Model: "m", Adapters: adapters}}}})
+	refused := 0
+	for _, a := range adapters {
+		k.next++
+		for _, e := range k.reduce(Arrived{Request{ID: k.next, Route: route(registrar.Streaming, 2), Service: runners, Model: "m", Adapter: a, Deadline: k.now + 4*time.Second}}) {
+			if _, ok := e.(Answer); ok {
+				refused++
+			}
+		}
+	}
+	require.Greater(t, refused, 30)
+}
+
 // With more requests than slots, those whose wait would outlast their caller
 // are refused on arrival and told when to come back.
 func TestOverloadIsRefusedOnArrival(t *testing.T) {
