Keep memory for late orders from before a runner's restart

Cause: found by reasoning, listed as not covered: a runner that starts again under its id counts its orders anew, and an order of before whose answer was lost names a number that it may reach again; it would then be carried out in a state that it was not made for and could exceed the memory. Such loads now count as taken while the number can still come, 13 s at most. TestLateOrderFromBeforeARestartKeepsItsMemory fails without it.

Ruled out: naming the instance, since the id is the same.

--- a/internal/stocker/deciding.go
+++ b/internal/stocker/deciding.go
@@ -31,9 +31,31 @@
 	}
 }
 
-// free is the memory that is not taken by what the runner holds or fetches.
+// strays lists the loads that were meant for an earlier run of the runner and
+// may yet be carried out in this one: it has not accepted more orders than they
+// name. In the run that an order is meant for, that number alone protects it.
+func (s *Stocker) strays() []Order {
+	var strays []Order
+	for _, u := range s.open {
+		held := u.order.Adapter == "" && s.holds(u.order.Model)
+		if u.born != s.state.Born && u.order.Op == Load && s.state.Sequence <= u.order.Sequence && !held {
+			strays = append(strays, u.order)
+		}
+	}
+	return strays
+}
+
+// free is the memory that is not taken by what the runner holds or fetches, or
+// by orders that it may yet carry out.
 func (s *Stocker) free(e *registrar.Engine) registrar.Megabytes {
 	free := e.Weights
+	for _, o := range s.strays() {
+		if o.Adapter != "" {
+			free -= e.Models[o.Model].Adapter
+		} else {
+			free -= e.Models[o.Model].Weights
+		}
+	}
 	for _, h := range s.state.Holdings {
 		m := e.Models[h.Model]
 		free -= m.Weights + m.Adapter*registrar.Megabytes(len(h.Adapters))
@@ -51,6 +73,11 @@
 		return false
 	}
 	resident := len(s.state.Coming)
+	for _, o := range s.strays() {
+		if o.Adapter != "" {
+			resident++
+		}
+	}
 	for _, h := range s.state.Holdings {
 		resident += len(h.Adapters)
 	}
--- a/internal/stocker/event.go
+++ b/internal/stocker/event.go
@@ -157,5 +157,6 @@
 	idleShare      = 3                      // loads of the store's limit that are kept for models in demand
 	comingBound    = 4                      // adapters that may be on their way to one runner
 	unsettledPause = 300 * time.Millisecond // after an order without an answer, before the next one
+	orderFlight    = 13 * time.Second       // after which an order without an answer is not carried out any more; they take 12 at most
 	refusedPause   = 100 * time.Millisecond // after a refused order
 )
--- a/internal/stocker/stocker.go
+++ b/internal/stocker/stocker.go
@@ -41,6 +41,7 @@
 	storing   bool          // there was one
 	born      time.Duration // of this stocker
 	claim     claim
+	open      []unanswered // orders that may still be carried out
 	plan      *allocator.Plan
 	planned   time.Duration    // when the plan was made
 	others    map[string]*peer // by the runner's address
@@ -73,6 +74,13 @@
 	storing bool
 }
 
+// unanswered is an order whose answer was lost.
+type unanswered struct {
+	order Order
+	born  int64 // of the runner's run that it was meant for
+	at    time.Duration
+}
+
 type want struct {
 	adapter registrar.AdapterID
 	at      time.Duration
@@ -141,6 +149,7 @@
 }
 
 func (s *Stocker) observe(st State) {
+	s.open = slices.DeleteFunc(s.open, func(u unanswered) bool { return s.now-u.at > orderFlight })
 	if st.Born != s.state.Born {
 		s.leaving, s.loading = "", ""
 	}
@@ -251,6 +260,7 @@
 		s.pause = s.now + refusedPause
 	case Unknown:
 		s.Counters.Unknown++
+		s.open = append(s.open, unanswered{ev.Order, s.state.Born, s.now})
 		s.pause = s.now + unsettledPause
 	}
 }
--- a/internal/stocker/stocker_test.go
+++ b/internal/stocker/stocker_test.go
@@ -181,6 +181,30 @@
 	require.Nil(t, b.after(3*time.Second, b.state(0)))
 }
 
+// A runner that starts again under its id accepts a late order of before as soon
+// as it has accepted as many orders as that one names.
+func TestLateOrderFromBeforeARestartKeepsItsMemory(t *testing.T) {
+	b := newBench(t, []registrar.ModelName{"a", "b"})
+	lost := b.after(time.Second, b.state(2))
+	require.NotNil(t, lost)
+	require.Equal(t, Load, lost.Op)
+	b.reduce(Ordered{*lost, Unknown})
+	restarted := func(sequence int64, models ...registrar.ModelName) registrar.Megabytes {
+		st := State{Born: 8, Sequence: sequence}
+		for _, m := range models {
+			st.Holdings = append(st.Holdings, registrar.Holding{Model: m})
+		}
+		b.reduce(Reported{st})
+		return b.s.free(b.s.engine())
+	}
+	require.EqualValues(t, 220-72, restarted(0))
+	require.EqualValues(t, 220-72-72-72, restarted(2, "a", "b"), "it may be carried out now")
+	require.EqualValues(t, 220-72-72, restarted(2, "a", lost.Model), "it would load what is held")
+	require.EqualValues(t, 220-72-72, restarted(3, "a", "b"), "it names too few orders")
+	b.now += orderFlight
+	require.EqualValues(t, 220-72-72, restarted(2, "a", "b"), "it is not carried out any more")
+}
+
 func TestReportLeavesOutAModelThatMakesWay(t *testing.T) {
 	b := newBench(t, []registrar.ModelName{"a", "b", "c"}, []registrar.ModelName{"a", "b", "c"}, []registrar.ModelName{"d"})
 	for range 20 {
