--- a/internal/dispatcher/choosing.go
+++ b/internal/dispatcher/choosing.go
@@ -193,7 +193,7 @@
 // wait estimates how long the requests before this one take, whichever adapter
 // they are for, from how fast those of the same model went lately.
 func (d *Dispatcher) wait(r *request) time.Duration {
-	f := d.stream(r)
+	f := d.stats(r)
 	before := r.place - (f.sent - r.sentBefore)
 	if before <= waitingFree {
 		return 0
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -1,9 +1,7 @@
 package dispatcher
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/egretwall/egretwall/internal/classifier"
@@ -33,7 +31,7 @@
 	waiting  int
 	budgets  map[registrar.ServiceName]*budget
 	demand   map[registrar.ModelName]*trend
-	flows    map[flow]*stream
+	flows    map[flow]*flowStats
 	gateways int
 
 	Counters Counters
@@ -51,40 +49,6 @@
 	Left     int `json:"left"`
 }
 
-// lane groups the waiting requests that the same upstreams can run.
-type lane struct {
-	service registrar.ServiceName
-	model   registrar.ModelName
-	adapter registrar.AdapterName
-}
-
-// flow groups the requests that go through the same slots.
-type flow struct {
-	service registrar.ServiceName
-	model   registrar.ModelName
-}
-
-// stream counts the requests of a flow.
-type stream struct {
-	rate    average // sends a second
-	sent    int
-	waiting int
-}
-
-func (d *Dispatcher) stream(r *request) *stream {
-	f := flowOf(r)
-	s := d.flows[f]
-	if s == nil {
-		s = &stream{rate: average{life: flowLife, at: d.now}}
-		d.flows[f] = s
-	}
-	return s
-}
-
-func flowOf(r *request) flow {
-	return flow{r.Service, r.Model}
-}
-
 type request struct {
 	Request
 	arrived  time.Duration
@@ -115,7 +79,7 @@
 		lanes:    map[lane][]*request{},
 		budgets:  map[registrar.ServiceName]*budget{},
 		demand:   map[registrar.ModelName]*trend{},
-		flows:    map[flow]*stream{},
+		flows:    map[flow]*flowStats{},
 		gateways: assumedGateways,
 	}
 }
@@ -195,86 +159,13 @@
 	}
 }
 
-func laneOf(r *request) lane {
-	return lane{r.Service, r.Model, r.Adapter}
-}
-
-// onTime tells whether the request can still meet its target.
-func (r *request) onTime(now time.Duration) bool {
-	return now < r.arrived+r.Route.Target
-}
-
-// before orders waiting requests: those that can be on time by urgency and by
-// arrival, then the others.
-func (d *Dispatcher) before(a, b *request) int {
-	if x, y := a.onTime(d.now), b.onTime(d.now); x != y {
-		if x {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Or(cmp.Compare(a.Route.Priority, b.Route.Priority), cmp.Compare(a.ID, b.ID))
-}
-
-func (d *Dispatcher) enqueue(r *request) {
-	l := laneOf(r)
-	if _, ok := d.lanes[l]; !ok {
-		d.order = append(d.order, l)
-	}
-	at, _ := slices.BinarySearchFunc(d.lanes[l], r, d.before)
-	d.lanes[l] = slices.Insert(d.lanes[l], at, r)
-	d.waiting++
-	f := d.stream(r)
-	f.waiting++
-	r.place, r.sentBefore = f.waiting, f.sent
-}
-
-func (d *Dispatcher) dequeue(r *request) {
-	l := laneOf(r)
-	i := slices.Index(d.lanes[l], r)
-	if i < 0 {
-		return
-	}
-	d.lanes[l] = slices.Delete(d.lanes[l], i, i+1)
-	d.waiting--
-	d.stream(r).waiting--
-	if len(d.lanes[l]) == 0 {
-		delete(d.lanes, l)
-		d.order = slices.DeleteFunc(d.order, func(x lane) bool { return x == l })
-	}
-}
-
-// pump sends the waiting requests that an upstream can take.
-func (d *Dispatcher) pump() {
-	if d.waiting == 0 {
-		return
-	}
-	lanes := slices.Clone(d.order)
-	slices.SortStableFunc(lanes, func(a, b lane) int { return d.before(d.lanes[a][0], d.lanes[b][0]) })
-	for _, l := range lanes {
-		d.pumpLane(l)
-	}
-}
-
-func (d *Dispatcher) pumpLane(l lane) {
-	for len(d.lanes[l]) > 0 {
-		r := d.lanes[l][0]
-		s := d.choose(r)
-		if s == nil {
-			return
-		}
-		d.dequeue(r)
-		d.send(r, s)
-	}
-}
-
 func (d *Dispatcher) send(r *request, s *server) {
 	r.try++
 	r.server = s
 	r.sent = d.now
 	s.open++
 	d.Counters.Sent++
-	f := d.stream(r)
+	f := d.stats(r)
 	f.rate.add(d.now, 1)
 	f.sent++
 	e := Send{
--- /dev/null
+++ b/internal/dispatcher/overload_test.go
@@ -0,0 +1,83 @@
+package dispatcher
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+// When one runner becomes free, all gateways see it; each takes its part only.
+func TestGatewaysDoNotAllFillTheSameFreeRunner(t *testing.T) {
+	k := newDesk(t)
+	all := k.list(runners, 1, "m")
+	k.reduce(Reported{Report{Address: all[0].Address, Holdings: []registrar.Holding{{Model: "m"}}, Gateways: 6}})
+	sent := 0
+	for range 60 {
+		_, effects := k.ask(route(registrar.Streaming, 2), "m")
+		for _, e := range effects {
+			if _, ok := e.(Send); ok {
+				sent++
+			}
+		}
+	}
+	require.Positive(t, sent)
+	require.LessOrEqual(t, 6*sent, 64)
+}
+
+// Requests for many adapters of one model wait for the same slots.
+func TestOverloadOfManyAdaptersIsRefusedOnArrival(t *testing.T) {
+	k := newDesk(t)
+	all := k.list(runners, 1, "m")
+	var adapters []registrar.AdapterName
+	for i := range 40 {
+		adapters = append(adapters, registrar.AdapterName(fmt.Sprint("a", i)))
+	}
+	k.reduce(Reported{Report{Address: all[0].Address, Gateways: 1, Running: 64, Waiting: 9, Holdings: []registrar.Holding{{Model: "m", Adapters: adapters}}}})
+	refused := 0
+	for _, a := range adapters {
+		k.next++
+		for _, e := range k.reduce(Arrived{Request{ID: k.next, Route: route(registrar.Streaming, 2), Service: runners, Model: "m", Adapter: a, Deadline: k.now + 4*time.Second}}) {
+			if _, ok := e.(Answer); ok {
+				refused++
+			}
+		}
+	}
+	require.Greater(t, refused, 30)
+}
+
+// With more requests than slots, those whose wait would outlast their caller
+// are refused on arrival and told when to come back.
+func TestOverloadIsRefusedOnArrival(t *testing.T) {
+	k := newDesk(t)
+	all := k.list(runners, 1, "m")
+	holdings := []registrar.Holding{{Model: "m"}}
+	report := func(running, waiting int) []Effect {
+		return k.reduce(Reported{Report{Address: all[0].Address, Holdings: holdings, Gateways: 1, Running: running, Waiting: waiting}})
+	}
+	report(0, 0)
+	var open []Send
+	for range 8 {
+		_, effects := k.ask(route(registrar.Streaming, 2), "m")
+		open = append(open, k.sent(effects))
+	}
+	refused := 0
+	for range 60 {
+		report(64, 9)
+		_, effects := k.ask(route(registrar.Streaming, 2), "m")
+		for _, e := range effects {
+			if a, ok := e.(Answer); ok {
+				require.Equal(t, classifier.Busy, a.Kind)
+				require.GreaterOrEqual(t, a.RetryAfter, retryFloor)
+				refused++
+			}
+		}
+	}
+	require.Positive(t, refused)
+	require.Less(t, refused, 60, "some may wait")
+	require.Len(t, open, 8)
+}
--- /dev/null
+++ b/internal/driver/observing.go
@@ -0,0 +1,71 @@
+package driver
+
+import (
+	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/dispatcher"
+	"github.com/egretwall/egretwall/internal/observer"
+)
+
+// GatewayMetrics is what a gateway counts; times are milliseconds.
+type GatewayMetrics struct {
+	dispatcher.Counters
+	Open        int                     `json:"open"`
+	Waiting     int                     `json:"waiting"`
+	Connections int64                   `json:"connections"` // opened to upstreams
+	Dropped     int64                   `json:"dropped"`     // log lines
+	Held        observer.LatencySummary `json:"held"`        // from arrival to the last send
+	First       observer.LatencySummary `json:"first"`       // from arrival to the first part of the answer
+	Whole       observer.LatencySummary `json:"whole"`       // from arrival to the whole answer
+}
+
+func (g *Gateway) dump() any {
+	g.dir.mu.Lock()
+	defer g.dir.mu.Unlock()
+	return g.dispatcher.Dump()
+}
+
+func (g *Gateway) metrics() any {
+	g.dir.mu.Lock()
+	defer g.dir.mu.Unlock()
+	return GatewayMetrics{
+		Counters: g.dispatcher.Counters, Open: g.dispatcher.Open(), Waiting: g.dispatcher.Waiting(),
+		Connections: g.connections.Load(), Dropped: g.cfg.Log.Limit.Dropped(),
+		Held: g.held.Summary(), First: g.first.Summary(), Whole: g.whole.Summary(),
+	}
+}
+
+// note logs a decision and records its times.
+func (g *Gateway) note(n dispatcher.Note) {
+	ev := g.cfg.Log.Info()
+	if n.Kind != classifier.None {
+		ev = g.cfg.Log.Warn().Str("kind", string(n.Kind))
+	}
+	if n.Request != "" {
+		ev = ev.Str("request", n.Request)
+	}
+	if n.Peer != "" {
+		ev = ev.Str("upstream", string(n.Peer))
+	}
+	if n.Cause != "" {
+		ev = ev.Str("cause", n.Cause)
+	}
+	if n.Age > 0 {
+		ev = ev.Int64("age", n.Age.Milliseconds())
+	}
+	if n.Took > 0 {
+		ev = ev.Int64("held", n.Held.Milliseconds()).Int64("took", n.Took.Milliseconds())
+		g.held.Record(n.Held)
+	}
+	if n.Took > 0 && n.Kind == classifier.None {
+		g.whole.Record(n.Took)
+	}
+	ev.Int("try", int(n.Try)).Int("waiting", n.Waiting).Int64("version", g.version()).Msg(n.Name)
+}
+
+// version is that of the configuration in force, zero without one.
+func (g *Gateway) version() int64 {
+	if c := g.current.Load(); c != nil {
+		return int64(c.Version)
+	}
+	return 0
+}
