Let waiting attempts leave an agent whose engine is silent

Cause: TestDeadEngineLosesNoModel failed in make test and in two of four runs of its package (it had failed once before). A dump at the failure showed the attempt in the agent of the dead engine, waiting for a model that the engine was to load, until its deadline: the agent refused new attempts once the engine was silent for 1.5 s, but kept those that had come just before. Ruled out: the engine's memory (two other runners held the model and were idle), the entry (it had one connection and no reason to leave it), load (it failed on an idle machine, and passed alone beside twelve busy processes).

TestWaitingAttemptsLeaveASilentEngine fails without the change.

Conclusion: a real fault, mended; the test was right.

--- a/internal/reducer/agent.go
+++ b/internal/reducer/agent.go
@@ -166,6 +166,7 @@
 func (a *Agent) tick() {
 	a.tickEntries()
 	a.expireQueued()
+	a.releaseStuck()
 	a.tickClaims()
 	if a.isRunner() {
 		a.tickLease()
--- a/internal/reducer/attempt.go
+++ b/internal/reducer/attempt.go
@@ -256,6 +256,20 @@
 	}
 }
 
+// releaseStuck refuses the attempts that wait here while the engine is silent or
+// the lease is lost, so that they are tried at another runner.
+func (a *Agent) releaseStuck() {
+	if !a.unfit() {
+		return
+	}
+	waits := func(t *attempt) bool { return t.state == stateCold || t.state == stateQueued }
+	for _, id := range a.attemptIDs(waits) {
+		t := a.attempts[id]
+		a.dropClaim(t)
+		a.refuse(t, classifier.Busy)
+	}
+}
+
 // abort stops a passed attempt. A run that must not be repeated goes on, so
 // that its outcome stays known for a repeated key.
 func (a *Agent) abort(t *attempt) {
--- a/internal/reducer/scenario_test.go
+++ b/internal/reducer/scenario_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/linkpb"
 	"github.com/egretwall/egretwall/internal/recorder"
 	"github.com/egretwall/egretwall/internal/reserver"
@@ -120,3 +121,30 @@
 	require.NoError(t, lostOrder(Hooks{}))
 	require.ErrorContains(t, lostOrder(Hooks{ForgetOrders: true}), "bytes are ordered for 80")
 }
+
+// An attempt that waits for its model beside an engine that has died goes back
+// to its entry at once, not at its deadline.
+func TestWaitingAttemptsLeaveASilentEngine(t *testing.T) {
+	const inc = 9
+	a := NewAgent(AgentConfig{Upstream: "ra", Incarnation: inc, Seed: 1})
+	change := configurator.Diff("first", configurator.State{}, worldConfiguration())
+	a.Reduce(0, Read{recorder.Main, recorder.Batch{Next: 1, Records: []recorder.Record{{ID: "first", Kind: recorder.Change, Change: &change}}}})
+	a.Reduce(0, Opened{"e", 1, 1, 1})
+	a.Reduce(0, Reported{Report: reserver.Report{}, Asked: 0}) // the only one before the engine dies
+	submit := &linkpb.Submit{Attempt: "x", Model: "m1", Class: "desk", BudgetMs: 8000, Repeatable: true}
+	a.Reduce(0, Told{"e", 1, &linkpb.Up{Kind: &linkpb.Up_Submit{Submit: submit}}})
+	for now := TickPeriod; now < engineSilent+200*time.Millisecond; now += TickPeriod {
+		for _, ef := range a.Reduce(now, Tick{}) {
+			down, ok := ef.(SendDown)
+			if !ok {
+				continue
+			}
+			if end := down.Down.GetEnd(); end != nil {
+				require.Equal(t, string(classifier.Busy), end.Error)
+				require.Equal(t, string(classifier.RanNo), end.Ran)
+				return
+			}
+		}
+	}
+	t.Fatal("the attempt still waits")
+}
