--- a/internal/dispatcher/timing.go
+++ b/internal/dispatcher/timing.go
@@ -16,7 +16,6 @@
 	fullPause     = 40 * time.Millisecond  // after an upstream said that it is full, about one work unit
 	timeoutSlack  = 20 * time.Millisecond  // the caller's answer leaves this much before its limit
 	retryFloor    = 200 * time.Millisecond // shortest Retry-After
-	coldPatience  = 0.5                    // share of the time left that a request may wait for its model
 	errorLife     = 4 * time.Second        // over which an error rate is forgotten
 	flowLife      = time.Second            // over which sends are averaged
 )
@@ -30,6 +29,7 @@
 
 // Limits of decisions.
 const (
+	coldPatience    = 0.5  // share of the time left that a request may wait for a model that nobody loads
 	waitingBound    = 400  // requests that may wait at one gateway; their bodies bound its memory
 	stallTargets    = 2    // targets of the route without a beginning before a stream is moved
 	stallPauses     = 4    // longest pauses of the route without an event before a stream is moved
--- a/internal/stocker/event.go
+++ b/internal/stocker/event.go
@@ -6,10 +6,10 @@
 //	s := stocker.New(stocker.Config{Address: "10.1.0.40:8145", Holder: "side-1"})
 //	for _, effect := range s.Reduce(now, event) { run(effect) }
 //
-// It is a deterministic function of its events. Each steward decides for its
-// own runner from the same list and the same demand, so that stewards agree
-// without messages: the runners that should take a further copy, and the copy
-// that must stay, follow from a rendezvous order.
+// It is a deterministic function of its events. Each steward makes the same plan
+// for all runners from the same list and the same demand, and carries out the
+// part of its own runner. Where views differ for a while, what stewards tell each
+// other keeps the last copies and the weight store's limit.
 //
 // Every order names the number of orders that the runner has accepted before.
 // The runner refuses it when another one came first, so that an order whose
@@ -149,7 +149,7 @@
 	longestPause   = 400 * time.Millisecond // between reports, half of what gateways take for silence
 	peerLife       = 3 * time.Second        // an older state of a peer gives way to the list's
 	planLife       = 250 * time.Millisecond // a plan is kept this long; demand is told as often
-	claimDelay     = 60 * time.Millisecond
+	claimDelay     = 60 * time.Millisecond  // from an announcement to its effect; a datagram takes a few
 	wantLife       = time.Second            // a want is repeated while its request waits
 	copyGain       = 1.35                   // how much more a new copy must serve than a present one
 	copySpread     = 0.75                   // models with less work get more copies than their share, against the next shift
