--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -119,24 +119,31 @@
 	out := &outgoing{w: w, control: http.NewResponseController(w), last: -1, closing: g.draining.Load}
 	in, kind := g.read(w, r, out)
 	if kind != classifier.None {
-		g.refuse(out, in.call.Name, kind, 0)
+		g.reject(out, in, kind, 0)
 		return
 	}
 	cfg := g.cfg.Decider.Configuration()
 	if cfg == nil {
-		g.cfg.Logger.Warn().Str("request", in.call.Name).Msg("refused without a configuration")
-		g.refuse(out, in.call.Name, classifier.Leaving, 0)
+		g.reject(out, in, classifier.Leaving, 0)
 		return
 	}
 	path, _, _ := strings.Cut(in.target, "?")
 	route, ok := cfg.Route(registrar.HostName(hostOf(in.host)), path)
 	if !ok {
-		g.refuse(out, in.call.Name, classifier.Missing, 0)
+		g.reject(out, in, classifier.Missing, cfg.Version)
 		return
 	}
 	g.serve(r.Context(), in, out, route)
 }
 
+// reject refuses a request that never reaches the decider. Version is that of
+// the configuration that decided, zero when none did.
+func (g *Gateway) reject(out *outgoing, in *incoming, kind classifier.Kind, version registrar.Version) {
+	g.cfg.Logger.Warn().Str("request", in.call.Name).Str("kind", string(kind)).Str("host", in.host).
+		Str("path", in.target).Int64("version", int64(version)).Msg("request rejected")
+	g.refuse(out, in.call.Name, kind, 0)
+}
+
 // serve carries out the effects of one request until its end.
 func (g *Gateway) serve(ctx context.Context, in *incoming, out *outgoing, route *registrar.Route) {
 	now := g.cfg.Decider.Now()
--- a/internal/relayer/gateway_test.go
+++ b/internal/relayer/gateway_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -348,6 +350,23 @@
 	}))
 }
 
+// What is refused before any decision leaves a line with the request's id.
+func TestRejectedRequestsAreLogged(t *testing.T) {
+	var out bytes.Buffer
+	g := New(Config{Dialect: plainDialect{}, Decider: newDecider(), Logger: zerolog.New(&out)})
+	for name, path := range map[string]string{"n1": "/nowhere/x", "n2": "/a/x"} {
+		r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("body"))
+		r.Host = "dues.example"
+		r.Header.Set("Try", name)
+		if name == "n2" {
+			r.ContentLength = 2 << 20
+		}
+		g.ServeHTTP(httptest.NewRecorder(), r)
+	}
+	require.Contains(t, out.String(), `"request":"n1","kind":"missing"`)
+	require.Contains(t, out.String(), `"request":"n2","kind":"large"`)
+}
+
 func TestReservedAndMalformedHeaders(t *testing.T) {
 	seen := make(chan string, 1)
 	address := upstream(t, func(c net.Conn, r *bufio.Reader) {
