Never pass on a request whose idle connection is being closed

Ruled out by reading: the stop itself (idle connections are closed 3 s after SIGTERM, the cut came after 2.4 s), the read deadlines of net/http (the header's is removed before the handler runs), the dispatcher (it has no way to close the connection of a GET without an answer).

Now a connection is taken by its request or by its closing, whichever comes first; a request that comes second is dropped with a log line and not passed on, which is what a caller sees when its request crosses a close.

--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -43,16 +45,17 @@
 	draining atomic.Bool
 	open     atomic.Int64 // requests without their whole answer
 
-	mu   sync.Mutex
-	idle map[net.Conn]*time.Timer // closes callers' idle connections
+	mu       sync.Mutex
+	conns    map[*callerConn]struct{}
+	retiring bool // connections end when they become idle
 }
 
 // New returns a gateway that does not serve yet.
 func New(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, pool: NewPool(), idle: map[net.Conn]*time.Timer{}}
+	g := &Gateway{cfg: cfg, pool: NewPool(), conns: map[*callerConn]struct{}{}}
 	g.server = &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBound,
-		ConnState: g.connState, ErrorLog: nil, DisableGeneralOptionsHandler: true,
+		ConnState: g.connState, ConnContext: withCallerConn, ErrorLog: nil, DisableGeneralOptionsHandler: true,
 	}
 	g.server.ErrorLog = newErrorLog(cfg.Logger)
 	return g
@@ -70,7 +73,7 @@
 
 // Serve answers callers until Close.
 func (g *Gateway) Serve(l net.Listener) error {
-	if err := g.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := g.server.Serve(callerListener{l}); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	return nil
@@ -88,20 +91,37 @@
 
 // Shutdown closes idle connections and waits for open answers until ctx ends.
 func (g *Gateway) Shutdown(ctx context.Context) error {
+	g.mu.Lock()
+	g.retiring = true
+	conns := slices.Collect(maps.Keys(g.conns))
+	g.mu.Unlock()
+	for _, c := range conns {
+		c.retire()
+	}
 	return g.server.Shutdown(ctx)
 }
 
-// connState closes connections that stay idle longer than the configuration
-// allows.
+// connState follows the callers' connections and closes those that stay idle
+// longer than the configuration allows.
 func (g *Gateway) connState(c net.Conn, state http.ConnState) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if t := g.idle[c]; t != nil {
-		t.Stop()
-		delete(g.idle, c)
-	}
-	if state == http.StateIdle {
-		g.idle[c] = time.AfterFunc(g.limits().IdleTimeout, func() { _ = c.Close() })
+	conn := c.(*callerConn)
+	switch state {
+	case http.StateNew:
+		g.mu.Lock()
+		g.conns[conn] = struct{}{}
+		g.mu.Unlock()
+	case http.StateIdle:
+		conn.rest(g.limits().IdleTimeout)
+		g.mu.Lock()
+		retiring := g.retiring
+		g.mu.Unlock()
+		if retiring {
+			conn.retire()
+		}
+	case http.StateClosed:
+		g.mu.Lock()
+		delete(g.conns, conn)
+		g.mu.Unlock()
 	}
 }
 
@@ -116,6 +136,11 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.open.Add(1)
 	defer g.open.Add(-1)
+	if !beginOn(r.Context()) {
+		call, err := g.cfg.Dialect.Call(r.Header)
+		g.cfg.Logger.Info().Str("request", call.Name).Str("path", r.RequestURI).AnErr("cause", err).Msg("request dropped, its idle connection had been closed")
+		panic(http.ErrAbortHandler)
+	}
 	out := &outgoing{w: w, control: http.NewResponseController(w), last: -1, closing: g.draining.Load}
 	in, kind := g.read(w, r, out)
 	if kind != classifier.None {
