Ask the store again soon until it has answered once

No runner got an order until 2.1 s after the store had returned; the configuration, which is followed without such a pause, was in force after 0.1 s. Ruled out: the fencing number (taken 0.1 s after the return) and the weight store's limit (no load was under way).

TestFirstAnswerIsAskedForAgainSoon fails without the change (first calls at 0, 2.5 and 5 s instead of 0, 0.25 and 0.5 s).

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -45,7 +45,7 @@
 	Store Store
 	Topic string
 	Wait  time.Duration // how long the store holds a call without news
-	Pause time.Duration // least time between two calls
+	Pause time.Duration // least time between two calls after the first answer
 	// OnAll receives the newest record of each key, OnChange later records.
 	OnAll    func([]Record)
 	OnChange func([]Record)
@@ -81,8 +81,10 @@
 			w.all, err, pause = false, nil, 0
 		}
 		w.reach(err)
-		if err != nil {
+		if err != nil && w.all {
 			pause = max(pause, retryPause)
+		} else if err != nil {
+			pause = retryPause
 		}
 		sleep(ctx, pause)
 	}
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -82,3 +82,29 @@
 	w := New(Config{Logger: zerolog.Nop()})
 	require.Equal(t, []Record{{Key: "a"}}, w.readable([]Record{{Err: errors.New("torn")}, {Key: "a"}}))
 }
+
+// A process that starts while the store is away must not wait for the pause of
+// calm times before it asks again: it can do nothing without the first answer.
+func TestFirstAnswerIsAskedForAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var at []time.Duration
+		start := time.Now()
+		mark := func(err error) func() ([]Record, int64, error) {
+			return func() ([]Record, int64, error) {
+				at = append(at, time.Since(start))
+				return nil, 1, err
+			}
+		}
+		refused := errors.New("refused")
+		store := &scripted{steps: []func() ([]Record, int64, error){mark(refused), mark(refused), mark(nil), mark(refused), mark(nil)}}
+		ctx, cancel := context.WithCancel(t.Context())
+		const pause = 2500 * time.Millisecond
+		go New(Config{
+			Store: store, Pause: pause, OnAll: func([]Record) {}, OnChange: func([]Record) {}, OnReach: func(bool) {}, Logger: zerolog.Nop(),
+		}).Run(ctx)
+		time.Sleep(time.Minute)
+		cancel()
+		synctest.Wait()
+		require.Equal(t, []time.Duration{0, retryPause, 2 * retryPause, 2*retryPause + pause, 2*retryPause + 2*pause}, at)
+	})
+}
