Share a runner's free places among the gateways that want them

Each of 30 gateways saw the same free places in a report, sent one request, and only then counted the others' sends; so 30 came for 3 places, waited 1 s at the runner, and were late. Ruled out: too few copies (6 of them, all so), and the adapters' orders.

Now a gateway draws what it may send to a runner until the next report: free places times its share of what waits, the other gateways' queues being taken as long as its own lately. Requests that can't be on time go where those that can leave room. Own requests that end give their places back. Without a queue, up to three requests need no such regard. No request waits at a runner by plan.

--- a/internal/dispatcher/choosing.go
+++ b/internal/dispatcher/choosing.go
@@ -24,12 +24,12 @@
 // choose returns the upstream for the next send, nil when none can take it now.
 func (d *Dispatcher) choose(r *request) *server {
 	if r.Model == "" {
-		return d.least(r, d.groups[r.Service], d.roomy)
+		return d.least(r, d.groups[r.Service], func(s *server) bool { return d.roomy(r, s) })
 	}
 	group := d.holders(flowOf(r))
 	holds := func(s *server) bool {
 		model, adapter := s.has(d.now, r.Model, r.Adapter)
-		return model && adapter && d.roomy(s)
+		return model && adapter && d.roomy(r, s)
 	}
 	if s := d.least(r, group, holds); s != nil {
 		return s
@@ -65,16 +65,14 @@
 }
 
 // roomy tells whether another request would soon be started at the upstream.
-func (d *Dispatcher) roomy(s *server) bool {
+func (d *Dispatcher) roomy(r *request, s *server) bool {
 	if d.now < s.full {
 		return false
 	}
-	slots := float64(d.slots(s))
 	if s.fresh(d.now) {
-		all, waiting := s.load(d.now, d.gateways)
-		return all < slots*batchFill && waiting < slots*waitingFill
+		return d.roomAt(r, s)
 	}
-	return s.open < max(minOpen, int(math.Ceil(slots*lineShare/float64(max(1, d.gateways)))))
+	return s.open < max(minOpen, int(math.Ceil(float64(d.slots(s))*lineShare/float64(max(1, d.gateways)))))
 }
 
 // least returns the allowed upstream with the least load. Upstreams that failed
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -164,6 +164,10 @@
 	r.server = s
 	r.sent = d.now
 	s.open++
+	s.allotment.left--
+	if !r.onTime(d.now) {
+		s.allotment.late--
+	}
 	d.Counters.Sent++
 	f := d.stats(r)
 	f.rate.add(d.now, 1)
@@ -223,6 +227,7 @@
 func (d *Dispatcher) detach(r *request) {
 	if r.server != nil {
 		r.server.open--
+		r.server.allotment.left++
 		r.server = nil
 	}
 }
--- a/internal/dispatcher/queue.go
+++ b/internal/dispatcher/queue.go
@@ -26,6 +26,8 @@
 	rate    average // sends a second
 	sent    int
 	waiting int
+	prompt  level // of those waiting that can be on time
+	late    level // of the others
 }
 
 func (d *Dispatcher) stats(r *request) *flowStats {
@@ -38,6 +40,14 @@
 	return s
 }
 
+// level returns the count that the waiting request belongs to.
+func (f *flowStats) level(r *request, now time.Duration) *level {
+	if r.onTime(now) {
+		return &f.prompt
+	}
+	return &f.late
+}
+
 func flowOf(r *request) flow {
 	return flow{r.Service, r.Model}
 }
@@ -48,7 +58,7 @@
 
 // onTime tells whether the request can still meet its target.
 func (r *request) onTime(now time.Duration) bool {
-	return now < r.arrived+r.Route.Target
+	return now < r.arrived+r.Route.Target-time.Duration(float64(r.Route.Target)*startShare)
 }
 
 // before orders waiting requests: those that can be on time by urgency and by
@@ -73,6 +83,7 @@
 	d.waiting++
 	f := d.stats(r)
 	f.waiting++
+	f.level(r, d.now).add(d.now, 1)
 	r.place, r.sentBefore = f.waiting, f.sent
 }
 
@@ -84,7 +95,9 @@
 	}
 	d.lanes[l] = slices.Delete(d.lanes[l], i, i+1)
 	d.waiting--
-	d.stats(r).waiting--
+	f := d.stats(r)
+	f.waiting--
+	f.level(r, d.now).add(d.now, -1)
 	if len(d.lanes[l]) == 0 {
 		delete(d.lanes, l)
 		d.order = slices.DeleteFunc(d.order, func(x lane) bool { return x == l })
--- a/internal/dispatcher/returning.go
+++ b/internal/dispatcher/returning.go
@@ -160,6 +160,7 @@
 
 // tick lets time-outs pass.
 func (d *Dispatcher) tick() {
+	d.survey()
 	for _, r := range d.sorted() {
 		limit := r.Deadline
 		if r.server == nil && !r.began {
--- a/internal/dispatcher/server.go
+++ b/internal/dispatcher/server.go
@@ -9,21 +9,22 @@
 
 // server is an upstream as a gateway knows it.
 type server struct {
-	info     registrar.Upstream
-	open     int // own sends under way
-	failures int // recent ones
-	avoid    time.Duration
-	full     time.Duration // it refused for want of room until then
-	report   Report
-	told     bool
-	at       time.Duration // of the report
-	ownThen  int           // own sends under way when the report came
-	wanted   map[lane]time.Duration
-	listed   bool
-	gone     bool // another instance answers at its address
-	absent   bool // nothing listened at its address when its last heartbeat was lastBeat
-	lastBeat int64
-	errors   average // share of the sends that failed lately
+	info      registrar.Upstream
+	open      int // own sends under way
+	failures  int // recent ones
+	avoid     time.Duration
+	full      time.Duration // it refused for want of room until then
+	report    Report
+	told      bool
+	at        time.Duration // of the report
+	ownThen   int           // own sends under way when the report came
+	allotment allotment
+	wanted    map[lane]time.Duration
+	listed    bool
+	gone      bool // another instance answers at its address
+	absent    bool // nothing listened at its address when its last heartbeat was lastBeat
+	lastBeat  int64
+	errors    average // share of the sends that failed lately
 }
 
 // list takes over the live upstreams.
@@ -69,7 +70,7 @@
 		if !sameModels(s.report.Holdings, rep.Holdings) {
 			d.index = nil
 		}
-		s.report, s.told, s.at, s.ownThen = rep, true, d.now, s.open
+		s.report, s.told, s.at, s.ownThen, s.allotment.drawn = rep, true, d.now, s.open, false
 	}
 }
 
--- a/internal/dispatcher/timing.go
+++ b/internal/dispatcher/timing.go
@@ -18,6 +18,7 @@
 	retryFloor    = 200 * time.Millisecond // shortest Retry-After
 	errorLife     = 4 * time.Second        // over which an error rate is forgotten
 	flowLife      = time.Second            // over which sends are averaged
+	queueLife     = 300 * time.Millisecond // over which queues are averaged, two reports
 )
 
 // Callers give up a stream that is silent for the longest of these.
@@ -37,10 +38,12 @@
 	idleWaiting     = 2.0  // requests that wait at such an upstream
 	unsentTries     = 8    // sends that reached no upstream, for one request
 	refusalTries    = 3    // sends that upstreams refused, for one request
+	burst           = 3    // sends to one runner between two reports that need no regard for other gateways
 	minOpen         = 3    // sends that one gateway may always have open at an upstream
 	lineShare       = 1.5  // work units that the gateways together may have open for each slot of a plain service
 	batchFill       = 1.0  // share of a runner's batch that is filled before requests wait here
-	waitingFill     = 0.15 // of a batch's slots may be taken by requests that wait at the upstream; what a target leaves time for
+	waitingFill     = 0.0  // of a batch's slots may be taken by requests that wait at the upstream; what a target leaves time for
+	startShare      = 0.12 // of the target, which an upstream takes to begin an answer
 	waitingCost     = 4.0  // requests of load that each of them weighs: it delays all later ones
 	waitingFree     = 3    // requests that may wait here whatever the flow
 	leastFlow       = 0.5  // sends a second; a slower flow says nothing
