Learn the configuration from other processes when the store does not bring it

A gateway then is not ready, and the models that fall to that steward's runner are held nowhere. The same holds for a process that the store turns away while it serves others.

Each datagram now names its sender's version. A process that hears of a newer one and does not get it from the store within 0.7 s fetches the record from the sender, over TCP at the port of the datagrams, and takes it over as if it came from the store. A gateway without a configuration asks all listed upstreams' instances, as it can't tell which of them have stewards.

--- a/internal/driver/directory.go
+++ b/internal/driver/directory.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/egretwall/egretwall/internal/exchanger"
 	"github.com/egretwall/egretwall/internal/registrar"
 	"github.com/egretwall/egretwall/internal/watcher"
 )
@@ -15,6 +17,7 @@
 const (
 	listWait    = 1500 * time.Millisecond // how long the store holds a call for the list without news
 	lapseReturn = 2300 * time.Millisecond // entries that lapsed during an outage are back by then
+	behindPause = 700 * time.Millisecond  // the store is given this long before a newer configuration is fetched from another process
 )
 
 // Directory names the store's topics and reads their records.
@@ -40,6 +43,10 @@
 	// onConfiguration and onList run with mu held.
 	onConfiguration func(*registrar.Configuration)
 	onList          func()
+
+	record   exchanger.Record // of the configuration in force
+	behind   time.Duration    // since when another process has a newer one
+	fetching bool
 }
 
 // pace is how often the store is called.
@@ -94,6 +101,7 @@
 		}
 		d.mu.Lock()
 		if d.registrar.Install(c) {
+			d.record, d.behind = exchanger.Record{Key: r.Key, Value: r.Value}, 0
 			d.logger.Info().Int64("version", int64(c.Version)).Int("routes", len(c.Routes)).Msg("configuration in force")
 			d.onConfiguration(c)
 		}
@@ -101,6 +109,50 @@
 	}
 }
 
+// version returns that of the configuration in force; mu is held.
+func (d *directory) version() registrar.Version {
+	if c := d.registrar.Configuration(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// newest returns the record of the configuration in force.
+func (d *directory) newest() exchanger.Record {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.record
+}
+
+// heard notes the version that another process has, and fetches it there when
+// the store does not bring it soon; mu is held.
+func (d *directory) heard(from netip.AddrPort, v registrar.Version) {
+	if v <= d.version() || d.fetching {
+		return
+	}
+	if d.behind == 0 {
+		d.behind = d.now()
+	}
+	if d.now()-d.behind < behindPause {
+		return
+	}
+	d.fetching = true
+	go d.fetch(from, v)
+}
+
+func (d *directory) fetch(from netip.AddrPort, v registrar.Version) {
+	r, err := exchanger.Fetch(context.Background(), from.String())
+	if err != nil {
+		d.logger.Warn().Str("peer", from.String()).Int64("version", int64(v)).Err(err).Msg("configuration not fetched")
+	} else {
+		d.logger.Info().Str("peer", from.String()).Int64("version", int64(v)).Msg("configuration fetched")
+		d.configure([]watcher.Record{{Key: r.Key, Value: r.Value}})
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fetching = false
+}
+
 // list takes over records of the list, all of them or later ones.
 func (d *directory) list(records []watcher.Record, all bool) {
 	changes := make([]registrar.Change, 0, len(records))
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/dispatcher"
+	"github.com/egretwall/egretwall/internal/exchanger"
 	"github.com/egretwall/egretwall/internal/messenger"
 	"github.com/egretwall/egretwall/internal/observer"
 	"github.com/egretwall/egretwall/internal/registrar"
@@ -63,6 +64,7 @@
 	current   atomic.Pointer[registrar.Configuration]
 	relayer   *relayer.Gateway
 	messenger *messenger.Messenger
+	exchanger *exchanger.Exchanger
 	port      uint16
 	listener  net.Listener
 	health    net.Listener
@@ -101,6 +103,9 @@
 	if g.messenger, err = messenger.New(messenger.Config{Address: cfg.Peer, Handle: g.hear, Logger: cfg.Log.Logger}); err != nil {
 		return nil, err
 	}
+	if g.exchanger, err = exchanger.New(exchanger.Config{Address: cfg.Peer, Record: g.dir.newest}); err != nil {
+		return nil, err
+	}
 	g.relayer.Pool().Opened = func() { g.connections.Add(1) }
 	g.admin, err = observer.NewAdmin(observer.AdminConfig{
 		Name: cfg.Name, Address: cfg.Admin, Health: func() bool { return !g.relayer.Draining() }, Dump: g.dump, Metrics: g.metrics,
@@ -139,10 +144,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	health := &http.Server{Handler: http.HandlerFunc(g.answerHealth), ReadHeaderTimeout: time.Second}
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	go func() { failed <- health.Serve(g.health) }()
 	go func() { failed <- g.relayer.Serve(g.listener) }()
 	go func() { failed <- g.admin.Run(ctx) }()
+	go func() { failed <- g.exchanger.Run(ctx) }()
 	go g.dir.run(ctx)
 	go g.messenger.Run(ctx)
 	go g.tick(ctx)
@@ -206,10 +212,10 @@
 			told = now
 			demands = g.dispatcher.Demands(now)
 		}
-		stewards, addresses := g.stewards, g.addresses
+		stewards, addresses, version := g.stewards, g.addresses, g.dir.version()
 		g.dir.mu.Unlock()
 		if telling {
-			g.tell(stewards, messenger.Message{Demands: &demands})
+			g.tell(stewards, messenger.Message{Demands: &demands, Version: version})
 		}
 		if sweeping {
 			swept = now
@@ -231,7 +237,10 @@
 	}
 }
 
-func (g *Gateway) hear(_ netip.AddrPort, m messenger.Message) {
+func (g *Gateway) hear(from netip.AddrPort, m messenger.Message) {
+	g.dir.mu.Lock()
+	g.dir.heard(from, m.Version)
+	g.dir.mu.Unlock()
 	if m.Report != nil {
 		g.Reduce(dispatcher.Reported{Report: *m.Report})
 	}
@@ -241,6 +250,11 @@
 func (g *Gateway) relist() {
 	c := g.current.Load()
 	if c == nil {
+		// Without a configuration any upstream may have a steward, which knows one.
+		g.stewards = nil
+		for _, u := range g.dir.registrar.All() {
+			g.stewards = append(g.stewards, stewardOf(u.Address, g.port)...)
+		}
 		return
 	}
 	var all []*registrar.Upstream
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/exchanger"
 	"github.com/egretwall/egretwall/internal/messenger"
 	"github.com/egretwall/egretwall/internal/observer"
 	"github.com/egretwall/egretwall/internal/registrar"
@@ -63,6 +64,7 @@
 	stopping chan struct{}
 
 	messenger *messenger.Messenger
+	exchanger *exchanger.Exchanger
 	admin     *observer.Admin
 }
 
@@ -83,6 +85,9 @@
 	if s.messenger, err = messenger.New(messenger.Config{Address: cfg.Peer, Handle: s.hear, Logger: cfg.Log.Logger}); err != nil {
 		return nil, err
 	}
+	if s.exchanger, err = exchanger.New(exchanger.Config{Address: cfg.Peer, Record: s.dir.newest}); err != nil {
+		return nil, err
+	}
 	s.admin, err = observer.NewAdmin(observer.AdminConfig{
 		Name: cfg.Name, Address: cfg.Admin, Health: func() bool { return true }, Dump: s.dump, Metrics: s.metrics,
 	})
@@ -120,8 +125,9 @@
 	for _, part := range []func(context.Context){s.dir.run, s.messenger.Run, s.fence, s.poll, s.order} {
 		g.Go(func() { part(ctx) })
 	}
-	failed := make(chan error, 1)
+	failed := make(chan error, 2)
 	g.Go(func() { failed <- s.admin.Run(ctx) })
+	g.Go(func() { failed <- s.exchanger.Run(ctx) })
 	var err error
 	select {
 	case err = <-failed:
@@ -215,6 +221,7 @@
 func (s *Steward) hear(from netip.AddrPort, m messenger.Message) {
 	s.dir.mu.Lock()
 	defer s.dir.mu.Unlock()
+	s.dir.heard(from, m.Version)
 	if m.Report != nil {
 		s.apply(stocker.Told{Report: *m.Report})
 		return
@@ -248,7 +255,7 @@
 }
 
 func (s *Steward) tell(t stocker.Tell) {
-	data, err := messenger.Encode(messenger.Message{Name: s.cfg.Name, Report: &t.Report})
+	data, err := messenger.Encode(messenger.Message{Name: s.cfg.Name, Report: &t.Report, Version: s.dir.version()})
 	if err != nil {
 		s.cfg.Log.Logger.Error().Err(err).Msg("report not encoded")
 		return
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -169,6 +169,15 @@
 	return r.groups[s]
 }
 
+// All lists the instances of all services, in no order.
+func (r *Registrar) All() []*Upstream {
+	var all []*Upstream
+	for _, g := range r.groups {
+		all = append(all, g...)
+	}
+	return all
+}
+
 // At returns the instance of an address; ready ones go before others.
 func (r *Registrar) At(address string) *Upstream {
 	var found *Upstream
