Shorten demands, take bounds from the settings, refuse what waits at a stop

Cause: a gateway sends its demands to each steward, 7 KB with 100 models, 55 of them twice a second, which fills its link. Ruled out: lost heartbeats of the list, restarted runners (gateways with large links heard all). Demands now name models by their place among the configuration's names and have three digits; TestDemandsOfManyModelsAreSmall holds them to 0.3 of such a link for 100 stewards. A whole report is no longer told for each adapter that is being loaded. What still waits is now refused half a second before, as not run. TestStopRefusesWhatStillWaits.

Stewards' calls for the configuration are held 10 s, since they hear of newer ones from gateways.

status shows gateways and stewards (role, version, store, state), check knows their settings and the platform's configuration; tests with real processes.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 N ?= 200000
 
-.PHONY: build test lint fuzz decoders mutants bench policy capacity generate tools
+.PHONY: build test lint fuzz soak decoders mutants bench policy capacity generate tools
 
 build:
 	go build -o $(BIN)/egretwall .
@@ -27,6 +27,14 @@
 fuzz:
 	EGRETWALL_SUMMARY=1 go test -count=1 -v -timeout 0 -run TestPromisesHoldUnderFaults ./internal/reducer -rapid.seed=$(SEED) -rapid.checks=$$(($(N) / 50))
 
+# Runs gateways and stewards as processes under faults, SEEDS seeds from SEED on;
+# LOGS names a directory for the logs of seeds that fail.
+SEEDS ?= 50
+LENGTH ?= 6s
+LOGS ?=
+soak:
+	go test -race -count=1 -v -timeout 0 -run 'TestSoak$$' ./platform -soak.first=$(SEED) -soak.seeds=$(SEEDS) -soak.length=$(LENGTH) -soak.logs=$(LOGS)
+
 # Fuzzes the decoders of what others send, a while each.
 decoders:
 	for t in decoder:FuzzDecode generator:FuzzGenerate loader:FuzzSettings acceptor:FuzzParseCall forwarder:FuzzReadEvent forwarder:FuzzEngineBody recorder:FuzzDecode; do \
--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"os"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/loader"
+	"github.com/egretwall/egretwall/platform"
 )
 
 var checkCommand = Command{
@@ -16,6 +18,13 @@
 	Bind: func(c *kingpin.CmdClause) Action {
 		file := c.Arg("file", "File to check.").Required().String()
 		return func(_ context.Context, s Streams) error {
+			data, err := os.ReadFile(*file)
+			if err != nil {
+				return classifier.Wrap(classifier.Invalid, err, "read file")
+			}
+			if platform.IsConfiguration(data) {
+				return checkRecord(s, *file, data)
+			}
 			kind, problems, err := loader.Check(*file)
 			if err != nil {
 				return err
@@ -31,3 +40,13 @@
 		}
 	},
 }
+
+// checkRecord checks a configuration as the platform's operators write it.
+func checkRecord(s Streams, file string, data []byte) error {
+	c, err := platform.DecodeConfiguration(data)
+	if err != nil {
+		return classifier.Wrap(classifier.Invalid, err, "%s, read as configuration of the platform", file)
+	}
+	_, _ = fmt.Fprintf(s.Out, "%s: valid configuration of the platform, version %d with %d routes and %d services\n", file, c.Version, len(c.Routes), len(c.Services))
+	return nil
+}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -14,8 +14,10 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/driver"
 	"github.com/egretwall/egretwall/internal/follower"
 	"github.com/egretwall/egretwall/internal/lister"
+	"github.com/egretwall/egretwall/internal/registrar"
 )
 
 const dumpTimeout = 2 * time.Second
@@ -32,8 +34,15 @@
 	Name: "status",
 	Help: "Show the version in force at each process and what falls short of the promises.",
 	Bind: func(c *kingpin.CmdClause) Action {
-		address := c.Flag("list", "IP number and port of the platform's instance list.").Required().String()
+		address := c.Flag("list", "IP number and port of the instance list of entries and agents.").String()
+		admins := c.Arg("admin", "Admin addresses of gateways and stewards.").Strings()
 		return func(ctx context.Context, s Streams) error {
+			if (*address == "") == (len(*admins) == 0) {
+				return classifier.New(classifier.Invalid, "expected either --list or admin addresses")
+			}
+			if len(*admins) > 0 {
+				return printProcesses(ctx, s.Out, *admins)
+			}
 			list := lister.NewClient(lister.Config{Address: *address})
 			defer list.Close()
 			instances, _, err := list.List(ctx)
@@ -80,6 +89,44 @@
 	return nil
 }
 
+// printProcesses shows gateways and stewards. It fails when they differ in their
+// version or can't be asked.
+func printProcesses(ctx context.Context, out io.Writer, addresses []string) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "ADDRESS\tROLE\tNAME\tVERSION\tSTORE\tSTATE")
+	versions := map[registrar.Version]bool{}
+	silent := 0
+	for _, a := range addresses {
+		var p driver.ProcessDump
+		data, err := fetchDump(ctx, a)
+		if err == nil {
+			err = json.Unmarshal(data, &p)
+		}
+		if err != nil {
+			silent++
+			_, _ = fmt.Fprintf(w, "%s\t-\t-\t-\t-\tdoes not answer\n", a)
+			continue
+		}
+		versions[p.Version] = true
+		store, state := "answers", "serving"
+		if p.Outage {
+			store = "lost"
+		}
+		if p.Draining {
+			state = "draining"
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\n", a, p.Role, p.Name, p.Version, store, state)
+	}
+	_ = w.Flush()
+	if silent > 0 {
+		return classifier.New(classifier.Lost, "%d of %d processes do not answer", silent, len(addresses))
+	}
+	if len(versions) > 1 {
+		return classifier.New(classifier.Conflict, "%d versions are in force", len(versions))
+	}
+	return nil
+}
+
 // refusals names the changes refused lately.
 func refusals(r follower.Report) string {
 	var ids []string
--- a/internal/command/steward.go
+++ b/internal/command/steward.go
@@ -36,6 +36,7 @@
 	store := platform.NewStore(platform.StoreConfig{Address: s.Store})
 	return driver.StewardConfig{
 		Name: s.Name, Service: registrar.ServiceName(s.Service), Upstream: s.Upstream, Peer: s.Peer, Admin: s.Admin, Window: s.Window.Duration(),
+		Memory:    s.Memory,
 		Directory: store, Fencer: store, Runner: platform.NewRunner(s.Upstream),
 	}, nil
 }
--- a/internal/dispatcher/bench_test.go
+++ b/internal/dispatcher/bench_test.go
@@ -12,7 +12,7 @@
 // runners, three models on each.
 func BenchmarkRequest(b *testing.B) {
 	const runnerCount, modelCount = 600, 840
-	d := New(Config{Domain: "a", Seed: 1, Allowance: Allowance{Slack: 100, Window: 10 * time.Second}})
+	d := New(Config{Domain: "a", Seed: 1, Allowance: Allowance{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}})
 	d.Reduce(0, Configured{&registrar.Configuration{Services: map[registrar.ServiceName]registrar.Service{runners: {Engine: &registrar.Engine{Slots: 64}}}}})
 	var all []*registrar.Upstream
 	for i := range runnerCount {
--- a/internal/dispatcher/budget.go
+++ b/internal/dispatcher/budget.go
@@ -5,7 +5,8 @@
 // Allowance is what all gateways together may send beyond the first send of
 // each request.
 type Allowance struct {
-	Slack  float64       // sends in one window beyond the share of requests
+	Ratio  float64       // sends for each request
+	Slack  float64       // sends in one window beyond that
 	Window time.Duration // length of the window
 }
 
@@ -34,7 +35,8 @@
 	if a.Window > 0 {
 		b.left += slack * float64(now-b.at) / float64(a.Window)
 	}
-	b.left = min(b.left+repeatShare*float64(requests), slack+repeatShare)
+	ratio := a.Ratio * ratioShare
+	b.left = min(b.left+ratio*float64(requests), slack+ratio)
 	b.at = now
 }
 
--- a/internal/dispatcher/choosing.go
+++ b/internal/dispatcher/choosing.go
@@ -146,9 +146,13 @@
 	d.emit(Want{Address: s.info.Address, Adapter: registrar.AdapterID{Model: r.Model, Name: r.Adapter}})
 }
 
-// patience is when the caller gives up if its answer has not begun.
-func (r *request) patience() time.Duration {
+// patience is when a request that has not been sent must be refused at the
+// latest: its caller gives up, or this gateway ends.
+func (d *Dispatcher) patience(r *request) time.Duration {
 	p := r.Deadline
+	if d.end > 0 {
+		p = min(p, d.end)
+	}
 	if r.Route.Kind == registrar.Streaming {
 		p = min(p, r.arrived+max(silence, silentTargets*r.Route.Target, silentPauses*r.Route.Pause))
 	}
@@ -158,7 +162,7 @@
 // hopeless tells whether a waiting request can't be served before its caller
 // gives up, and when the caller should come back.
 func (d *Dispatcher) hopeless(r *request) (classifier.Kind, time.Duration) {
-	left := r.patience() - d.now
+	left := d.patience(r) - d.now
 	holders, usable, coming := 0, 0, time.Duration(-1)
 	for _, s := range d.groups[r.Service] {
 		if !s.takes() {
--- a/internal/dispatcher/crowd_test.go
+++ b/internal/dispatcher/crowd_test.go
@@ -108,7 +108,7 @@
 		c.runners = append(c.runners, &crowdRunner{info: u, models: holdings})
 	}
 	for g := range s.gateways {
-		d := New(Config{Domain: "a", Seed: s.seed + uint64(g), Allowance: Allowance{Slack: 56, Window: 10 * time.Second}})
+		d := New(Config{Domain: "a", Seed: s.seed + uint64(g), Allowance: Allowance{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}})
 		c.gateways = append(c.gateways, d)
 		c.carryOut(s, g, d.Reduce(0, Configured{&registrar.Configuration{Services: map[registrar.ServiceName]registrar.Service{runners: {Name: runners, Engine: engine}}}}))
 		c.carryOut(s, g, d.Reduce(0, Listed{all}))
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -33,6 +33,7 @@
 	demand   map[registrar.ModelName]*trend
 	flows    map[flow]*flowStats
 	gateways int
+	end      time.Duration // what waits then is refused, zero while this gateway does not stop
 
 	Counters Counters
 }
@@ -99,6 +100,8 @@
 	case Reported:
 		d.report(ev.Report)
 		d.pump()
+	case Stopping:
+		d.end = ev.End
 	case Arrived:
 		d.arrive(ev.Request)
 	case Left:
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -25,7 +25,7 @@
 }
 
 func newDesk(t *testing.T) *desk {
-	k := &desk{t: t, d: New(Config{Domain: "a", Seed: 3, Allowance: Allowance{Slack: 56, Window: 10 * time.Second}})}
+	k := &desk{t: t, d: New(Config{Domain: "a", Seed: 3, Allowance: Allowance{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}})}
 	engine := &registrar.Engine{Slots: 64, Models: map[registrar.ModelName]registrar.Model{"m": {Name: "m", Load: 5 * time.Second}}}
 	k.reduce(Configured{&registrar.Configuration{Services: map[registrar.ServiceName]registrar.Service{
 		plain: {Name: plain}, runners: {Name: runners, Engine: engine},
--- a/internal/dispatcher/dump.go
+++ b/internal/dispatcher/dump.go
@@ -9,13 +9,12 @@
 
 // Dump is the state of a dispatcher, for people.
 type Dump struct {
-	Version   registrar.Version `json:"version"`
-	Gateways  int               `json:"gateways"`
-	Open      int               `json:"open"`
-	Waiting   []DumpLane        `json:"waiting"`
-	Upstreams []DumpUpstream    `json:"upstreams"`
-	Demands   []Demand          `json:"demands"`
-	Counters  Counters          `json:"counters"`
+	Gateways  int            `json:"gateways"`
+	Open      int            `json:"open"`
+	Waiting   []DumpLane     `json:"waiting"`
+	Upstreams []DumpUpstream `json:"upstreams"`
+	Demands   []Demand       `json:"demands"`
+	Counters  Counters       `json:"counters"`
 }
 
 // DumpLane counts the requests that wait for the same upstreams.
@@ -41,9 +40,6 @@
 // Dump returns the state.
 func (d *Dispatcher) Dump() Dump {
 	dump := Dump{Gateways: d.gateways, Open: len(d.requests), Demands: d.Demands(d.now), Counters: d.Counters}
-	if d.current != nil {
-		dump.Version = d.current.Version
-	}
 	for _, l := range d.order {
 		dump.Waiting = append(dump.Waiting, DumpLane{l.service, l.model, l.adapter, len(d.lanes[l])})
 	}
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -40,6 +40,10 @@
 // Reported carries what the steward beside an upstream says of it.
 type Reported struct{ Report Report }
 
+// Stopping tells that this gateway ends. What still waits at End is refused, so
+// that its caller can go to another gateway.
+type Stopping struct{ End time.Duration }
+
 // Arrived carries a request that has been read from its caller.
 type Arrived struct{ Request Request }
 
@@ -120,6 +124,7 @@
 
 func (Tick) event()       {}
 func (Configured) event() {}
+func (Stopping) event()   {}
 func (Listed) event()     {}
 func (Reported) event()   {}
 func (Arrived) event()    {}
--- a/internal/dispatcher/overload_test.go
+++ b/internal/dispatcher/overload_test.go
@@ -81,3 +81,23 @@
 	require.Less(t, refused, 60, "some may wait")
 	require.Len(t, open, 8)
 }
+
+// A gateway that stops gives what still waits a final answer before its end.
+func TestStopRefusesWhatStillWaits(t *testing.T) {
+	k := newDesk(t)
+	all := k.list(runners, 1, "m")
+	full := Reported{Report{Address: all[0].Address, Holdings: []registrar.Holding{{Model: "m"}}, Gateways: 1, Running: 64, Waiting: 9}}
+	require.Empty(t, k.reduce(full))
+	patient := route(registrar.Streaming, 1)
+	patient.Target, patient.Timeout = 4*time.Second, 20*time.Second
+	k.next++
+	require.Empty(t, k.reduce(Arrived{Request{ID: k.next, Route: patient, Service: runners, Model: "m", Deadline: 20 * time.Second}}))
+	require.Empty(t, k.reduce(Stopping{End: 3 * time.Second}))
+	for ; k.now < 3*time.Second-timeoutSlack; k.now += TickPeriod {
+		require.Empty(t, k.reduce(full))
+		require.Empty(t, k.reduce(Tick{}))
+	}
+	answer := k.answered(k.reduce(Tick{}))
+	require.Equal(t, classifier.Leaving, answer.Kind)
+	require.Positive(t, answer.RetryAfter)
+}
--- a/internal/dispatcher/returning.go
+++ b/internal/dispatcher/returning.go
@@ -164,7 +164,7 @@
 	for _, r := range d.sorted() {
 		limit := r.Deadline
 		if r.server == nil && !r.began {
-			limit = r.patience()
+			limit = d.patience(r)
 		}
 		if d.now < limit-timeoutSlack {
 			if r.server == nil {
@@ -175,6 +175,8 @@
 		switch {
 		case r.server == nil && r.began:
 			d.lose(r, classifier.Broken)
+		case r.server == nil && limit == d.end:
+			d.refuse(r, classifier.Leaving, 0)
 		case r.server == nil:
 			d.refuse(r, classifier.Late, d.drainTime(r))
 		default:
--- a/internal/dispatcher/timing.go
+++ b/internal/dispatcher/timing.go
@@ -55,9 +55,8 @@
 	errorShare      = 0.2  // weight of the last send in the error rate
 )
 
-// Shares of the retry budget that one gateway may use. All gateways together
-// may repeat a fifth of the requests, and some more in each window.
+// Shares of the retry budget that gateways use.
 const (
-	repeatShare = 0.15 // of the budget ratio's 0.2, the rest covers requests counted elsewhere
-	slackShare  = 0.6  // of the slack, since gateways may count each other late
+	ratioShare = 0.75 // of the repeats for each request, the rest covers requests counted elsewhere
+	slackShare = 0.6  // of the slack, since gateways may count each other late
 )
--- a/internal/driver/directory.go
+++ b/internal/driver/directory.go
@@ -117,6 +117,14 @@
 	return 0
 }
 
+// models lists the models of the configuration in force; mu is held.
+func (d *directory) models() []registrar.ModelName {
+	if c := d.registrar.Configuration(); c != nil {
+		return c.Models()
+	}
+	return nil
+}
+
 // newest returns the record of the configuration in force.
 func (d *directory) newest() exchanger.Record {
 	d.mu.Lock()
--- a/internal/driver/directory_test.go
+++ b/internal/driver/directory_test.go
@@ -66,7 +66,7 @@
 	for _, delay := range []time.Duration{time.Millisecond, 300 * time.Millisecond, 1900 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
 			store := &sluggish{}
-			d := newDirectory(store, zerolog.Nop(), gatewayPace)
+			d := newDirectory(store, zerolog.Nop(), paceOf(2*time.Second, 2*time.Second))
 			inForce := time.Time{}
 			d.onConfiguration = func(*registrar.Configuration) { inForce = time.Now() }
 			d.onList = func() {}
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -26,13 +26,16 @@
 	sweepPeriod  = time.Second            // of closing idle connections to upstreams
 	drainNotice  = 3 * time.Second        // the balancer asks once a second and needs two misses
 	stopMargin   = 300 * time.Millisecond // before the platform kills the process
+	refuseMargin = 500 * time.Millisecond // before that, in which refusals reach their callers
 )
 
-// gatewayPace keeps the list and the configuration well within the two seconds
-// after which an upstream that leaves must get nothing and a configuration must
-// be in force, also when the store misses a record that comes as a call begins
-// and holds the call to its end.
-var gatewayPace = pace{hold: time.Second, pause: time.Second}
+// paceOf keeps the list and the configuration well within the bounds after which
+// an upstream that leaves must get nothing and a configuration must be in force,
+// also when the store misses a record that comes as a call begins and holds the
+// call to its end.
+func paceOf(drain, apply time.Duration) pace {
+	return pace{hold: apply / 2, pause: drain / 2}
+}
 
 // GatewayConfig describes a gateway.
 type GatewayConfig struct {
@@ -42,6 +45,9 @@
 	Health    string // address on which the balancer asks
 	Peer      string // address for datagrams; stewards use its port too
 	Grace     time.Duration
+	Drain     time.Duration // a leaving upstream must get nothing later
+	Apply     time.Duration // a configuration must be in force by then
+	Memory    float64       // megabytes that the process may use
 	Allowance dispatcher.Allowance
 	Directory Directory
 	Dialect   relayer.Dialect
@@ -79,11 +85,12 @@
 // NewGateway listens on the gateway's addresses.
 func NewGateway(cfg GatewayConfig) (*Gateway, error) {
 	g := &Gateway{
-		cfg: cfg, dir: newDirectory(cfg.Directory, cfg.Log.Logger, gatewayPace), boxes: map[dispatcher.RequestID]*relayer.Mailbox{},
+		cfg: cfg, dir: newDirectory(cfg.Directory, cfg.Log.Logger, paceOf(cfg.Drain, cfg.Apply)), boxes: map[dispatcher.RequestID]*relayer.Mailbox{},
 		addresses: map[string]bool{}, stopping: make(chan struct{}, 1),
 		held: observer.NewLatency(), first: observer.NewLatency(), whole: observer.NewLatency(),
 		arrivals: map[dispatcher.RequestID]time.Duration{},
 	}
+	limitMemory(cfg.Memory)
 	g.dispatcher = dispatcher.New(dispatcher.Config{Domain: cfg.Domain, Seed: rand.Uint64(), Allowance: cfg.Allowance})
 	g.dir.onConfiguration = func(c *registrar.Configuration) {
 		g.current.Store(c)
@@ -170,6 +177,7 @@
 	g.dir.mu.Unlock()
 	g.cfg.Log.Logger.Info().Int("open", g.relayer.Open()).Msg("draining")
 	g.relayer.Drain()
+	g.Reduce(dispatcher.Stopping{End: g.Now() + grace - stopMargin - refuseMargin})
 	time.Sleep(drainNotice)
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(grace-stopMargin))
 	defer cancel()
@@ -206,11 +214,11 @@
 		now := g.dir.now()
 		g.dir.expire()
 		g.apply(dispatcher.Tick{})
-		var demands []dispatcher.Demand
+		var demands messenger.Demands
 		telling, sweeping := now-told >= max(demandPeriod, time.Duration(len(g.stewards))*stewardPause), now-swept >= sweepPeriod
 		if telling {
 			told = now
-			demands = g.dispatcher.Demands(now)
+			demands = messenger.Pack(g.dir.models(), g.dispatcher.Demands(now))
 		}
 		stewards, addresses, version := g.stewards, g.addresses, g.dir.version()
 		g.dir.mu.Unlock()
--- a/internal/driver/observing.go
+++ b/internal/driver/observing.go
@@ -4,6 +4,8 @@
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/observer"
+	"github.com/egretwall/egretwall/internal/registrar"
+	"github.com/egretwall/egretwall/internal/stocker"
 )
 
 // GatewayMetrics is what a gateway counts; times are milliseconds.
@@ -18,10 +20,38 @@
 	Whole       observer.LatencySummary `json:"whole"`       // from arrival to the whole answer
 }
 
+// ProcessDump is the part of a dump that all processes on the platform have.
+type ProcessDump struct {
+	Role     string            `json:"role"`
+	Name     string            `json:"name"`
+	Draining bool              `json:"draining"`
+	Version  registrar.Version `json:"version"` // in force, zero before the first
+	Outage   bool              `json:"outage"`  // the store does not answer
+}
+
+// GatewayDump is the state of a gateway, for people.
+type GatewayDump struct {
+	ProcessDump
+	dispatcher.Dump
+}
+
+// StewardDump is the state of a steward, for people.
+type StewardDump struct {
+	ProcessDump
+	stocker.Dump
+}
+
+// dump describes the process; mu is held.
+func (d *directory) dump(role, name string) ProcessDump {
+	return ProcessDump{Role: role, Name: name, Version: d.version(), Outage: d.registrar.Down()}
+}
+
 func (g *Gateway) dump() any {
 	g.dir.mu.Lock()
 	defer g.dir.mu.Unlock()
-	return g.dispatcher.Dump()
+	p := g.dir.dump("gateway", g.cfg.Name)
+	p.Draining = g.relayer.Draining()
+	return GatewayDump{p, g.dispatcher.Dump()}
 }
 
 func (g *Gateway) metrics() any {
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -21,9 +21,9 @@
 	fencePause   = 300 * time.Millisecond // between tries to get a fencing number
 )
 
-// stewardPace is slower than a gateway's: loads take seconds, and stewards hear
-// of each other's runners directly.
-var stewardPace = pace{hold: 3 * time.Second, pause: 2500 * time.Millisecond}
+// stewardPace is slower than a gateway's: loads take seconds, stewards hear of
+// each other's runners directly, and of a newer configuration from gateways.
+var stewardPace = pace{hold: 10 * time.Second, pause: 2500 * time.Millisecond}
 
 // Fencer hands out fencing numbers that only rise.
 type Fencer interface {
@@ -37,6 +37,7 @@
 	Upstream  string        // address of the runner beside it
 	Peer      string        // address for datagrams; gateways and other stewards use its port too
 	Window    time.Duration // over which loads from the weight store are counted
+	Memory    float64       // megabytes that the process may use
 	Directory Directory
 	Fencer    Fencer
 	Runner    stocker.Runner
@@ -74,6 +75,7 @@
 		cfg: cfg, dir: newDirectory(cfg.Directory, cfg.Log.Logger, stewardPace), gateways: map[netip.AddrPort]time.Duration{},
 		orders: make(chan stocker.Order, 1), asked: make(chan struct{}, 1), stopping: make(chan struct{}, 1),
 	}
+	limitMemory(cfg.Memory)
 	s.stocker = stocker.New(stocker.Config{Address: cfg.Upstream, Holder: cfg.Name, Window: cfg.Window})
 	s.dir.onConfiguration = func(c *registrar.Configuration) { s.apply(stocker.Configured{Configuration: c}) }
 	s.dir.onList = s.relist
@@ -97,7 +99,7 @@
 func (s *Steward) dump() any {
 	s.dir.mu.Lock()
 	defer s.dir.mu.Unlock()
-	return s.stocker.Dump(s.dir.now())
+	return StewardDump{s.dir.dump("steward", s.cfg.Name), s.stocker.Dump(s.dir.now())}
 }
 
 func (s *Steward) metrics() any {
@@ -228,7 +230,12 @@
 	}
 	s.gateways[from] = s.dir.now()
 	if m.Demands != nil {
-		s.apply(stocker.Demanded{Gateway: from.String(), Demands: *m.Demands})
+		demands, err := m.Demands.Unpack(s.dir.models())
+		if err != nil {
+			s.cfg.Log.Logger.Debug().Str("peer", from.String()).Err(err).Msg("demands not taken over")
+			return
+		}
+		s.apply(stocker.Demanded{Gateway: from.String(), Demands: demands})
 	}
 	if m.Wanted != nil {
 		s.apply(stocker.Wanted{Adapter: *m.Wanted})
--- a/internal/loader/platform.go
+++ b/internal/loader/platform.go
@@ -15,7 +15,11 @@
 	Admin   string              `json:"admin"`   // address for operators: metrics, dump
 	Store   string              `json:"store"`   // the platform's store
 	Grace   configurator.Millis `json:"grace"`   // from SIGTERM to SIGKILL
-	Slack   float64             `json:"slack"`   // repeats in a window beyond a share of the requests, of all gateways
+	Drain   configurator.Millis `json:"drain"`   // a leaving upstream must get nothing later
+	Apply   configurator.Millis `json:"apply"`   // a configuration must be in force by then
+	Memory  float64             `json:"memory"`  // megabytes that this process may use
+	Ratio   float64             `json:"ratio"`   // repeats for each request, of all gateways
+	Slack   float64             `json:"slack"`   // repeats in a window beyond that, of all gateways
 	Window  configurator.Millis `json:"window"`  // of the retry budget
 }
 
@@ -28,6 +32,7 @@
 	Admin    string              `json:"admin"`    // address for operators: metrics, dump
 	Store    string              `json:"store"`    // the platform's store
 	Window   configurator.Millis `json:"window"`   // over which loads from the weight store are counted
+	Memory   float64             `json:"memory"`   // megabytes that this process may use
 }
 
 // Gateway reads the settings of a gateway.
@@ -52,15 +57,17 @@
 	problems = append(problems, checkAddresses([][2]string{
 		{"$.callers", s.Callers}, {"$.health", s.Health}, {"$.peer", s.Peer}, {"$.admin", s.Admin}, {"$.store", s.Store},
 	})...)
-	for path, ms := range map[string]configurator.Millis{"$.grace": s.Grace, "$.window": s.Window} {
+	for path, ms := range map[string]configurator.Millis{"$.grace": s.Grace, "$.window": s.Window, "$.drain": s.Drain, "$.apply": s.Apply} {
 		if ms <= 0 {
 			problems = append(problems, decoder.Problem{Path: path, Text: "expected more than zero milliseconds"})
 		}
 	}
-	if s.Slack < 0 {
-		problems = append(problems, decoder.Problem{Path: "$.slack", Text: "expected zero or more repeats"})
+	for path, repeats := range map[string]float64{"$.slack": s.Slack, "$.ratio": s.Ratio} {
+		if repeats < 0 {
+			problems = append(problems, decoder.Problem{Path: path, Text: "expected zero or more repeats"})
+		}
 	}
-	return problems
+	return append(problems, checkMemory(s.Memory)...)
 }
 
 func (s StewardSettings) check() []decoder.Problem {
@@ -71,5 +78,13 @@
 	if s.Window <= 0 {
 		problems = append(problems, decoder.Problem{Path: "$.window", Text: "expected more than zero milliseconds"})
 	}
+	problems = append(problems, checkMemory(s.Memory)...)
 	return append(problems, checkAddresses([][2]string{{"$.upstream", s.Upstream}, {"$.peer", s.Peer}, {"$.admin", s.Admin}, {"$.store", s.Store}})...)
 }
+
+func checkMemory(megabytes float64) []decoder.Problem {
+	if megabytes > 0 {
+		return nil
+	}
+	return []decoder.Problem{{Path: "$.memory", Text: "expected more than zero megabytes"}}
+}
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -144,6 +144,8 @@
 	Configuration Kind = "configuration"
 	EntryFile     Kind = "entry settings"
 	AgentFile     Kind = "agent settings"
+	GatewayFile   Kind = "gateway settings"
+	StewardFile   Kind = "steward settings"
 )
 
 // Check reads a file, tells by its fields what it is, and returns every mistake.
@@ -165,6 +167,14 @@
 		var s AgentSettings
 		problems := decoder.Decode(data, &s)
 		return kind, append(problems, s.check()...), nil
+	case GatewayFile:
+		var s GatewaySettings
+		problems := decoder.Decode(data, &s)
+		return kind, append(problems, s.check()...), nil
+	case StewardFile:
+		var s StewardSettings
+		problems := decoder.Decode(data, &s)
+		return kind, append(problems, s.check()...), nil
 	default:
 		var s EntrySettings
 		problems := decoder.Decode(data, &s)
@@ -179,7 +189,7 @@
 	for _, k := range []struct {
 		kind Kind
 		v    any
-	}{{EntryFile, EntrySettings{}}, {AgentFile, AgentSettings{}}, {Configuration, configurator.Configuration{}}, {Questionnaire, generator.Questionnaire{}}} {
+	}{{EntryFile, EntrySettings{}}, {AgentFile, AgentSettings{}}, {GatewayFile, GatewaySettings{}}, {StewardFile, StewardSettings{}}, {Configuration, configurator.Configuration{}}, {Questionnaire, generator.Questionnaire{}}} {
 		known := decoder.Names(reflect.TypeOf(k.v))
 		n := 0
 		for _, f := range fields {
--- /dev/null
+++ b/internal/messenger/demands_test.go
@@ -0,0 +1,46 @@
+package messenger
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretwall/egretwall/internal/dispatcher"
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+func TestDemandsAreTheSameAfterTheTransfer(t *testing.T) {
+	names := []registrar.ModelName{"a", "b", "c"}
+	packed := Pack(names, []dispatcher.Demand{
+		{Model: "a", Work: 123456, Recent: 0.5, Sample: 1.2}, {Model: "c", Work: 999.9, Waiting: 4321}, {Model: "unknown", Work: 1},
+	})
+	all, err := packed.Unpack(names)
+	require.NoError(t, err)
+	require.Equal(t, []dispatcher.Demand{
+		{Model: "a", Work: 123000, Recent: 0.5, Sample: 1.2}, {Model: "c", Work: 1000, Waiting: 4320},
+	}, all)
+	_, err = packed.Unpack(names[:2])
+	require.ErrorContains(t, err, "other models")
+	for _, row := range [][]float64{{}, {3, 1, 1, 1}, {-1, 1, 1, 1}} {
+		_, err = Demands{Names: packed.Names, Rows: [][]float64{row}}.Unpack(names)
+		require.ErrorContains(t, err, "unreadable")
+	}
+}
+
+// A gateway sends its demands to each steward a few times a second. A hundred
+// models and stewards must leave a link of 10 Mbit/s nearly free.
+func TestDemandsOfManyModelsAreSmall(t *testing.T) {
+	var names []registrar.ModelName
+	var all []dispatcher.Demand
+	for i := range 100 {
+		name := registrar.ModelName(fmt.Sprintf("model%05d", i))
+		names = append(names, name)
+		all = append(all, dispatcher.Demand{Model: name, Work: 98765.4 + float64(i), Recent: 87654.3, Sample: 12.3, Waiting: 45678})
+	}
+	demands := Pack(names, all)
+	data, err := Encode(Message{Name: "front-be-north-a-1", Demands: &demands, Version: 12})
+	require.NoError(t, err)
+	const stewards, period, link = 100, 0.8, 10e6 / 8
+	require.Less(t, float64(len(data))*stewards/period, 0.3*link)
+}
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -30,7 +30,7 @@
 // Message is one datagram; one of its parts is set.
 type Message struct {
 	Name    string               `json:"name"`              // of the sender
-	Demands *[]dispatcher.Demand `json:"demands,omitempty"` // from a gateway, every period
+	Demands *Demands             `json:"demands,omitempty"` // from a gateway, every period
 	Wanted  *registrar.AdapterID `json:"wanted,omitempty"`  // from a gateway
 	Report  *dispatcher.Report   `json:"report,omitempty"`  // from a steward
 	Version registrar.Version    `json:"version,omitempty"` // of the sender's configuration
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -36,7 +36,7 @@
 }
 
 func TestMessageThatExceedsADatagram(t *testing.T) {
-	demands := make([]dispatcher.Demand, 2000)
+	demands := Demands{Rows: make([][]float64, 20000)}
 	_, err := Encode(Message{Demands: &demands})
 	require.Error(t, err)
 }
--- a/internal/registrar/configuration.go
+++ b/internal/registrar/configuration.go
@@ -15,6 +15,8 @@
 package registrar
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 )
@@ -57,7 +59,13 @@
 	Services map[ServiceName]Service
 	Limits   Limits
 
-	hosts map[HostName]map[string]*Route // by path prefix
+	hosts  map[HostName]map[string]*Route // by path prefix
+	models []ModelName                    // of all services, sorted
+}
+
+// Models lists the models of all services by name.
+func (c *Configuration) Models() []ModelName {
+	return c.models
 }
 
 // Route says where requests of a host and path go.
@@ -129,8 +137,17 @@
 	return []Share{{r.Service, 1}}
 }
 
-// index prepares the lookup of routes.
+// index prepares the lookup of routes and models.
 func (c *Configuration) index() {
+	names := map[ModelName]bool{}
+	for _, service := range c.Services {
+		if service.Engine != nil {
+			for name := range service.Engine.Models {
+				names[name] = true
+			}
+		}
+	}
+	c.models = slices.Sorted(maps.Keys(names))
 	c.hosts = map[HostName]map[string]*Route{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -65,6 +65,11 @@
 	r.suspended = r.suspended || !up
 }
 
+// Down tells whether the store doesn't answer.
+func (r *Registrar) Down() bool {
+	return r.down
+}
+
 // around tells whether a removal may be the effect of an outage.
 func (r *Registrar) around(now time.Duration) bool {
 	return r.down || r.suspended && now < r.returned+r.cfg.Return
--- a/internal/stocker/stocker.go
+++ b/internal/stocker/stocker.go
@@ -214,7 +214,7 @@
 			rep.Holdings = append(rep.Holdings, h)
 		}
 	}
-	key := fmt.Sprint(rep.Loading, rep.Claimed, s.stored, rep.Lost, rep.Busy, rep.Draining, rep.Holdings)
+	key := fmt.Sprint(rep.Loading, rep.Claimed, s.stored, rep.Lost, rep.Draining, rep.Holdings)
 	pause := min(longestPause, time.Duration(rep.Gateways)*gatewayPause)
 	switch {
 	case key != s.toldKey || s.now-s.toldWhole >= wholePeriod:
