--- a/internal/faker/relay.go
+++ b/internal/faker/relay.go
@@ -4,26 +4,35 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/egretwall/egretwall/internal/classifier"
 )
 
-// Relay passes TCP connections on and can silence those that are open: their
-// bytes vanish both ways without a reset, while new connections work.
+// Relay passes TCP connections on and can disturb them.
 type Relay struct {
 	target   string
 	listener net.Listener
 	bytes    atomic.Int64
 
-	mu    sync.Mutex
-	conns map[*relayConn]bool
+	mu          sync.Mutex
+	conns       map[*relayConn]bool
+	disturbance Disturbance
+}
+
+// Disturbance is what a Relay does to the bytes that come while it lasts. A
+// connection that has lost bytes in a direction passes none there for good.
+type Disturbance struct {
+	Delay    time.Duration // of each chunk
+	DropUp   bool          // bytes to the target vanish
+	DropDown bool          // bytes from the target vanish
 }
 
 type relayConn struct {
 	relay   *Relay
 	in, out net.Conn
 	mu      sync.Mutex
-	silent  bool
+	silent  map[net.Conn]bool // by the side whose bytes vanish
 }
 
 const relayBuffer = 32 << 10
@@ -56,14 +65,36 @@
 	r.target = target
 }
 
-// Silence makes the open connections drop everything for good.
+// Silence makes the open connections drop everything for good, while new ones
+// work.
 func (r *Relay) Silence() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.conns {
-		c.mu.Lock()
-		c.silent = true
-		c.mu.Unlock()
+		c.drop(c.in)
+		c.drop(c.out)
+	}
+}
+
+// Disturb replaces the disturbance; the zero value ends it.
+func (r *Relay) Disturb(d Disturbance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.disturbance = d
+}
+
+// Reset ends the open connections without delivering what is on its way.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		for _, side := range []net.Conn{c.in, c.out} {
+			if tcp, ok := side.(*net.TCPConn); ok {
+				// Fails only on a connection that is closed already.
+				_ = tcp.SetLinger(0)
+			}
+		}
+		c.close()
 	}
 }
 
@@ -96,7 +127,7 @@
 		_ = in.Close()
 		return
 	}
-	c := &relayConn{relay: r, in: in, out: out}
+	c := &relayConn{relay: r, in: in, out: out, silent: map[net.Conn]bool{}}
 	r.mu.Lock()
 	r.conns[c] = true
 	r.mu.Unlock()
@@ -107,20 +138,25 @@
 	r.mu.Unlock()
 }
 
-// copy passes bytes on until one side closes; a silent connection passes
-// neither bytes nor the close.
+// copy passes bytes on until one side closes; a silent side passes neither
+// bytes nor the close.
 func (c *relayConn) copy(from, to net.Conn) {
 	buf := make([]byte, relayBuffer)
 	for {
 		n, err := from.Read(buf)
 		c.relay.bytes.Add(int64(n))
-		if c.isSilent() {
+		d := c.relay.current()
+		if n > 0 && (from == c.in && d.DropUp || from == c.out && d.DropDown) {
+			c.drop(from)
+		}
+		if c.drops(from) {
 			if err != nil {
 				_ = from.Close()
 				return
 			}
 			continue
 		}
+		time.Sleep(d.Delay)
 		if n > 0 {
 			if _, err := to.Write(buf[:n]); err != nil {
 				c.close()
@@ -134,10 +170,22 @@
 	}
 }
 
-func (c *relayConn) isSilent() bool {
+func (r *Relay) current() Disturbance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.disturbance
+}
+
+func (c *relayConn) drop(side net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent[side] = true
+}
+
+func (c *relayConn) drops(side net.Conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.silent
+	return c.silent[side]
 }
 
 func (c *relayConn) close() {
