Refuse late requests that won't be served, and keep log lines of failures

The wait now follows the late requests' own sends.

Log lines beyond the limit were dropped whatever they said. Warnings now have 150 lines of their own (TestFailuresAreLoggedWhenThereAreTooManyLines).

--- a/internal/dispatcher/choosing.go
+++ b/internal/dispatcher/choosing.go
@@ -196,6 +196,9 @@
 // they are for, from how fast those of the same model went lately.
 func (d *Dispatcher) wait(r *request) time.Duration {
 	f := d.stats(r)
+	if !r.onTime(d.now) {
+		return f.tardyWait(d.now)
+	}
 	before := r.place - (f.sent - r.sentBefore)
 	if before <= waitingFree {
 		return 0
@@ -204,6 +207,16 @@
 	return time.Duration(float64(before) / max(f.rate.value, leastFlow) * float64(time.Second))
 }
 
+// tardyWait estimates how long requests wait that can't be on time any more:
+// those that can go first, so that only the sends of others count.
+func (f *flowStats) tardyWait(now time.Duration) time.Duration {
+	if f.late.current <= tardyFree {
+		return 0
+	}
+	f.tardy.decay(now)
+	return time.Duration((f.late.current - tardyFree) / max(f.tardy.value, leastFlow) * float64(time.Second))
+}
+
 // loadTime is the time that a load of the request's model takes.
 func (d *Dispatcher) loadTime(r *request) time.Duration {
 	if d.current == nil {
--- a/internal/dispatcher/crowd_test.go
+++ b/internal/dispatcher/crowd_test.go
@@ -25,6 +25,8 @@
 	arrived  map[RequestID]time.Duration
 	arrivals int // after the warm-up
 	onTime   int
+	refused  int
+	held     time.Duration // of the refused requests together
 	waited   time.Duration // requests x time at runners before they started
 }
 
@@ -153,6 +155,10 @@
 
 func (c *crowd) carryOut(s crowdShape, g int, effects []Effect) {
 	for _, e := range effects {
+		if a, ok := e.(Answer); ok && c.now >= crowdWarmUp {
+			c.refused++
+			c.held += c.now - c.arrived[a.ID]
+		}
 		send, ok := e.(Send)
 		if !ok {
 			continue
@@ -175,7 +181,7 @@
 		r.waiting = r.waiting[1:]
 		r.running++
 		at := c.arrived[w.send.ID]
-		if at >= crowdWarmUp && at < crowdWarmUp+crowdLength-time.Second && c.now-at <= 300*time.Millisecond {
+		if at >= crowdWarmUp && at < crowdWarmUp+crowdLength-time.Second && c.now-at <= c.target() {
 			c.onTime++
 		}
 		long := time.Duration(float64(s.serve) * math.Min(3, 0.3+0.7*c.rnd.ExpFloat64()))
@@ -233,3 +239,14 @@
 		require.LessOrEqual(t, waiting, float64(s.slots)/8, "requests that wait at a runner, %+v", s)
 	}
 }
+
+// What can't be served is refused soon, not when its caller gives up after 2 s.
+func TestOverloadIsRefusedSoon(t *testing.T) {
+	s := crowdShape{gateways: 6, runners: 2, slots: 64, models: 2, load: 1.5, serve: 1500 * time.Millisecond}
+	c := playCrowd(s)
+	require.Positive(t, c.refused)
+	require.Less(t, c.held/time.Duration(c.refused), 2*c.target())
+}
+
+// target is that of the requests.
+func (c *crowd) target() time.Duration { return route(registrar.Streaming, 2).Target }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -174,6 +174,9 @@
 	d.Counters.Sent++
 	f := d.stats(r)
 	f.rate.add(d.now, 1)
+	if !r.onTime(d.now) {
+		f.tardy.add(d.now, 1)
+	}
 	f.sent++
 	e := Send{
 		ID: r.ID, Try: r.try, Upstream: s.info.ID, Address: s.info.Address,
--- a/internal/dispatcher/queue.go
+++ b/internal/dispatcher/queue.go
@@ -24,6 +24,7 @@
 // flowStats counts the requests of a flow.
 type flowStats struct {
 	rate    average // sends a second
+	tardy   average // of these, of requests that could not be on time
 	sent    int
 	waiting int
 	prompt  level // of those waiting that can be on time
@@ -34,7 +35,7 @@
 	f := flowOf(r)
 	s := d.flows[f]
 	if s == nil {
-		s = &flowStats{rate: average{life: flowLife, at: d.now}}
+		s = &flowStats{rate: average{life: flowLife, at: d.now}, tardy: average{life: flowLife, at: d.now}}
 		d.flows[f] = s
 	}
 	return s
--- a/internal/dispatcher/timing.go
+++ b/internal/dispatcher/timing.go
@@ -46,6 +46,7 @@
 	startShare      = 0.12 // of the target, which an upstream takes to begin an answer
 	waitingCost     = 4.0  // requests of load that each of them weighs: it delays all later ones
 	waitingFree     = 3    // requests that may wait here whatever the flow
+	tardyFree       = 1    // requests that can't be on time that may wait whatever the flow
 	leastFlow       = 0.5  // sends a second; a slower flow says nothing
 	farCost         = 0.6  // requests of load that an upstream in another failure domain may have less
 	latePriority    = 7    // of requests that missed their target, admitted after all others
--- a/internal/observer/limit.go
+++ b/internal/observer/limit.go
@@ -14,6 +14,7 @@
 const (
 	linesPerSecond = 150      // a line takes about 20 us; 0.3% of a core
 	linesSaved     = 600      // that may be written at once after a quiet time
+	linesKept      = 150      // beyond these, for warnings and errors: what failed is worth more than what was served
 	linesQueued    = 2 * 1024 // that wait for a slow reader of the output before they are dropped
 )
 
@@ -25,14 +26,18 @@
 	dropped atomic.Int64
 }
 
+func newLimit() *Limit {
+	return &Limit{left: linesSaved + linesKept, at: time.Now()}
+}
+
 // Sample tells whether a line may be written.
-func (l *Limit) Sample(zerolog.Level) bool {
+func (l *Limit) Sample(level zerolog.Level) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	l.left = min(linesSaved, l.left+now.Sub(l.at).Seconds()*linesPerSecond)
+	l.left = min(linesSaved+linesKept, l.left+now.Sub(l.at).Seconds()*linesPerSecond)
 	l.at = now
-	if l.left < 1 {
+	if l.left < 1 || level < zerolog.WarnLevel && l.left < linesKept+1 {
 		l.dropped.Add(1)
 		return false
 	}
@@ -57,7 +62,7 @@
 // NewBoundedLogger returns a logger like NewLogger's that drops lines, and
 // counts them, when there are too many or w does not take them.
 func NewBoundedLogger(w io.Writer, level string) (*BoundedLog, error) {
-	b := &BoundedLog{Limit: &Limit{left: linesSaved, at: time.Now()}}
+	b := &BoundedLog{Limit: newLimit()}
 	b.writer = diode.NewWriter(w, linesQueued, 0, func(missed int) { b.Limit.dropped.Add(int64(missed)) })
 	logger, err := NewLogger(b.writer, level)
 	if err != nil {
--- a/internal/observer/limit_test.go
+++ b/internal/observer/limit_test.go
@@ -2,17 +2,19 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 )
 
 func TestLinesBeyondTheRateAreCounted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := &Limit{left: linesSaved, at: time.Now()}
+		l := newLimit()
 		written := 0
 		for range 2000 {
 			if l.Sample(0) {
@@ -65,3 +67,26 @@
 type writerFunc func([]byte) (int, error)
 
 func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
+
+func TestFailuresAreLoggedWhenThereAreTooManyLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimit()
+		for range 10 * linesSaved {
+			l.Sample(zerolog.InfoLevel)
+		}
+		require.False(t, l.Sample(zerolog.InfoLevel))
+		for range linesKept {
+			require.True(t, l.Sample(zerolog.WarnLevel))
+		}
+		require.False(t, l.Sample(zerolog.WarnLevel))
+	})
+}
+
+func BenchmarkLine(b *testing.B) {
+	logger, err := NewBoundedLogger(io.Discard, "info")
+	require.NoError(b, err)
+	for b.Loop() {
+		logger.all.Info().Str("request", "5029659ce532bbf6").Str("upstream", "i-c65cfd048c").Int("try", 1).Int64("held", 3).
+			Int64("took", 104).Int64("age", 80).Int("waiting", 2).Int64("version", 22).Msg("request served")
+	}
+}
