Name the model in a request's log lines

docs/OPERATIONS.md sends the reader of a refusal to the orders for its model, which no line of the request named. The lines of a request are made in one place now.

Also removed: two limits that were 1 and 0. No change of decisions.

--- a/internal/dispatcher/allotment.go
+++ b/internal/dispatcher/allotment.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
+// allotment is how many requests a gateway may send to a runner until the next
+// report. Requests of its own that end there give their places back.
+//
 // All gateways see the same report and the same free places. What one of them
 // takes of these is drawn so that together they take about as many as there are:
 // its share is that of its own waiting requests in all that wait, and the other
 // gateways' queues are taken to be as long as its own have been lately.
-
-// allotment is how many requests a gateway may send to an upstream until the
-// next report. Requests of its own that end there give their places back.
 type allotment struct {
 	left  int
 	late  int  // of these for requests that can't be on time any more
@@ -51,8 +51,9 @@
 	return s.allotment.left > 0
 }
 
+// draw makes the allotment that follows from the upstream's last report.
 func (d *Dispatcher) draw(s *server) allotment {
-	free := float64(d.slots(s))*(batchFill+waitingFill) - float64(s.report.Running+s.report.Waiting+s.open-s.ownThen)
+	free := float64(d.slots(s) - s.report.Running - s.report.Waiting - (s.open - s.ownThen))
 	own, others := d.contenders(s, func(f *flowStats) *level { return &f.prompt })
 	ownLate, othersLate := d.contenders(s, func(f *flowStats) *level { return &f.late })
 	// Without a queue the other gateways may still get as much at once.
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -210,15 +210,21 @@
 		return
 	}
 	d.Counters.Left++
-	d.emit(Note{Name: "caller left", Request: r.Name, Peer: peerOf(r), Try: r.try, Waiting: d.waiting})
+	d.emit(d.note("caller left", r, r.server))
 	d.forget(r)
 }
 
-func peerOf(r *request) registrar.UpstreamID {
-	if r.server == nil {
-		return ""
+// note describes a decision on a request; s is the upstream concerned, nil
+// without one.
+func (d *Dispatcher) note(name string, r *request, s *server) Note {
+	n := Note{Name: name, Request: r.Name, Model: string(r.Model), Try: r.try, Waiting: d.waiting, Age: d.reportAge(s)}
+	if r.Adapter != "" {
+		n.Model += "/" + string(r.Adapter)
+	}
+	if s != nil {
+		n.Peer = s.info.ID
 	}
-	return r.server.info.ID
+	return n
 }
 
 // forget drops a request that has its final answer.
@@ -268,10 +274,9 @@
 }
 
 func (d *Dispatcher) finish(r *request, kind classifier.Kind, after time.Duration) {
-	d.emit(Note{
-		Name: "request failed", Request: r.Name, Peer: peerOf(r), Kind: kind, Cause: r.lastCause,
-		Try: r.try, Waiting: d.waiting, Age: d.reportAge(r.server), Held: r.held(d.now), Took: d.now - r.arrived,
-	})
+	n := d.note("request failed", r, r.server)
+	n.Kind, n.Cause, n.Held, n.Took = kind, r.lastCause, r.held(d.now), d.now-r.arrived
+	d.emit(n)
 	d.emit(Answer{ID: r.ID, Kind: kind, RetryAfter: after})
 	d.forget(r)
 }
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -178,6 +178,7 @@
 type Note struct {
 	Name    string
 	Request string
+	Model   string // with its adapter, empty for plain services
 	Peer    registrar.UpstreamID
 	Kind    classifier.Kind
 	Cause   string
--- a/internal/dispatcher/returning.go
+++ b/internal/dispatcher/returning.go
@@ -16,12 +16,16 @@
 	r.lastCause = ev.Cause
 	d.detach(r)
 	if ev.Outcome != Whole && ev.Outcome != Closed {
-		d.emit(Note{Name: "send failed", Request: r.Name, Peer: s.info.ID, Cause: string(ev.Outcome) + ": " + ev.Cause, Try: r.try, Waiting: d.waiting, Age: d.reportAge(s)})
+		n := d.note("send failed", r, s)
+		n.Cause = string(ev.Outcome) + ": " + ev.Cause
+		d.emit(n)
 	}
 	switch ev.Outcome {
 	case Whole:
 		d.Counters.Whole++
-		d.emit(Note{Name: "request served", Request: r.Name, Peer: s.info.ID, Try: r.try, Waiting: d.waiting, Age: d.reportAge(s), Held: r.sent - r.arrived, Took: d.now - r.arrived})
+		n := d.note("request served", r, s)
+		n.Held, n.Took = r.sent-r.arrived, d.now-r.arrived
+		d.emit(n)
 		s.failures = 0
 		s.result(d.now, false)
 		delete(d.requests, r.ID)
@@ -140,7 +144,7 @@
 	}
 	r.switched = true
 	r.lastCause = "silent upstream"
-	d.emit(Note{Name: "upstream silent", Request: r.Name, Peer: s.info.ID, Try: r.try, Waiting: d.waiting, Age: d.reportAge(s)})
+	d.emit(d.note("upstream silent", r, s))
 	d.emit(Switch{r.ID})
 }
 
--- a/internal/dispatcher/timing.go
+++ b/internal/dispatcher/timing.go
@@ -41,8 +41,6 @@
 	burst           = 3    // sends to one runner between two reports that need no regard for other gateways
 	minOpen         = 3    // sends that one gateway may always have open at an upstream
 	lineShare       = 1.5  // work units that the gateways together may have open for each slot of a plain service
-	batchFill       = 1.0  // share of a runner's batch that is filled before requests wait here
-	waitingFill     = 0.0  // of a batch's slots may be taken by requests that wait at the upstream; what a target leaves time for
 	startShare      = 0.12 // of the target, which an upstream takes to begin an answer
 	waitingCost     = 4.0  // requests of load that each of them weighs: it delays all later ones
 	waitingFree     = 3    // requests that may wait here whatever the flow
--- a/internal/driver/observing.go
+++ b/internal/driver/observing.go
@@ -73,6 +73,9 @@
 	if n.Request != "" {
 		ev = ev.Str("request", n.Request)
 	}
+	if n.Model != "" {
+		ev = ev.Str("model", n.Model)
+	}
 	if n.Peer != "" {
 		ev = ev.Str("upstream", string(n.Peer))
 	}
