Report twice as often to many gateways, let models and adapters in turn

Links have room for it since demands are short. - Adapters are ordered before models; with wants without end (430 adapter orders a second after a loss of power) a runner ordered no model for up to 9 s. After eight in a row a model goes first. TestAdaptersDoNotKeepAModelAway. - An adapter was wanted at one runner only, also when that was full. Now a further runner with room is asked, and none when all are full. TestAdapterOfAFullRunnerIsWantedElsewhere.

--- a/internal/dispatcher/choosing.go
+++ b/internal/dispatcher/choosing.go
@@ -115,27 +115,40 @@
 	return cost
 }
 
-// wantAdapter asks the steward of a runner with the model for the adapter. The
-// rendezvous order lets all gateways ask the same runner. A runner that loads a
-// model takes no other order meanwhile.
+// wantAdapter asks the steward of a runner with the model for the adapter: where
+// some runner has it and none of these has room, a further one with room.
 func (d *Dispatcher) wantAdapter(r *request, group []*server) {
-	var names, busy []configurator.UpstreamName
+	var idle, busy, roomy []configurator.UpstreamName
+	held := false
 	for _, s := range group {
-		if model, _ := s.has(d.now, r.Model, ""); !model || !s.takes() || d.now < s.avoid {
+		model, adapter := s.has(d.now, r.Model, r.Adapter)
+		if !model || !s.takes() || d.now < s.avoid {
 			continue
 		}
-		if s.fresh(d.now) && s.report.Busy {
-			busy = append(busy, configurator.UpstreamName(s.info.ID))
-		} else {
-			names = append(names, configurator.UpstreamName(s.info.ID))
+		name := configurator.UpstreamName(s.info.ID)
+		switch {
+		case adapter:
+			held = true
+			continue
+		case s.fresh(d.now) && s.report.Busy:
+			busy = append(busy, name)
+			continue
+		}
+		idle = append(idle, name)
+		if s.fresh(d.now) && s.report.Running+s.report.Waiting < d.slots(s) {
+			roomy = append(roomy, name)
 		}
 	}
-	if len(names) == 0 {
-		names = busy
+	names := idle
+	if held {
+		names = roomy
+	} else if len(idle) == 0 {
+		names = busy // a runner that loads a model takes no other order meanwhile
 	}
 	if len(names) == 0 {
 		return
 	}
+	// The rendezvous order lets all gateways ask the same runner.
 	first := placer.Rank(string(r.Model)+"/"+string(r.Adapter), names)[0]
 	s := d.servers[registrar.UpstreamID(first)]
 	l := laneOf(r)
--- a/internal/dispatcher/overload_test.go
+++ b/internal/dispatcher/overload_test.go
@@ -101,3 +101,32 @@
 	require.Equal(t, classifier.Leaving, answer.Kind)
 	require.Positive(t, answer.RetryAfter)
 }
+
+// An adapter whose runner is full is wanted at another runner of the model that
+// has room; where none has, it would take a place from others for nothing.
+func TestAdapterOfAFullRunnerIsWantedElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		running int // at the runners without the adapter
+		want    bool
+	}{{10, true}, {64, false}} {
+		k := newDesk(t)
+		all := k.list(runners, 3, "m")
+		for i, u := range all {
+			rep := Report{Address: u.Address, Gateways: 1, Running: c.running, Holdings: []registrar.Holding{{Model: "m"}}}
+			if i == 0 {
+				rep.Running, rep.Holdings[0].Adapters = 64, []registrar.AdapterName{"a"}
+			}
+			k.reduce(Reported{rep})
+		}
+		k.next++
+		effects := k.reduce(Arrived{Request{ID: k.next, Route: route(registrar.Streaming, 2), Service: runners, Model: "m", Adapter: "a", Deadline: 4 * time.Second}})
+		if !c.want {
+			require.Empty(t, effects)
+			continue
+		}
+		require.Len(t, effects, 1)
+		want, ok := effects[0].(Want)
+		require.True(t, ok, "%#v", effects[0])
+		require.NotEqual(t, all[0].Address, want.Address)
+	}
+}
--- a/internal/stocker/deciding.go
+++ b/internal/stocker/deciding.go
@@ -26,9 +26,20 @@
 	if e == nil || !s.settled || s.fence == 0 || s.sending || s.now < s.pause || s.state.Draining || s.self.State != registrar.Ready {
 		return
 	}
-	if !s.state.Busy && !s.adapter(e) {
-		s.model(e)
+	if s.state.Busy {
+		return
+	}
+	// Callers that want many adapters must not keep a model from coming.
+	if s.streak >= adapterStreak && s.model(e) {
+		s.streak = 0
+		return
+	}
+	if s.adapter(e) {
+		s.streak++
+		return
 	}
+	s.streak = 0
+	s.model(e)
 }
 
 // strays lists the loads that were meant for an earlier run of the runner and
@@ -123,8 +134,9 @@
 	return oldest, found
 }
 
-// model orders a model to come or to make way, as the plan says.
-func (s *Stocker) model(e *registrar.Engine) {
+// model orders a model to come or to make way, as the plan says, and tells
+// whether it gave an order.
+func (s *Stocker) model(e *registrar.Engine) bool {
 	v := s.view(e)
 	m, reason := s.lacks(e, v)
 	if m != s.claim.model {
@@ -132,18 +144,19 @@
 	}
 	if m == "" {
 		s.leaving = ""
-		return
+		return false
 	}
 	if s.free(e) >= e.Models[m].Weights {
 		if s.turn(e, m) {
 			s.send(Load, m, "", reason+", from "+s.source(m))
 		}
-		return
+		return s.sending
 	}
 	if !s.atHand(m) && s.storeLoads(false) >= s.storeLimit(e) {
-		return
+		return false
 	}
 	s.makeWay(v, m)
+	return s.sending
 }
 
 // makeWay orders a model that the plan has elsewhere to be unloaded. That is
--- a/internal/stocker/event.go
+++ b/internal/stocker/event.go
@@ -145,7 +145,7 @@
 const (
 	demandLife     = 2 * time.Second        // a gateway's demand counts this long; several lost datagrams
 	wholePeriod    = time.Second            // an unchanged state is told whole this often, and to stewards
-	gatewayPause   = 10 * time.Millisecond  // between reports for each gateway, so that many gateways get fewer
+	gatewayPause   = 5 * time.Millisecond   // between reports for each gateway, so that many gateways get fewer
 	longestPause   = 400 * time.Millisecond // between reports, half of what gateways take for silence
 	peerLife       = 3 * time.Second        // an older state of a peer gives way to the list's
 	planLife       = 250 * time.Millisecond // a plan is kept this long; demand is told as often
@@ -155,6 +155,7 @@
 	copySpread     = 0.75                   // models with less work get more copies than their share, against the next shift
 	copyWork       = 16000.0                // prompt tokens a second that one copy serves easily
 	idleShare      = 3                      // loads of the store's limit that are kept for models in demand
+	adapterStreak  = 8                      // adapter orders in a row while a model should come, a runner's places
 	comingBound    = 4                      // adapters that may be on their way to one runner
 	unsettledPause = 300 * time.Millisecond // after an order without an answer, before the next one
 	orderFlight    = 13 * time.Second       // after which an order without an answer is not carried out any more; they take 12 at most
--- a/internal/stocker/stocker.go
+++ b/internal/stocker/stocker.go
@@ -51,6 +51,7 @@
 	started   bool
 	demands   map[string]demand
 	wants     []want
+	streak    int                                   // adapter orders in a row
 	used      map[registrar.AdapterID]time.Duration // when an adapter was last wanted
 	Counters  Counters
 }
--- a/internal/stocker/stocker_test.go
+++ b/internal/stocker/stocker_test.go
@@ -220,3 +220,25 @@
 	}
 	t.Fatal("no model made way")
 }
+
+// Adapters are ordered first, as they come fast; without end they would keep a
+// model away that no runner holds.
+func TestAdaptersDoNotKeepAModelAway(t *testing.T) {
+	b := newBench(t, []registrar.ModelName{"a"})
+	sequence := int64(0)
+	for range 3 * adapterStreak {
+		for i := range 9 {
+			b.reduce(Wanted{registrar.AdapterID{Model: "a", Name: registrar.AdapterName(fmt.Sprint("a", i))}})
+		}
+		o := b.after(time.Second, b.state(sequence))
+		require.NotNil(t, o)
+		if o.Adapter == "" {
+			require.Equal(t, Load, o.Op)
+			return
+		}
+		b.reduce(Ordered{*o, Begun})
+		sequence++
+		b.now += 20 * time.Millisecond // an adapter's load
+	}
+	require.Fail(t, "no model was ordered")
+}
