Do not fetch an unusable configuration with each message

Found by reading the diff: after a fetch whose record can't be used, the next datagram of the same peer began another one, hundreds a second. TestUnusableConfigurationIsNotFetchedAtOnceAgain.

--- a/internal/driver/directory.go
+++ b/internal/driver/directory.go
@@ -158,7 +158,8 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.fetching = false
+	// A record that could not be had or used is not asked for again at once.
+	d.fetching, d.behind = false, 0
 }
 
 // list takes over records of the list, all of them or later ones.
--- a/internal/driver/directory_test.go
+++ b/internal/driver/directory_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/netip"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -10,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretwall/egretwall/internal/exchanger"
 	"github.com/egretwall/egretwall/internal/registrar"
 	"github.com/egretwall/egretwall/internal/watcher"
 )
@@ -85,3 +88,38 @@
 		})
 	}
 }
+
+// unreadable is a store whose configurations can't be read here.
+type unreadable struct{ sluggish }
+
+func (*unreadable) Configuration(watcher.Record) (*registrar.Configuration, error) {
+	return nil, errors.New("unknown kind of route")
+}
+
+// A newer configuration that can't be used must not be fetched with each message.
+func TestUnusableConfigurationIsNotFetchedAtOnceAgain(t *testing.T) {
+	e, err := exchanger.New(exchanger.Config{Address: "127.0.0.1:0", Record: func() exchanger.Record { return exchanger.Record{Key: "k", Value: []byte("v")} }})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- e.Run(ctx) }()
+	d := newDirectory(&unreadable{}, zerolog.Nop(), paceOf(applyBound, applyBound))
+	peer := netip.MustParseAddrPort(e.Address())
+	fetching := func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return d.fetching
+	}
+	d.mu.Lock()
+	d.start, d.behind = d.start.Add(-time.Hour), 1
+	d.heard(peer, 7)
+	d.mu.Unlock()
+	require.True(t, fetching())
+	require.Eventually(t, func() bool { return !fetching() }, time.Minute, time.Millisecond)
+	d.mu.Lock()
+	d.heard(peer, 7)
+	d.mu.Unlock()
+	require.False(t, fetching())
+	cancel()
+	require.NoError(t, <-done)
+}
