--- a/internal/command/demo.go
+++ b/internal/command/demo.go
@@ -78,16 +78,7 @@
 func awaitModels(ctx context.Context, s Streams, cluster *demonstrator.Cluster) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	last := -1
-	return cluster.WaitReady(ctx, func(resident, all int) {
-		if resident != last {
-			last = resident
-			_, _ = fmt.Fprintf(s.Err, "\rloading models and adapters: %d of %d", resident, all)
-		}
-		if resident == all {
-			_, _ = fmt.Fprintln(s.Err)
-		}
-	})
+	return cluster.WaitReady(ctx, newProgress(s.Err, "loading models and adapters").show)
 }
 
 // serveDemo prints commands to try and serves until SIGINT.
