--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 decoders:
 	for t in decoder:FuzzDecode generator:FuzzGenerate loader:FuzzSettings acceptor:FuzzParseCall forwarder:FuzzReadEvent forwarder:FuzzEngineBody recorder:FuzzDecode; do \
 		go test -run '^$$' -fuzz $${t#*:}'$$' -fuzztime 10s ./internal/$${t%:*} || exit 1; done
-	for t in FuzzDecodeServer FuzzDecodeConfiguration FuzzSplitRecords; do \
+	for t in FuzzDecodeServer FuzzDecodeConfiguration FuzzSplitRecords FuzzDecodeReport FuzzCall; do \
 		go test -run '^$$' -fuzz $$t'$$' -fuzztime 10s ./platform || exit 1; done
 
 mutants:
