--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -380,3 +380,21 @@
 	}
 	return h.reduce(UpstreamsListed{all})
 }
+
+// The log of a request whose caller closes the connection during a send must name the
+// upstream, since that is where the request may still run.
+func TestCallerThatLeavesDuringASendIsLogged(t *testing.T) {
+	h := newHarness(t)
+	h.listUpstreams(plainService, 1)
+	id, effects := h.submit(route(registrar.Idempotent, 2), "")
+	send := h.requireSend(effects)
+	var lines []Log
+	for _, effect := range h.d.Reduce(h.now, SendEnded{ID: id, Try: send.Try, Outcome: CallerClosed}) {
+		if line, ok := effect.(Log); ok {
+			lines = append(lines, line)
+		}
+	}
+	require.Len(t, lines, 1)
+	require.Equal(t, "caller left", lines[0].Event)
+	require.Equal(t, send.Upstream, lines[0].Upstream)
+}
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -32,6 +32,7 @@
 		delete(d.requests, r.ID)
 	case CallerClosed:
 		d.Counters.Disconnected++
+		d.emit(d.logEvent("caller left", r, u))
 		delete(d.requests, r.ID)
 	case NotRun:
 		u.fullUntil = d.now + fullBackoff
