Notice restores of the store by its era

Cause: a store that comes back from a copy some seconds old gives out its offsets again. A reader at an offset that the copy has skips other records without an error; a fencing token of offset plus 1 is given out twice, or a lower one after a higher one; entries that the copy lacks look removed.

Change: the store's client reads the era from every answer. Its rise, shown by any call, ends held calls and makes each watcher read the newest record of each key; answers of an earlier era are dropped.

Ruled out: noticing restores by offsets that fall (a copy that has grown past the reader's offset shows none), and by status 410 alone.

--- a/internal/driver/syncer.go
+++ b/internal/driver/syncer.go
@@ -75,7 +75,8 @@
 	g.Go(func() {
 		watcher.New(watcher.Config{
 			Store: s.store, Topic: s.store.ConfigurationTopic(), PollTimeout: s.timing.configurationTimeout, Logger: s.logger,
-			OnReplace: s.installConfigurations, OnChange: s.installConfigurations, OnReachable: func(bool) {},
+			// The configuration in force stays after a restore: only a higher version replaces it.
+			OnReplace: s.installConfigurations, OnChange: s.installConfigurations, OnRestored: func() {}, OnReachable: func(bool) {},
 		}).Run(ctx)
 	})
 	g.Go(func() {
@@ -83,6 +84,11 @@
 			Store: s.store, Topic: s.store.UpstreamTopic(), PollTimeout: listPollTimeout, PollDelay: s.timing.listDelay, Logger: s.logger,
 			OnReplace: func(r []watcher.Record) { s.applyList(r, true) },
 			OnChange:  func(r []watcher.Record) { s.applyList(r, false) },
+			OnRestored: func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.registrar.StoreRestored(s.now())
+			},
 			OnReachable: func(up bool) {
 				s.mu.Lock()
 				defer s.mu.Unlock()
--- a/internal/driver/syncer_test.go
+++ b/internal/driver/syncer_test.go
@@ -33,27 +33,29 @@
 	s.version = v
 }
 
-func (s *longPollStore) latest(topic string) ([]watcher.Record, int64, error) {
+func (s *longPollStore) latest(topic string) watcher.Batch {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if topic != s.ConfigurationTopic() || s.version == 0 {
-		return nil, 0, nil
+		return watcher.Batch{}
 	}
-	return []watcher.Record{{Key: "configuration"}}, int64(s.version), nil
+	return watcher.Batch{Records: []watcher.Record{{Key: "configuration"}}, NextOffset: int64(s.version)}
 }
 
-func (s *longPollStore) ReadLatest(_ context.Context, topic string) ([]watcher.Record, int64, error) {
-	return s.latest(topic)
+func (s *longPollStore) ReadLatest(_ context.Context, topic string) (watcher.Batch, error) {
+	return s.latest(topic), nil
 }
 
-func (s *longPollStore) Read(_ context.Context, topic string, from int64, wait time.Duration) ([]watcher.Record, int64, error) {
-	if records, next, err := s.latest(topic); next > from || err != nil {
-		return records, next, err
+func (s *longPollStore) Read(_ context.Context, topic string, from int64, wait time.Duration) (watcher.Batch, error) {
+	if batch := s.latest(topic); batch.NextOffset > from {
+		return batch, nil
 	}
 	time.Sleep(wait)
-	return nil, from, nil
+	return watcher.Batch{NextOffset: from}, nil
 }
 
+func (s *longPollStore) Era() (watcher.Era, <-chan struct{}) { return 0, nil }
+
 func (s *longPollStore) ConfigurationTopic() string { return "operator" }
 func (s *longPollStore) UpstreamTopic() string      { return "list" }
 
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -68,13 +68,20 @@
 	r.hadOutage = r.hadOutage || !up
 }
 
+// StoreRestored records at time now that the store was restored from a backup. Entries
+// that it lost are kept like those that expire in an outage, until their upstreams have
+// had time to write them again.
+func (r *Registrar) StoreRestored(now time.Duration) {
+	r.hadOutage, r.storeReturnedAt = true, now
+}
+
 // StoreDown reports whether the store is in an outage.
 func (r *Registrar) StoreDown() bool {
 	return r.storeDown
 }
 
 // mayHaveLapsed reports whether an entry that is removed now may have expired only
-// because its instance could not reach the store.
+// because its instance could not reach the store, or may be lost with a restore.
 func (r *Registrar) mayHaveLapsed(now time.Duration) bool {
 	return r.storeDown || r.hadOutage && now < r.storeReturnedAt+r.cfg.OutageGrace
 }
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -93,3 +93,31 @@
 	r.Apply(0, []Change{entryChange("c", 5, 1, Ready)})
 	require.Equal(t, []UpstreamID{"b", "c"}, ids(r))
 }
+
+// A restored store lacks entries that their upstreams write again soon, and lists some as
+// they were before.
+func TestRestoreNeitherRemovesNorRevertsEntries(t *testing.T) {
+	r := New(Config{OutageGrace: outageGrace})
+	r.Replace(0, []Change{entryChange("a", 1, 3, Ready), entryChange("b", 1, 3, Ready), entryChange("c", 1, 3, Draining), entryChange("d", 1, 3, Ready)})
+	r.Apply(time.Second, []Change{{ID: "d"}})
+	r.StoreRestored(10 * time.Second)
+	r.Replace(10*time.Second, []Change{entryChange("a", 1, 1, Ready), entryChange("c", 1, 1, Ready), entryChange("d", 1, 2, Ready)})
+	require.Equal(t, []UpstreamID{"a", "b", "c"}, ids(r), "b is awaited, d stays removed")
+	require.Equal(t, Draining, r.Upstreams("s")[2].State, "c stays draining")
+	require.False(t, r.Expire(11*time.Second))
+	r.Apply(11*time.Second, []Change{entryChange("a", 1, 3, Ready)})
+	require.True(t, r.Expire(10*time.Second+outageGrace))
+	require.Equal(t, []UpstreamID{"a", "c"}, ids(r), "b has not come back")
+}
+
+// A second restore begins the grace period anew.
+func TestSecondRestoreExtendsTheGracePeriod(t *testing.T) {
+	r := New(Config{OutageGrace: outageGrace})
+	r.Replace(0, []Change{entryChange("a", 1, 1, Ready)})
+	r.StoreRestored(time.Second)
+	r.Replace(time.Second, nil)
+	r.StoreRestored(time.Second + outageGrace/2)
+	require.False(t, r.Expire(time.Second+outageGrace))
+	require.Equal(t, []UpstreamID{"a"}, ids(r))
+	require.True(t, r.Expire(time.Second+outageGrace/2+outageGrace))
+}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -6,7 +6,9 @@
 //	w.Run(ctx)
 //
 // It first reads the latest record of each key and then the records written after that.
-// When the store has deleted records before they were read, it starts over.
+// When the store has deleted records before they were read, or any answer shows that it
+// was restored from a backup, it starts over: offsets from before a restore name other
+// records after it.
 package watcher
 
 import (
@@ -31,14 +33,23 @@
 	Err   error // the record can't be decoded; Key and Value are not set
 }
 
+// Batch is the result of a read.
+type Batch struct {
+	Records    []Record
+	NextOffset int64 // from which Read continues
+	Era        Era   // in which NextOffset is valid
+}
+
 // Store is the client of a store with keyed topics.
 type Store interface {
-	// ReadLatest returns the latest record of each key and the offset from which Read
-	// continues.
-	ReadLatest(ctx context.Context, topic string) ([]Record, int64, error)
-	// Read returns the records from an offset on, and the next offset. If there are none,
-	// it waits up to the given time for one.
-	Read(ctx context.Context, topic string, from int64, wait time.Duration) ([]Record, int64, error)
+	// ReadLatest returns the latest record of each key.
+	ReadLatest(ctx context.Context, topic string) (Batch, error)
+	// Read returns the records from an offset on. If there are none, it waits up to the
+	// given time for one.
+	Read(ctx context.Context, topic string, from int64, wait time.Duration) (Batch, error)
+	// Era returns the highest era that any answer of the store has shown, to any caller,
+	// and a channel that is closed when it rises.
+	Era() (Era, <-chan struct{})
 }
 
 // Config configures a Watcher.
@@ -51,6 +62,9 @@
 	// OnChange receives later records.
 	OnReplace func([]Record)
 	OnChange  func([]Record)
+	// OnRestored is called before the OnReplace that follows a restore of the store, whose
+	// records may lack some that were written before.
+	OnRestored func()
 	// OnReachable is called after the first call to the store, and then whenever calls
 	// begin to fail or to succeed.
 	OnReachable func(up bool)
@@ -61,7 +75,9 @@
 type Watcher struct {
 	cfg            Config
 	nextOffset     int64
-	synced         bool // ReadLatest has succeeded since the start or the last ErrExpired
+	synced         bool // ReadLatest has succeeded since the start, the last ErrExpired and the last restore
+	everSynced     bool // ReadLatest has succeeded since the start
+	era            Era  // of the last ReadLatest, in which nextOffset is valid
 	reachable      bool
 	statusReported bool
 }
@@ -79,7 +95,16 @@
 			return
 		}
 		delay := w.cfg.PollDelay
-		if errors.Is(err, ErrExpired) {
+		switch {
+		case errors.Is(err, ErrRestored):
+			w.synced = false
+			sleep(ctx, retryDelay)
+			continue
+		case w.outdated():
+			// The call may have failed only because the restore cancelled it.
+			w.synced = false
+			continue
+		case errors.Is(err, ErrExpired):
 			w.cfg.Logger.Info().Str("topic", w.cfg.Topic).Int64("offset", w.nextOffset).Msg("records expired before they were read")
 			w.synced, err, delay = false, nil, 0
 		}
@@ -93,25 +118,56 @@
 	}
 }
 
+// outdated reports whether the store has been restored since the last ReadLatest.
+func (w *Watcher) outdated() bool {
+	era, _ := w.cfg.Store.Era()
+	return w.synced && era != w.era
+}
+
 // poll makes one call to the store and passes on the records.
 func (w *Watcher) poll(ctx context.Context) error {
 	if !w.synced {
-		records, next, err := w.cfg.Store.ReadLatest(ctx, w.cfg.Topic)
-		if err != nil {
-			return err
+		return w.readLatest(ctx)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	_, risen := w.cfg.Store.Era()
+	if w.outdated() {
+		return nil
+	}
+	go func() {
+		select {
+		case <-risen:
+			cancel() // a long poll of the earlier era would wait for an offset that may never come
+		case <-ctx.Done():
 		}
-		w.nextOffset, w.synced = next, true
-		w.cfg.OnReplace(w.dropUnreadable(records))
+	}()
+	batch, err := w.cfg.Store.Read(ctx, w.cfg.Topic, w.nextOffset, w.cfg.PollTimeout)
+	if err != nil {
+		return err
+	}
+	if batch.Era != w.era {
 		return nil
 	}
-	records, next, err := w.cfg.Store.Read(ctx, w.cfg.Topic, w.nextOffset, w.cfg.PollTimeout)
+	w.nextOffset = batch.NextOffset
+	if len(batch.Records) > 0 {
+		w.cfg.OnChange(w.dropUnreadable(batch.Records))
+	}
+	return nil
+}
+
+// readLatest reads the latest record of each key.
+func (w *Watcher) readLatest(ctx context.Context) error {
+	batch, err := w.cfg.Store.ReadLatest(ctx, w.cfg.Topic)
 	if err != nil {
 		return err
 	}
-	w.nextOffset = next
-	if len(records) > 0 {
-		w.cfg.OnChange(w.dropUnreadable(records))
+	if w.everSynced && batch.Era != w.era {
+		w.cfg.Logger.Warn().Str("topic", w.cfg.Topic).Int64("era", int64(batch.Era)).Int64("offset", batch.NextOffset).Msg("store restored from a backup")
+		w.cfg.OnRestored()
 	}
+	w.nextOffset, w.era, w.synced, w.everSynced = batch.NextOffset, batch.Era, true, true
+	w.cfg.OnReplace(w.dropUnreadable(batch.Records))
 	return nil
 }
 
@@ -136,7 +192,7 @@
 	}
 	w.statusReported, w.reachable = true, up
 	if up {
-		w.cfg.Logger.Info().Str("topic", w.cfg.Topic).Int64("offset", w.nextOffset).Msg("store reached")
+		w.cfg.Logger.Info().Str("topic", w.cfg.Topic).Int64("offset", w.nextOffset).Int64("era", int64(w.era)).Msg("store reached")
 	} else {
 		w.cfg.Logger.Warn().Str("topic", w.cfg.Topic).Int64("offset", w.nextOffset).Err(err).Msg("store lost")
 	}
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -13,48 +13,61 @@
 
 // scriptedStore answers each call with the next step, and blocks when there is none left.
 type scriptedStore struct {
-	steps []func() ([]Record, int64, error)
+	eras  *EraTracker
+	steps []func() (Batch, error)
 	calls []string
 }
 
-func (s *scriptedStore) answer(ctx context.Context, call string) ([]Record, int64, error) {
+func newScriptedStore(steps ...func() (Batch, error)) *scriptedStore {
+	return &scriptedStore{eras: NewEraTracker(), steps: steps}
+}
+
+func (s *scriptedStore) answer(ctx context.Context, call string) (Batch, error) {
 	s.calls = append(s.calls, call)
 	if len(s.steps) == 0 {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return Batch{}, ctx.Err()
 	}
 	step := s.steps[0]
 	s.steps = s.steps[1:]
-	return step()
+	batch, err := step()
+	if err != nil {
+		return Batch{}, err
+	}
+	return batch, s.eras.Observe(batch.Era)
 }
 
-func (s *scriptedStore) ReadLatest(ctx context.Context, _ string) ([]Record, int64, error) {
+func (s *scriptedStore) ReadLatest(ctx context.Context, _ string) (Batch, error) {
 	return s.answer(ctx, "latest")
 }
 
-func (s *scriptedStore) Read(ctx context.Context, _ string, _ int64, _ time.Duration) ([]Record, int64, error) {
+func (s *scriptedStore) Read(ctx context.Context, _ string, _ int64, _ time.Duration) (Batch, error) {
 	return s.answer(ctx, "read")
 }
 
-func recordsStep(next int64, keys ...string) func() ([]Record, int64, error) {
-	return func() ([]Record, int64, error) {
+func (s *scriptedStore) Era() (Era, <-chan struct{}) { return s.eras.Current() }
+
+func recordsStep(next int64, keys ...string) func() (Batch, error) {
+	return eraStep(0, next, keys...)
+}
+
+func eraStep(era Era, next int64, keys ...string) func() (Batch, error) {
+	return func() (Batch, error) {
 		var records []Record
 		for _, k := range keys {
 			records = append(records, Record{Key: k})
 		}
-		return records, next, nil
+		return Batch{Records: records, NextOffset: next, Era: era}, nil
 	}
 }
 
-func failureStep(err error) func() ([]Record, int64, error) {
-	return func() ([]Record, int64, error) { return nil, 0, err }
+func failureStep(err error) func() (Batch, error) {
+	return func() (Batch, error) { return Batch{}, err }
 }
 
 func TestWatcher(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &scriptedStore{steps: []func() ([]Record, int64, error){
-			failureStep(errors.New("refused")), recordsStep(5, "a", "b"), recordsStep(6, "c"), failureStep(ErrExpired), recordsStep(9, "d"),
-		}}
+		store := newScriptedStore(failureStep(errors.New("refused")), recordsStep(5, "a", "b"), recordsStep(6, "c"), failureStep(ErrExpired), recordsStep(9, "d"))
 		var seen []string
 		var statuses []bool
 		recordWith := func(prefix string) func([]Record) {
@@ -89,14 +102,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		var callTimes []time.Duration
 		start := time.Now()
-		timedStep := func(err error) func() ([]Record, int64, error) {
-			return func() ([]Record, int64, error) {
+		timedStep := func(err error) func() (Batch, error) {
+			return func() (Batch, error) {
 				callTimes = append(callTimes, time.Since(start))
-				return nil, 1, err
+				return Batch{NextOffset: 1}, err
 			}
 		}
 		refused := errors.New("refused")
-		store := &scriptedStore{steps: []func() ([]Record, int64, error){timedStep(refused), timedStep(refused), timedStep(nil), timedStep(refused), timedStep(nil)}}
+		store := newScriptedStore(timedStep(refused), timedStep(refused), timedStep(nil), timedStep(refused), timedStep(nil))
 		ctx, cancel := context.WithCancel(t.Context())
 		const pollDelay = 2500 * time.Millisecond
 		go New(Config{
