Heed upstreams that say they are leaving or ask for a pause

Cause: the header that says an upstream is leaving, and the Retry-After of its 503, were not read. A gateway learned of a leaving upstream from the list only, up to a second later, and not at all while the store was away; a refused request was followed by others 40 ms later.

Change: the headers of every response (streams, errors, answers to other requests) go to the dispatcher as soon as they are read. Leaving binds for the incarnation, also while its entry goes and comes back; a pause binds until its end. When a connection is open, the relayer asks once more before it writes (outcome withheld, sent elsewhere). When all upstreams of a service pause, requests are refused at once and asked back from the first end on, spread over the target latency.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -33,6 +33,7 @@
 	retryBuckets       map[registrar.ServiceName]*tokenBucket
 	demandByModel      map[registrar.ModelName]*demandRate
 	statsByModel       map[modelKey]*modelStats
+	restrictions       map[registrar.UpstreamID]restriction
 	gatewayCount       int
 	refuseAt           time.Duration // of Stopping, zero before it
 
@@ -83,6 +84,7 @@
 		retryBuckets:       map[registrar.ServiceName]*tokenBucket{},
 		demandByModel:      map[registrar.ModelName]*demandRate{},
 		statsByModel:       map[modelKey]*modelStats{},
+		restrictions:       map[registrar.UpstreamID]restriction{},
 		gatewayCount:       defaultGatewayCount,
 	}
 }
@@ -117,6 +119,8 @@
 	case SendEnded:
 		d.handleSendEnd(ev)
 		d.sendWaiting()
+	case UpstreamNotice:
+		d.handleNotice(ev)
 	}
 	return d.effects
 }
@@ -186,7 +190,7 @@
 	}
 	stats.sends++
 	e := Send{
-		ID: r.ID, Try: r.try, Upstream: u.info.ID, Address: u.info.Address,
+		ID: r.ID, Try: r.try, Upstream: u.info.ID, Incarnation: u.info.Incarnation, Address: u.info.Address,
 		Timeout: r.Deadline - d.now, Priority: d.priority(r),
 	}
 	if r.Route.Kind == registrar.Streaming && r.Route.Repeatable() {
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -79,21 +79,33 @@
 	Cause   string // error text for the log
 }
 
+// UpstreamNotice says that an upstream's response asked for no new requests, for a while
+// or for good.
+type UpstreamNotice struct {
+	Upstream    registrar.UpstreamID
+	Incarnation int64         // of the Send
+	Address     string        // of the Send
+	Other       bool          // another instance than that of the Send answered at its address; its incarnation is unknown
+	Leaving     bool          // the upstream is shutting down
+	Pause       time.Duration // how long it wants no requests from this gateway, zero if it does not say
+}
+
 // Outcome is how a send to an upstream ended.
 type Outcome string
 
 // The outcomes of sends, as they appear in the log.
 const (
-	Completed         Outcome = "whole"   // the complete answer was written to the caller
-	Failed            Outcome = "failed"  // the upstream ran the request and answered with a 5xx status, which is kept
-	NotRun            Outcome = "notrun"  // the upstream answered that it did not run the request
-	WrongInstance     Outcome = "moved"   // another instance has the address and did not run the request
-	ModelMissing      Outcome = "missing" // the upstream did not run the request since it lacks the model or adapter
-	Unsent            Outcome = "unsent"  // nothing was written to the upstream
-	ConnectionRefused Outcome = "absent"  // nothing listens at the upstream's address; nothing was written
-	Unknown           Outcome = "unknown" // the request was sent and no usable answer came
-	Interrupted       Outcome = "broken"  // the answer ended after a part of it had reached the caller
-	CallerClosed      Outcome = "closed"  // the caller closed its connection
+	Completed         Outcome = "whole"    // the complete answer was written to the caller
+	Failed            Outcome = "failed"   // the upstream ran the request and answered with a 5xx status, which is kept
+	NotRun            Outcome = "notrun"   // the upstream answered that it did not run the request
+	WrongInstance     Outcome = "moved"    // another instance has the address and did not run the request
+	ModelMissing      Outcome = "missing"  // the upstream did not run the request since it lacks the model or adapter
+	Unsent            Outcome = "unsent"   // nothing was written to the upstream
+	Withheld          Outcome = "withheld" // nothing was written, since the upstream asked for no new requests
+	ConnectionRefused Outcome = "absent"   // nothing listens at the upstream's address; nothing was written
+	Unknown           Outcome = "unknown"  // the request was sent and no usable answer came
+	Interrupted       Outcome = "broken"   // the answer ended after a part of it had reached the caller
+	CallerClosed      Outcome = "closed"   // the caller closed its connection
 )
 
 // Request is a caller's request without its body.
@@ -141,6 +153,7 @@
 func (AnswerBegan) event()        {}
 func (SendStalled) event()        {}
 func (SendEnded) event()          {}
+func (UpstreamNotice) event()     {}
 
 // Effect is an output of the dispatcher, which the driver carries out.
 type Effect interface{ effect() }
@@ -150,6 +163,7 @@
 	ID           RequestID
 	Try          Try
 	Upstream     registrar.UpstreamID
+	Incarnation  int64 // of the upstream
 	Address      string
 	Timeout      time.Duration // time left for the complete answer
 	Priority     int           // 0 is admitted first
@@ -198,6 +212,7 @@
 	Waiting    int           // requests waiting at this gateway
 	TimeToSend time.Duration // from the request's arrival to its last send
 	Elapsed    time.Duration // from its arrival to now
+	Pause      time.Duration // how long the upstream wants no requests, zero if it does not say
 }
 
 func (Send) effect()         {}
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -46,6 +46,8 @@
 	case Unsent:
 		u.recordFailure(d.now)
 		d.retryUnsent(r, u)
+	case Withheld:
+		d.retryUnsent(r, u)
 	case ConnectionRefused:
 		u.connectionRefused, u.heartbeatAtRefusal = true, u.info.Heartbeat
 		d.retryUnsent(r, u)
--- a/internal/dispatcher/selection.go
+++ b/internal/dispatcher/selection.go
@@ -70,7 +70,7 @@
 
 // hasRoom reports whether the upstream would start the request soon.
 func (d *Dispatcher) hasRoom(r *request, u *upstream) bool {
-	if d.now < u.fullUntil {
+	if d.now < u.fullUntil || d.now < u.pausedUntil {
 		return false
 	}
 	if u.hasFreshReport(d.now) {
@@ -184,7 +184,7 @@
 // None if the request should go on waiting.
 func (d *Dispatcher) unservable(r *request) (classifier.Kind, time.Duration) {
 	timeLeft := d.waitDeadline(r) - d.now
-	holders, accepting, loadRemaining := 0, 0, time.Duration(-1)
+	holders, accepting, loadRemaining, pause := 0, 0, time.Duration(-1), maxDuration
 	for _, u := range d.upstreamsByService[r.Service] {
 		if !u.accepting() {
 			continue
@@ -192,6 +192,7 @@
 		accepting++
 		if model, _ := u.holds(d.now, r.Model, ""); r.Model == "" || model {
 			holders++
+			pause = min(pause, u.pausedUntil-d.now)
 		}
 		if r.Model != "" && u.hasFreshReport(d.now) && u.report.Loading == r.Model && !u.report.LoadQueued {
 			remaining := max(0, u.report.LoadRemaining-(d.now-u.reportedAt))
@@ -201,6 +202,8 @@
 		}
 	}
 	switch {
+	case holders > 0 && pause > minRetryAfter && loadRemaining < 0:
+		return classifier.Busy, d.spread(pause, r.Route.TargetLatency)
 	case accepting == 0 || holders > 0 && loadRemaining < 0:
 		if wait := d.estimateWait(r); wait > timeLeft {
 			return classifier.Busy, wait
@@ -255,5 +258,11 @@
 // that callers don't retry at the same time.
 func (d *Dispatcher) retryDelay(r *request) time.Duration {
 	base := r.Route.TargetLatency + time.Duration(d.waitingCount)*5*time.Millisecond
-	return base/2 + time.Duration(d.rng.Int64N(int64(base)+1))
+	return d.spread(base/2, base)
+}
+
+// spread returns a random time from base on, by at most width more, so that callers don't
+// retry at the same time.
+func (d *Dispatcher) spread(base, width time.Duration) time.Duration {
+	return base + time.Duration(d.rng.Int64N(int64(width)+1))
 }
--- a/internal/dispatcher/upstream.go
+++ b/internal/dispatcher/upstream.go
@@ -21,10 +21,11 @@
 	quota               sendQuota
 	adapterRequestedAt  map[queueKey]time.Duration // when its steward was last asked for an adapter
 	listed              bool                       // by the last UpstreamsListed
-	replaced            bool                       // another instance answers at its address
-	connectionRefused   bool                       // nothing listened at its address when its last heartbeat was heartbeatAtRefusal
-	heartbeatAtRefusal  int64
-	failureRate         decayingRate // share of recent sends that failed, from 0 to 1
+	restriction
+	replaced           bool // another instance answers at its address
+	connectionRefused  bool // nothing listened at its address when its last heartbeat was heartbeatAtRefusal
+	heartbeatAtRefusal int64
+	failureRate        decayingRate // share of recent sends that failed, from 0 to 1
 }
 
 // handleUpstreamsListed replaces the set of live upstreams. A new incarnation starts
@@ -40,7 +41,7 @@
 			if u != nil {
 				u.listed = false
 			}
-			u = &upstream{adapterRequestedAt: map[queueKey]time.Duration{}}
+			u = d.newUpstream(entry)
 			d.upstreams[entry.ID] = u
 		}
 		u.info = *entry
@@ -73,6 +74,9 @@
 		if !sameModels(u.report.Residents, report.Residents) {
 			d.holdersByModel = nil
 		}
+		if report.Draining && !u.leaving {
+			d.restrict(u.info.ID, restriction{incarnation: u.info.Incarnation, leaving: true, pausedUntil: u.pausedUntil})
+		}
 		u.report, u.reported, u.reportedAt, u.inFlightAtReport, u.quota.drawn = report, true, d.now, u.inFlight, false
 	}
 }
@@ -193,7 +197,7 @@
 	if u.connectionRefused && u.info.Heartbeat <= u.heartbeatAtRefusal {
 		return false
 	}
-	return u.listed && !u.replaced && u.info.State == registrar.Ready && (!u.reported || !u.report.Draining)
+	return u.listed && !u.leaving && !u.replaced && u.info.State == registrar.Ready
 }
 
 // slots returns the number of requests that the upstream runs at once.
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -302,6 +302,13 @@
 	return g.syncer.now()
 }
 
+// Sendable reports whether the upstream of a Send may still get the request.
+func (g *Gateway) Sendable(id dispatcher.RequestID, try dispatcher.Try) bool {
+	g.syncer.mu.Lock()
+	defer g.syncer.mu.Unlock()
+	return g.dispatcher.Sendable(g.syncer.now(), id, try)
+}
+
 // Submit passes a new request to the dispatcher and returns its ID. The effects that
 // concern the request are put into the mailbox.
 func (g *Gateway) Submit(req dispatcher.Request, mailbox *relayer.Mailbox) dispatcher.RequestID {
--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -83,6 +83,9 @@
 	if entry.Cause != "" {
 		ev = ev.Str("cause", entry.Cause)
 	}
+	if entry.Pause > 0 {
+		ev = ev.Int64("pause", entry.Pause.Milliseconds())
+	}
 	if entry.ReportAge > 0 {
 		ev = ev.Int64("age", entry.ReportAge.Milliseconds())
 	}
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"time"
@@ -64,6 +65,8 @@
 	gatewaySeenAt map[netip.AddrPort]time.Duration // time of the last message from each gateway
 	peerStewards  []netip.AddrPort                 // other stewards of the service
 	peerPort      uint16                           // of PeerAddress
+	pausedUntil   time.Duration                    // until then, the runner wants no calls
+	incarnation   int64                            // of the newest runner listed at RunnerAddress, zero without one
 	orders        chan reconciler.Order
 	pollNow       chan struct{} // makes pollRunner poll without delay
 	stopRequested chan struct{}
@@ -166,7 +169,12 @@
 func (s *Steward) pollRunner(ctx context.Context) {
 	up := true
 	for ctx.Err() == nil {
+		if wait := s.pauseLeft(); wait > 0 {
+			pause(ctx, min(wait, statePollPeriod))
+			continue
+		}
 		state, err := s.cfg.Runner.FetchState(ctx)
+		s.recordPause(err)
 		switch {
 		case err == nil:
 			s.reduce(reconciler.StateReported{State: state})
@@ -195,7 +203,7 @@
 		case <-ctx.Done():
 			return
 		case o := <-s.orders:
-			result, err := s.cfg.Runner.SendOrder(ctx, o)
+			result, err := s.sendOrder(ctx, o)
 			s.cfg.Log.Logger.Info().Str("op", string(o.Op)).Str("model", string(o.Model)).Str("adapter", string(o.Adapter)).
 				Int64("sequence", o.ExpectedSequence).Str("reason", o.Reason).Str("result", string(result)).AnErr("cause", err).Msg("order")
 			s.reduce(reconciler.OrderAnswered{Order: o, Result: result})
@@ -207,15 +215,50 @@
 	}
 }
 
+// sendOrder sends an order unless the runner wants no calls.
+func (s *Steward) sendOrder(ctx context.Context, o reconciler.Order) (reconciler.Result, error) {
+	if wait := s.pauseLeft(); wait > 0 {
+		return reconciler.Refused, &reconciler.PauseError{For: wait}
+	}
+	result, err := s.cfg.Runner.SendOrder(ctx, o)
+	s.recordPause(err)
+	return result, err
+}
+
+// recordPause stops calls to the runner for the time of a PauseError.
+func (s *Steward) recordPause(err error) {
+	var pause *reconciler.PauseError
+	if !errors.As(err, &pause) {
+		return
+	}
+	s.syncer.mu.Lock()
+	defer s.syncer.mu.Unlock()
+	s.pausedUntil = max(s.pausedUntil, s.syncer.now()+pause.For)
+	s.cfg.Log.Logger.Info().Int64("pause", pause.For.Milliseconds()).Msg("runner paused")
+}
+
+// pauseLeft returns how long the runner still wants no calls, zero or less if it takes them.
+func (s *Steward) pauseLeft() time.Duration {
+	s.syncer.mu.Lock()
+	defer s.syncer.mu.Unlock()
+	return s.pausedUntil - s.syncer.now()
+}
+
 // refreshRunners passes the live runners of the service to the reconciler and updates
 // the addresses of the other stewards. The caller holds syncer.mu.
 func (s *Steward) refreshRunners() {
 	all := s.syncer.registrar.Upstreams(s.cfg.Service)
 	s.peerStewards = nil
+	incarnation := int64(0)
 	for _, u := range all {
 		if u.Address != s.cfg.RunnerAddress {
 			s.peerStewards = append(s.peerStewards, stewardAddress(u.Address, s.peerPort)...)
+			continue
 		}
+		incarnation = max(incarnation, u.Incarnation)
+	}
+	if incarnation > s.incarnation {
+		s.incarnation, s.pausedUntil = incarnation, 0 // a pause holds for the incarnation that asked for it
 	}
 	s.apply(reconciler.RunnersListed{Upstreams: all})
 }
--- a/internal/reconciler/event.go
+++ b/internal/reconciler/event.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/egretwall/egretwall/internal/dispatcher"
@@ -76,13 +77,21 @@
 
 // Runner is the client of a steward's model runner.
 type Runner interface {
-	// FetchState asks the runner for its state.
+	// FetchState asks the runner for its state. The error is a PauseError if the runner
+	// wants no calls for a time.
 	FetchState(ctx context.Context) (State, error)
 	// SendOrder sends an order once. The error explains the results Refused and
-	// Unknown.
+	// Unknown; it may be a PauseError.
 	SendOrder(ctx context.Context, o Order) (Result, error)
 }
 
+// PauseError says that the runner refused a call and wants no further one for a time.
+type PauseError struct{ For time.Duration }
+
+func (e *PauseError) Error() string {
+	return fmt.Sprintf("runner wants no calls for %v", e.For)
+}
+
 // Event is an input of a Reconciler.
 type Event interface{ event() }
 
--- a/internal/relayer/gateway_test.go
+++ b/internal/relayer/gateway_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -51,7 +52,9 @@
 }
 
 func (testHeaderCodec) ParseResponse(h http.Header) ResponseInfo {
-	return ResponseInfo{AttemptID: h.Get("Try"), HasSeal: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != ""}
+	info := ResponseInfo{AttemptID: h.Get("Try"), HasSeal: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != ""}
+	info.RetryAfter, _ = time.ParseDuration(h.Get("Retry-After"))
+	return info
 }
 
 func (testHeaderCodec) SetErrorHeaders(h http.Header, attemptID string) { h.Set("Try", attemptID) }
@@ -65,6 +68,8 @@
 	mailboxes  map[dispatcher.RequestID]*Mailbox
 	tries      map[dispatcher.RequestID]dispatcher.Try
 	endedSends []dispatcher.SendEnded
+	notices    []dispatcher.UpstreamNotice
+	withhold   bool // the first send is not sendable
 }
 
 func newFakeDispatcher(addresses ...string) *fakeDispatcher {
@@ -88,6 +93,17 @@
 	return id
 }
 
+func (d *fakeDispatcher) Sendable(_ dispatcher.RequestID, try dispatcher.Try) bool {
+	return !d.withhold || try > 1
+}
+
+// receivedNotices lists the notices so far.
+func (d *fakeDispatcher) receivedNotices() []dispatcher.UpstreamNotice {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.notices)
+}
+
 // sendNext sends a request to the next address; d.mu is held.
 func (d *fakeDispatcher) sendNext(id dispatcher.RequestID) {
 	try := d.tries[id]
@@ -102,6 +118,9 @@
 func (d *fakeDispatcher) Reduce(e dispatcher.Event) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if n, ok := e.(dispatcher.UpstreamNotice); ok {
+		d.notices = append(d.notices, n)
+	}
 	ev, ok := e.(dispatcher.SendEnded)
 	if !ok {
 		return
@@ -403,3 +422,57 @@
 	}
 	require.Equal(t, "u", <-seen)
 }
+
+// What an upstream says of new requests counts from the headers of its response on, also
+// of a stream that goes on, an error, or a response to another request.
+func TestResponsesAskForNoNewRequests(t *testing.T) {
+	for name, response := range map[string]string{
+		"stream":  "HTTP/1.1 200 OK\r\nTry: n1\r\nSeal: s\r\nLeaving: 1\r\nContent-Type: text/event-stream\r\n\r\nid: 0\ndata: x\n\n",
+		"failure": "HTTP/1.1 500 Error\r\nTry: n1\r\nSeal: s\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
+		"refusal": "HTTP/1.1 503 Busy\r\nTry: n1\r\nNot-Run: 1\r\nRetry-After: 2s\r\nContent-Length: 0\r\n\r\n",
+		"other":   "HTTP/1.1 503 Busy\r\nTry: n0\r\nNot-Run: 1\r\nRetry-After: 2s\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			t.Cleanup(func() { close(release) })
+			d := newFakeDispatcher(startUpstream(t, func(c net.Conn, r *bufio.Reader) {
+				if _, body := readRequest(r); body != "" {
+					_, _ = io.WriteString(c, response)
+				}
+				<-release
+			}))
+			_, address := startGateway(t, d)
+			go func() { _, _, _ = post(t, address, "n1", "{}") }()
+			require.Eventually(t, func() bool { return len(d.receivedNotices()) == 1 }, 10*time.Second, time.Millisecond)
+			n := d.receivedNotices()[0]
+			require.EqualValues(t, "u", n.Upstream)
+			require.Equal(t, d.addresses[0], n.Address)
+			require.Equal(t, name == "stream" || name == "failure", n.Leaving)
+			require.Equal(t, n.Leaving, n.Pause == 0)
+		})
+	}
+}
+
+// A request whose upstream asked for none while the connection was opened is not written.
+func TestRequestThatIsNotSendableIsNotWritten(t *testing.T) {
+	written := make(chan string, 2)
+	upstream := func(name string) string {
+		return startUpstream(t, func(c net.Conn, r *bufio.Reader) {
+			if _, err := r.Peek(1); err != nil {
+				return
+			}
+			written <- name
+			_, _ = readRequest(r)
+			_, _ = io.WriteString(c, okResponse("n1", "ok"))
+		})
+	}
+	d := newFakeDispatcher(upstream("first"), upstream("second"))
+	d.withhold = true
+	_, address := startGateway(t, d)
+	status, _, err := post(t, address, "n1", "{}")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, []dispatcher.Outcome{dispatcher.Withheld, dispatcher.Completed}, d.outcomes())
+	require.Equal(t, "second", <-written)
+	require.Empty(t, written)
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -41,6 +41,11 @@
 	NotRun    bool   // the upstream did not run the request and never will
 	// Upstream is the instance that responded, empty if unknown.
 	Upstream registrar.UpstreamID
+	// Leaving says that the upstream is shutting down and must get no new requests.
+	Leaving bool
+	// RetryAfter of a response with status 503 is how long the upstream wants no requests
+	// from this gateway, zero if it does not say.
+	RetryAfter time.Duration
 }
 
 // ForwardInfo is the content of the headers that the gateway sets on a request to
@@ -79,6 +84,9 @@
 	// Submit reports a request that has been read completely; its effects go to
 	// mailbox. Submit sets the ID and the Service of the request and returns the ID.
 	Submit(req dispatcher.Request, mailbox *Mailbox) dispatcher.RequestID
+	// Sendable reports whether the upstream of a Send may still get the request. It is
+	// asked when a connection is open, just before the request is written.
+	Sendable(id dispatcher.RequestID, try dispatcher.Try) bool
 	// Now returns the time since the process started.
 	Now() time.Duration
 	// Reduce applies an event and delivers its effects.
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -103,13 +103,14 @@
 
 // readResponse reads the headers of the response to a request. It skips responses
 // to other requests that come before, up to maxOtherResponses.
-func (g *Gateway) readResponse(c *upstreamConn, in *callerRequest) (*http.Response, ResponseInfo, error) {
+func (g *Gateway) readResponse(c *upstreamConn, in *callerRequest, e dispatcher.Send) (*http.Response, ResponseInfo, error) {
 	for range maxOtherResponses + 1 {
 		resp, err := readResponseHeader(c, in.method)
 		if err != nil {
 			return nil, ResponseInfo{}, err
 		}
 		info := g.cfg.HeaderCodec.ParseResponse(resp.Header)
+		g.reportNotice(resp.StatusCode, info, e)
 		if info.AttemptID == in.info.AttemptID || info.AttemptID == "" {
 			return resp, info, nil
 		}
@@ -123,6 +124,22 @@
 	return nil, ResponseInfo{}, errOtherResponses
 }
 
+// reportNotice tells the dispatcher what a response says about new requests to its
+// upstream, as soon as its headers have been read.
+func (g *Gateway) reportNotice(status int, info ResponseInfo, e dispatcher.Send) {
+	notice := dispatcher.UpstreamNotice{Upstream: e.Upstream, Incarnation: e.Incarnation, Address: e.Address, Leaving: info.Leaving}
+	if status == http.StatusServiceUnavailable {
+		notice.Pause = info.RetryAfter
+	}
+	if !notice.Leaving && notice.Pause <= 0 {
+		return
+	}
+	if info.Upstream != "" && info.Upstream != e.Upstream {
+		notice.Upstream, notice.Other = info.Upstream, true
+	}
+	g.cfg.Dispatcher.Reduce(notice)
+}
+
 // readResponseHeader reads the headers of the next response that is not
 // informational (1xx).
 func readResponseHeader(c *upstreamConn, method string) (*http.Response, error) {
@@ -150,6 +167,10 @@
 		}
 		return dispatcher.Unsent, err.Error()
 	}
+	if !g.cfg.Dispatcher.Sendable(e.ID, e.Try) {
+		conn.abort()
+		return dispatcher.Withheld, "upstream takes no new requests"
+	}
 	stop := context.AfterFunc(ctx, conn.abort)
 	defer stop()
 	clearCancel := mailbox.OnCancel(conn.abort)
@@ -167,7 +188,7 @@
 	}
 	g.cfg.HeaderCodec.SetForwardHeaders(header, ForwardInfo{Timeout: e.Timeout, Upstream: e.Upstream, Priority: e.Priority, LastEventID: lastEventID})
 	writeResult := in.write(conn, header)
-	resp, info, err := g.readResponse(conn, in)
+	resp, info, err := g.readResponse(conn, in, e)
 	if err != nil {
 		conn.abort()
 		return connFailureOutcome(ctx, out), err.Error()
