Load from disks while store loads wait, and start loads sooner after a restart

A model in demand that no disk had was missing for 13 s.

Change: while the best load waits for the store's limit, a planned model from the runner's own disk is loaded; loads are chosen by demand per copy and second of loading. New stewards begin up to three store loads within their first window, the number that the platform allows beyond its rate, after 2 s in which they read the list more often. Orders to another instance ID reserve no memory.

One hole stays: a fleet that loses power twice within a window may begin three loads more than the rate allows twice over.

--- a/internal/driver/syncer.go
+++ b/internal/driver/syncer.go
@@ -56,6 +56,7 @@
 // pollTiming configures how often the store is polled.
 type pollTiming struct {
 	configurationTimeout time.Duration // long-poll timeout of reads of the configuration; a dead connection is noticed soon after it
+	listWarmup           time.Duration // time from the start in which that pause is short
 	listDelay            time.Duration // pause between reads of the upstream list, which would otherwise return at each of the frequent heartbeats
 }
 
@@ -81,7 +82,7 @@
 	})
 	g.Go(func() {
 		watcher.New(watcher.Config{
-			Store: s.store, Topic: s.store.UpstreamTopic(), PollTimeout: listPollTimeout, PollDelay: s.timing.listDelay, Logger: s.logger,
+			Store: s.store, Topic: s.store.UpstreamTopic(), PollTimeout: listPollTimeout, PollDelay: s.timing.listDelay, Warmup: s.timing.listWarmup, Logger: s.logger,
 			OnReplace: func(r []watcher.Record) { s.applyList(r, true) },
 			OnChange:  func(r []watcher.Record) { s.applyList(r, false) },
 			OnRestored: func() {
--- a/internal/reconciler/decision.go
+++ b/internal/reconciler/decision.go
@@ -1,6 +1,7 @@
 package reconciler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -45,10 +46,14 @@
 // staleLoads lists the loads that were sent to an earlier incarnation of the
 // runner and that this one may still execute, because its sequence number has
 // not passed theirs. Within one incarnation the sequence number alone prevents
-// a late execution next to a newer order.
+// a late execution next to a newer order. An instance with another ID than the order's
+// refuses it.
 func (r *Reconciler) staleLoads() []Order {
 	var stale []Order
 	for _, u := range r.unresolved {
+		if u.order.Upstream != "" && r.self != nil && r.self.Incarnation == r.state.Incarnation && r.self.ID != u.order.Upstream {
+			continue
+		}
 		resident := u.order.Adapter == "" && r.holds(u.order.Model)
 		if u.incarnation != r.state.Incarnation && u.order.Op == OpLoad && r.state.Sequence <= u.order.ExpectedSequence && !resident {
 			stale = append(stale, u.order)
@@ -139,28 +144,48 @@
 }
 
 // orderModel orders the load of a planned model, or the unload of another one to
-// make room, and reports whether it emitted an order.
+// make room, and reports whether it emitted an order. While the best load waits for the
+// weight store's rate limit, one that needs nothing from the store begins.
 func (r *Reconciler) orderModel(e *registrar.Engine) bool {
 	v := r.buildView(e)
-	m, reason := r.nextModel(e, v)
-	if m != r.queuedLoad.model {
-		r.queuedLoad = queuedLoad{}
-	}
-	if m == "" {
-		r.evicting = ""
+	candidates := r.missingModels(e, v)
+	if len(candidates) == 0 {
+		r.queuedLoad, r.evicting = queuedLoad{}, ""
 		return false
 	}
-	if r.freeMemory(e) >= e.Models[m].WeightSize {
-		if r.admitLoad(e, m) {
-			r.sendOrder(OpLoad, m, "", reason+", from "+r.loadSource(m))
+	best := candidates[0]
+	if best != r.queuedLoad.model {
+		r.queuedLoad = queuedLoad{}
+	}
+	if r.freeMemory(e) < e.Models[best].WeightSize {
+		if r.cachedLocally(best) || r.peerStoreLoads(false) < r.storeLoadLimit(e) {
+			r.evictFor(v, best)
 		}
 		return r.orderPending
 	}
-	if !r.cachedLocally(m) && r.peerStoreLoads(false) >= r.storeLoadLimit(e) {
-		return false
+	if r.admitLoad(e, best) {
+		r.orderLoad(v, best)
+		return true
 	}
-	r.evictFor(v, m)
-	return r.orderPending
+	if r.queuedLoad.model != "" {
+		return false // its turn comes within announcementDelay
+	}
+	for _, m := range candidates {
+		if r.cachedLocally(m) && r.freeMemory(e) >= e.Models[m].WeightSize {
+			r.orderLoad(v, m)
+			return true
+		}
+	}
+	return false
+}
+
+// orderLoad orders the load of a model.
+func (r *Reconciler) orderLoad(v *serviceView, m registrar.ModelName) {
+	reason := "demand"
+	if len(v.holders[m])+v.loading[m] == 0 {
+		reason = "no copy"
+	}
+	r.sendOrder(OpLoad, m, "", reason+", from "+r.loadSource(m))
 }
 
 // evictFor chooses an evictable model and orders its unload to make room for m.
@@ -180,29 +205,26 @@
 	}
 }
 
-// nextModel returns the planned model to load with the most demand per copy, and
-// the reason for the log. A model without demand is loaded only if it has no copy,
-// and leaves storeLoadReserve loads of the weight store's limit to others.
-func (r *Reconciler) nextModel(e *registrar.Engine, v *serviceView) (registrar.ModelName, string) {
-	var best registrar.ModelName
-	var top float64
+// missingModels lists the planned models to load by descending demand per copy and second
+// of loading, since the runner carries out one load at a time and those from the store
+// take several times as long as others. A model without demand is loaded only if it has no
+// copy, and leaves storeLoadReserve loads of the weight store's limit to others.
+func (r *Reconciler) missingModels(e *registrar.Engine, v *serviceView) []registrar.ModelName {
+	var missing []registrar.ModelName
+	value := map[registrar.ModelName]float64{}
 	for _, m := range v.plan.Models(r.self.ID) {
 		if r.holds(m) || r.loading == m {
 			continue
 		}
 		copies := len(v.holders[m]) + v.loading[m]
-		value := v.demand[m] / (float64(copies) + 0.5)
-		if value == 0 && (copies > 0 || !r.cachedLocally(m) && r.peerStoreLoads(false) >= r.storeLoadLimit(e)-storeLoadReserve) {
+		value[m] = v.demand[m] / (float64(copies) + 0.5) / max(r.loadTime(m), minLoadTime).Seconds()
+		if value[m] == 0 && (copies > 0 || !r.cachedLocally(m) && r.peerStoreLoads(false) >= r.storeLoadLimit(e)-storeLoadReserve) {
 			continue
 		}
-		if best == "" || value > top {
-			best, top = m, value
-		}
-	}
-	if len(v.holders[best])+v.loading[best] == 0 {
-		return best, "no copy"
+		missing = append(missing, m)
 	}
-	return best, "demand"
+	slices.SortStableFunc(missing, func(a, b registrar.ModelName) int { return cmp.Compare(value[b], value[a]) })
+	return missing
 }
 
 // victim returns the evictable model with the least demand per copy.
--- a/internal/reconciler/event.go
+++ b/internal/reconciler/event.go
@@ -170,6 +170,9 @@
 	copyHysteresis              = 1.35                   // a new copy must serve this many times the work of an existing one
 	copyDemandExponent          = 0.75                   // below 1, models with less work get more copies than their share, in reserve for a shift of demand
 	minDemandPerCopy            = 16000.0                // prompt tokens a second that one copy serves with ease
+	startupDelay                = 2 * time.Second        // until a new steward loads from the weight store; by then the list and the reports of its peers have come
+	startupStoreLoads           = 3                      // loads from the weight store that new stewards begin within the window; the platform allows three beyond its rate
+	minLoadTime                 = 100 * time.Millisecond // assumed of a load, where the configuration tells less
 	storeLoadReserve            = 3                      // loads of the weight store's limit that are reserved for models in demand
 	maxConsecutiveAdapterOrders = 8                      // while a load of a model is due; a runner has as many adapter slots
 	maxLoadingAdapters          = 4                      // at once at one runner
--- a/internal/reconciler/fleet_test.go
+++ b/internal/reconciler/fleet_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -30,13 +31,20 @@
 	state      State
 	loading    registrar.ModelName
 	loadDoneAt time.Duration
+	loads      int // orders to load a model
 }
 
+// Load times of the fleet's models.
+const (
+	storeLoadTime = 5 * time.Second
+	diskLoadTime  = time.Second
+)
+
 func newFleet(seed uint64, runners, models int, loadRate float64) *fleet {
 	engine := &registrar.Engine{WeightMemory: 220, AdapterSlots: 8, StoreLoadRate: loadRate, Models: map[registrar.ModelName]registrar.Model{}}
 	for i := range models {
 		m := registrar.ModelName(fmt.Sprint("m", i))
-		engine.Models[m] = registrar.Model{Name: m, WeightSize: 72, StoreLoadTime: 5 * time.Second}
+		engine.Models[m] = registrar.Model{Name: m, WeightSize: 72, StoreLoadTime: storeLoadTime, DiskLoadTime: diskLoadTime}
 	}
 	f := &fleet{
 		rng: rand.New(rand.NewPCG(seed, 2)), loads: map[registrar.ModelName]int{},
@@ -81,9 +89,14 @@
 		m.state.Residents = slices.DeleteFunc(slices.Clone(m.state.Residents), func(resident registrar.ResidentModel) bool { return resident.Model == o.Model })
 		m.upstream.Residents = m.state.Residents
 	} else {
-		f.storeLoads = append(f.storeLoads, f.now)
+		loadTime := diskLoadTime
+		if !slices.Contains(m.state.OnHostDisk, o.Model) {
+			loadTime = storeLoadTime
+			f.storeLoads = append(f.storeLoads, f.now)
+		}
 		f.loads[o.Model]++
-		m.loading, m.loadDoneAt = o.Model, f.now+5*time.Second
+		m.loads++
+		m.loading, m.loadDoneAt = o.Model, f.now+loadTime
 		m.state.Busy = true
 	}
 	m.state.Sequence++
@@ -133,3 +146,66 @@
 		}
 	}
 }
+
+// After a loss of power all runners are empty and all stewards new. Most models are on some
+// disks, and one that many callers ask for is on none. Runners must load from their disks
+// while they may not load from the store, and the model that is on no disk must be loaded
+// without waiting for a whole window.
+func TestEmptyFleetRecoversSoon(t *testing.T) {
+	const runners, models, hot = 12, 26, registrar.ModelName("m0")
+	const storeLimit = 10 // 1.4 loads a second for 5 s, a tenth and three more
+	for seed := range uint64(3) {
+		f := newFleet(seed, runners, models, 1.4)
+		for i, m := range f.members {
+			m.state.OnHostDisk = nil
+			for j := range 6 {
+				if model := registrar.ModelName(fmt.Sprint("m", 1+(5*i+j)%(models-1))); !slices.Contains(m.state.OnHostDisk, model) {
+					m.state.OnHostDisk = append(m.state.OnHostDisk, model)
+				}
+			}
+			m.upstream.OnHostDisk = m.state.OnHostDisk
+		}
+		loaded := func() map[registrar.ModelName]bool {
+			all := map[registrar.ModelName]bool{}
+			for _, m := range f.members {
+				for _, resident := range m.state.Residents {
+					all[resident.Model] = true
+				}
+			}
+			return all
+		}
+		asked, found := 0, 0 // requests for the models in demand, and those that find a copy
+		for f.now < 12*time.Second {
+			f.step()
+			if f.now%(250*time.Millisecond) == 0 {
+				demands := []dispatcher.Demand{{Model: hot, WorkRate: 20000, RecentWorkRate: 20000, RecentRequests: 9}, {Model: "m1", WorkRate: 15000, RecentWorkRate: 15000, RecentRequests: 9}}
+				copies := loaded()
+				for _, d := range demands {
+					asked++
+					if copies[d.Model] {
+						found++
+					}
+				}
+				for _, m := range f.members {
+					f.reduce(m, DemandReported{Gateway: "g", Demands: demands})
+				}
+			}
+			if f.now == startupDelay+storeLoadTime+time.Second {
+				require.True(t, loaded()[hot], "seed %d: the model that is on no disk", seed)
+			}
+			if f.now == 5*time.Second {
+				require.GreaterOrEqual(t, len(loaded()), models-4, "seed %d: models with a copy", seed)
+			}
+		}
+		require.GreaterOrEqual(t, float64(found)/float64(asked), 0.65, "seed %d: requests that find a copy", seed)
+		for i := range f.storeLoads {
+			n := 0
+			for _, at := range f.storeLoads[i:] {
+				if at < f.storeLoads[i]+5*time.Second {
+					n++
+				}
+			}
+			require.LessOrEqual(t, n, storeLimit, "seed %d", seed)
+		}
+	}
+}
--- a/internal/reconciler/loadlimit.go
+++ b/internal/reconciler/loadlimit.go
@@ -24,9 +24,14 @@
 }
 
 // storeLoadLimit returns the number of loads from the weight store that all
-// runners together may begin within the window.
+// runners together may begin within the window. A new steward knows only the loads begun
+// since its start, so it leaves the limit to those before and uses startupStoreLoads.
 func (r *Reconciler) storeLoadLimit(e *registrar.Engine) int {
-	return int(e.StoreLoadRate * r.cfg.Window.Seconds())
+	limit := int(e.StoreLoadRate * r.cfg.Window.Seconds())
+	if r.now-r.startedAt < r.cfg.Window {
+		return min(limit, startupStoreLoads)
+	}
+	return limit
 }
 
 // peerStoreLoads counts the loads from the weight store that other runners have
@@ -49,12 +54,12 @@
 // weight store is announced first; when more are announced than the limit allows,
 // those of the lowest addresses have precedence. A runner begins at most one such
 // load within a window, since its reports tell only the last one. A new steward waits
-// for a window, since it does not know the loads begun before its start.
+// for startupDelay until it knows the others.
 func (r *Reconciler) admitLoad(e *registrar.Engine, m registrar.ModelName) bool {
 	if r.cachedLocally(m) {
 		return true
 	}
-	if r.now-r.startedAt < r.cfg.Window || r.storeLoaded && r.now-r.storeLoadAt < r.cfg.Window {
+	if r.now-r.startedAt < startupDelay || r.storeLoaded && r.now-r.storeLoadAt < r.cfg.Window {
 		return false
 	}
 	if r.peerStoreLoads(false) >= r.storeLoadLimit(e) {
--- a/internal/reconciler/reconciler_test.go
+++ b/internal/reconciler/reconciler_test.go
@@ -249,3 +249,40 @@
 	}
 	require.Fail(t, "no model was ordered")
 }
+
+// A restarted runner with another ID refuses orders to its predecessor, so orders without
+// an answer must not keep its memory from new loads.
+func TestLostOrdersToAnotherInstanceReserveNoMemory(t *testing.T) {
+	f := newFixture(t, []registrar.ModelName{"a"}, []registrar.ModelName{"a", "b"}, []registrar.ModelName{"c"})
+	lost := Order{Op: OpLoad, Model: "d", Upstream: f.runners[0].ID, ExpectedSequence: 4}
+	f.reduce(f.ownState(4))
+	f.reduce(OrderAnswered{lost, Unknown})
+	restarted := *f.runners[0]
+	restarted.Incarnation++
+	restarted.Residents = nil
+	state := State{Incarnation: restarted.Incarnation}
+	f.runners[0] = &restarted
+	f.reduce(RunnersListed{f.runners})
+	f.reduce(StateReported{state})
+	require.Len(t, f.reconciler.staleLoads(), 1, "the same ID")
+	other := restarted
+	other.ID = "another"
+	f.runners[0] = &other
+	f.reduce(RunnersListed{f.runners})
+	require.Empty(t, f.reconciler.staleLoads())
+}
+
+// While the load of the model in most demand waits for the weight store's rate limit, a
+// model on the runner's own disk is loaded.
+func TestOwnDiskIsUsedWhileTheStoreLoadWaits(t *testing.T) {
+	f := newFixture(t, nil, []registrar.ModelName{"a", "b"}, []registrar.ModelName{"c"})
+	f.reconciler.startedAt, f.reconciler.started = f.now, true // a new steward
+	f.reduce(DemandReported{Gateway: "g", Demands: []dispatcher.Demand{{Model: "d", WorkRate: 30000, RecentWorkRate: 30000, RecentRequests: 9}, {Model: "a", WorkRate: 30000, RecentWorkRate: 30000, RecentRequests: 9}}})
+	st := f.ownState(0)
+	st.State.OnHostDisk = []registrar.ModelName{"a"}
+	f.runners[0].OnHostDisk = st.State.OnHostDisk
+	o := f.awaitOrder(time.Second, st)
+	require.NotNil(t, o)
+	require.Equal(t, registrar.ModelName("a"), o.Model)
+	require.Less(t, f.now-f.reconciler.startedAt, startupDelay)
+}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -26,6 +26,10 @@
 // within which a change must be applied.
 const retryDelay = 250 * time.Millisecond
 
+// warmupDelay is the longest pause between calls while a process starts, when many
+// records of others that start too are still to come.
+const warmupDelay = 500 * time.Millisecond
+
 // Record is a record of a topic; Value is nil when the key was deleted.
 type Record struct {
 	Key   string
@@ -58,6 +62,7 @@
 	Topic       string
 	PollTimeout time.Duration // of long polls: how long Read waits for a record
 	PollDelay   time.Duration // pause between calls after the first that succeeds
+	Warmup      time.Duration // time from the start in which the pause is at most warmupDelay
 	// OnReplace receives the latest record of each key, which replace all earlier records.
 	// OnChange receives later records.
 	OnReplace func([]Record)
@@ -89,12 +94,16 @@
 
 // Run follows the topic until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
+	startedAt := time.Now()
 	for ctx.Err() == nil {
 		err := w.poll(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		delay := w.cfg.PollDelay
+		if time.Since(startedAt) < w.cfg.Warmup {
+			delay = min(delay, warmupDelay)
+		}
 		switch {
 		case errors.Is(err, ErrRestored):
 			w.synced = false
