Limit what waits at a runner by how soon its answers begin

A late request at the head of a queue also held back those behind it that could be in time.

Change: a gateway limits its sends to a runner whose answers have not begun by a window per priority that grows while answers begin within half of the target latency and shrinks when they don't; below 1 it spaces the sends. The oldest such send closes the runner for requests of no more urgency, unless a report shows that nothing waits there. The time that answers take to begin counts in whether a request can still be in time, and queues are sorted again as requests become late.

The simulated runners of the other tests now tell when answers begin, as upstreams do.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -56,12 +56,13 @@
 type request struct {
 	Request
 	arrivedAt     time.Duration
-	upstream      *upstream // of the send under way, nil while the request waits
-	try           Try       // of the last send, zero before the first
-	runs          int       // sends in which the request may have run
-	refusals      int       // sends that an upstream received and did not run
-	unsent        int       // sends that did not reach their upstream
-	queuePosition int       // among the waiting requests of its model when it was queued, from 1
+	stats         *modelStats // of its model
+	upstream      *upstream   // of the send under way, nil while the request waits
+	try           Try         // of the last send, zero before the first
+	runs          int         // sends in which the request may have run
+	refusals      int         // sends that an upstream received and did not run
+	unsent        int         // sends that did not reach their upstream
+	queuePosition int         // among the waiting requests of its model when it was queued, from 1
 	// sendsAtEnqueue is the number of sends for its model when it was queued.
 	sendsAtEnqueue int
 	retryPaid      bool                 // the retry budget has been charged for the next send
@@ -159,6 +160,7 @@
 	d.Counters.Arrived++
 	d.retryBucket(req.Service).refill(d.now, d.cfg.RetryBudget, d.gatewayCount, 1)
 	r := &request{Request: req, arrivedAt: d.now}
+	r.stats = d.statsOf(r)
 	d.requests[r.ID] = r
 	d.recordDemand(r)
 	if d.waitingCount >= maxWaiting {
@@ -183,6 +185,9 @@
 		u.quota.remainingLate--
 	}
 	d.Counters.Sent++
+	if r.Model != "" {
+		u.backlog.add(pendingStart{r.ID, d.now, d.priority(r)})
+	}
 	stats := d.statsOf(r)
 	stats.sendRate.add(d.now, 1)
 	if !r.onTime(d.now) {
@@ -213,6 +218,7 @@
 		return
 	}
 	r.answerBegan = true
+	d.recordStart(r)
 	r.upstream.consecutiveFailures = 0
 }
 
@@ -252,6 +258,7 @@
 func (d *Dispatcher) endSend(r *request) {
 	if r.upstream != nil {
 		r.upstream.inFlight--
+		r.upstream.backlog.end(r.ID, d.now, r.startLimit())
 		r.upstream.quota.remaining++
 		r.upstream = nil
 	}
--- a/internal/dispatcher/notice_test.go
+++ b/internal/dispatcher/notice_test.go
@@ -102,13 +102,11 @@
 		} else {
 			h.listUpstreams(runnerService, 2, model)
 		}
-		for i, pause := range []time.Duration{5 * time.Second, 1500 * time.Millisecond} {
+		for _, pause := range []time.Duration{5 * time.Second, 1500 * time.Millisecond} {
 			id, effects := h.submit(route(registrar.Idempotent, 2), model)
 			send := h.requireSend(effects)
 			h.reduce(notice(send, false, pause))
-			if i == 0 {
-				h.reduce(SendEnded{ID: id, Try: send.Try, Outcome: Completed})
-			}
+			h.reduce(SendEnded{ID: id, Try: send.Try, Outcome: Completed})
 		}
 		h.now += 500 * time.Millisecond
 		seen := map[time.Duration]bool{}
--- a/internal/dispatcher/queue.go
+++ b/internal/dispatcher/queue.go
@@ -30,6 +30,7 @@
 	waiting       int           // requests in queues
 	onTimeWaiting averagedCount // waiting requests that can still meet their target
 	lateWaiting   averagedCount // waiting requests that can't
+	startDelay    time.Duration // mean time from a send until its answer begins
 }
 
 // statsOf returns the statistics of the request's model.
@@ -62,7 +63,8 @@
 // onTime reports whether the request can still meet its target latency, counting
 // the time that an upstream takes to begin an answer. Other requests are late.
 func (r *request) onTime(now time.Duration) bool {
-	return now < r.arrivedAt+r.Route.TargetLatency-time.Duration(float64(r.Route.TargetLatency)*startTimeShare)
+	startTime := max(min(r.stats.startDelay, r.startLimit()), time.Duration(float64(r.Route.TargetLatency)*startTimeShare))
+	return now < r.arrivedAt+r.Route.TargetLatency-startTime
 }
 
 // compareUrgency orders waiting requests: first those that can still meet their
@@ -92,6 +94,17 @@
 	r.queuePosition, r.sendsAtEnqueue = stats.waiting, stats.sends
 }
 
+// sortQueues restores the order of the queues, in which requests have become late since
+// they were queued. A late request at the head would keep those behind it from being sent
+// in time.
+func (d *Dispatcher) sortQueues() {
+	for _, waiting := range d.queues {
+		if !slices.IsSortedFunc(waiting, d.compareUrgency) {
+			slices.SortStableFunc(waiting, d.compareUrgency)
+		}
+	}
+}
+
 // dequeue removes a request from its queue if it waits there.
 func (d *Dispatcher) dequeue(r *request) {
 	key := queueKeyOf(r)
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -175,6 +175,7 @@
 // can't be served and sends those that upstreams can take.
 func (d *Dispatcher) handleTick() {
 	d.recordQueueLengths()
+	d.sortQueues()
 	for _, r := range d.requestsByID() {
 		limit := r.Deadline
 		if r.upstream == nil && !r.answerBegan {
--- a/internal/dispatcher/selection.go
+++ b/internal/dispatcher/selection.go
@@ -73,6 +73,9 @@
 	if d.now < u.fullUntil || d.now < u.pausedUntil {
 		return false
 	}
+	if r.Model != "" && d.backlogged(r, u) {
+		return false
+	}
 	if u.hasFreshReport(d.now) {
 		return d.quotaAllows(r, u)
 	}
--- a/internal/dispatcher/simulation_test.go
+++ b/internal/dispatcher/simulation_test.go
@@ -93,9 +93,27 @@
 	})
 }
 
+func newSimulation(seed uint64) *simulation {
+	return &simulation{rng: rand.New(rand.NewPCG(seed, 2)), arrivedAt: map[RequestID]time.Duration{}}
+}
+
+// runUntil makes the scheduled calls up to a time.
+func (s *simulation) runUntil(end time.Duration) {
+	for s.now < end {
+		next := heap.Pop(&s.calls).(scheduledCall)
+		if s.now >= warmUp {
+			for _, r := range s.runners {
+				s.runnerWaitTime += time.Duration(len(r.queue)) * (next.at - s.now)
+			}
+		}
+		s.now = next.at
+		next.run()
+	}
+}
+
 // runSimulation runs gateways and runners for the warm-up and the measured time.
 func runSimulation(cfg simulationConfig) *simulation {
-	s := &simulation{rng: rand.New(rand.NewPCG(cfg.seed, 2)), arrivedAt: map[RequestID]time.Duration{}}
+	s := newSimulation(cfg.seed)
 	engine := &registrar.Engine{Slots: cfg.slots, Models: map[registrar.ModelName]registrar.Model{}}
 	var residents []registrar.ResidentModel
 	for m := range cfg.models {
@@ -124,16 +142,7 @@
 	for _, r := range s.runners {
 		s.schedulePeriodic(time.Duration(s.rng.Int64N(int64(reportPeriod))), reportPeriod, func() { s.sendReports(cfg, r) })
 	}
-	for s.now < warmUp+measuredTime {
-		next := heap.Pop(&s.calls).(scheduledCall)
-		if s.now >= warmUp {
-			for _, r := range s.runners {
-				s.runnerWaitTime += time.Duration(len(r.queue)) * (next.at - s.now)
-			}
-		}
-		s.now = next.at
-		next.run()
-	}
+	s.runUntil(warmUp + measuredTime)
 	return s
 }
 
@@ -190,6 +199,7 @@
 		if arrivedAt >= warmUp && arrivedAt < warmUp+measuredTime-time.Second && s.now-arrivedAt <= s.target() {
 			s.onTime++
 		}
+		s.schedule(networkDelay, func() { s.reduce(cfg, req.gateway, AnswerBegan{ID: req.send.ID, Try: req.send.Try}) })
 		serviceTime := time.Duration(float64(cfg.meanServiceTime) * math.Min(3, 0.3+0.7*s.rng.ExpFloat64()))
 		s.schedule(serviceTime, func() {
 			r.running--
--- a/internal/dispatcher/timing.go
+++ b/internal/dispatcher/timing.go
@@ -13,6 +13,8 @@
 	adapterRetryPeriod      = 60 * time.Millisecond  // before an adapter is requested again, in case the datagram or its answer was lost
 	initialAvoidTime        = 200 * time.Millisecond // after a failed send; doubles with each consecutive one
 	maxAvoidTime            = 3 * time.Second        // a crashed upstream restarts within it
+	reportDelay             = 200 * time.Millisecond // from a request's send until a report counts it
+	maxStartSpacing         = time.Second            // longest pause between sends to a runner whose answers begin late
 	fullBackoff             = 40 * time.Millisecond  // after an upstream refused a request; a short request frees its slot within it
 	answerMargin            = 20 * time.Millisecond  // before a deadline, for the error answer to reach the caller in time
 	minRetryAfter           = 200 * time.Millisecond // shortest Retry-After of a refusal
@@ -41,6 +43,13 @@
 	minQuotaLimit       = 3    // requests that one gateway may send to a runner between two reports, however many gateways there are
 	minInFlight         = 3    // sends that one gateway may always have under way at an upstream without a fresh report
 	inFlightPerSlot     = 1.5  // sends per slot that all gateways together may have under way at such an upstream
+	maxStartShare       = 0.5  // share of the target latency that answers may take to begin after their sends
+	initialStartWindow  = 8.0  // sends of one gateway to a runner whose answers have not begun, until their delays are known
+	minStartWindow      = 0.05 // the least of these
+	startWindowGrowth   = 1.25 // largest factor of the window for an answer that begins in time
+	maxStartWindow      = 64.0 // the most of these; as many as a runner runs in one batch
+	startWindowShrink   = 0.7  // factor of the window when answers begin too late
+	startDelaySamples   = 8    // answers over which their delay is averaged
 	startTimeShare      = 0.12 // share of the target latency that an upstream takes to begin an answer
 	waitingCost         = 4.0  // cost of a request that waits at an upstream, in requests of load; it delays all later ones
 	queueAllowance      = 3    // requests of a model that may wait whatever its send rate
