--- a/internal/dispatcher/batch_test.go
+++ b/internal/dispatcher/batch_test.go
@@ -47,7 +47,6 @@
 // batchSimulation runs gateways and one engine that holds the only copy of a model.
 type batchSimulation struct {
 	*simulation
-	cfg     simulationConfig
 	classes []*batchClass
 	engine  *batchEngine
 	open    map[RequestID]*batchRequest
