Serve metrics in the Prometheus text format

Cause: /metrics was JSON, which scrapers don't read; the platform fetches it as text.

Ruled out: client_golang, whose default registry starts collectors in each process; only its data model and encoder are used. Tests parse the output again.

--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -12,8 +12,8 @@
 // milliseconds and measured from the arrival of a request.
 type GatewayMetrics struct {
 	dispatcher.Counters
-	OpenRequests      int                     `json:"open"`
-	WaitingRequests   int                     `json:"waiting"`
+	OpenRequests      int                     `json:"open" metric:"gauge"`
+	WaitingRequests   int                     `json:"waiting" metric:"gauge"`
 	ConnectionsOpened int64                   `json:"connections"` // to upstreams, since the start
 	DroppedLogLines   int64                   `json:"dropped"`     // because of the rate limit or a slow reader
 	TimeToSend        observer.LatencySummary `json:"held"`        // until its last send to an upstream
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -51,8 +51,8 @@
 // StewardMetrics holds the counters of a steward.
 type StewardMetrics struct {
 	reconciler.Counters
-	Gateways        int   `json:"gateways"` // gateways that have sent a demand report lately
-	DroppedLogLines int64 `json:"dropped"`  // because of the rate limit or a slow reader
+	Gateways        int   `json:"gateways" metric:"gauge"` // gateways that have sent a demand report lately
+	DroppedLogLines int64 `json:"dropped"`                 // because of the rate limit or a slow reader
 }
 
 // Steward is the process beside a model runner that orders it to load and unload models,
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/fasthttp/router"
+	"github.com/prometheus/common/expfmt"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
@@ -81,7 +82,7 @@
 	Address string      // to listen on, as host:port
 	Healthy func() bool // false while the process drains
 	Dump    func() any  // returns the state of the process, nil when it has stopped
-	Metrics func() any  // returns the metrics of the process
+	Metrics func() any  // returns the metrics of the process, a struct as WriteMetrics takes it
 }
 
 // metrics holds the metrics of all processes in this program by name. Only the demo and
@@ -134,18 +135,15 @@
 	ctx.SetBodyString("ok\n")
 }
 
-// MetricsPath is the route of the metrics of one process, as JSON. /debug/vars shows
-// those of all processes in the program.
+// MetricsPath is the route of the metrics of one process, in the Prometheus text format.
+// /debug/vars shows those of all processes in the program as JSON.
 const MetricsPath = "/metrics"
 
 func (a *AdminServer) metrics(ctx *fasthttp.RequestCtx) {
-	data, err := json.MarshalIndent(a.cfg.Metrics(), "", " ")
-	if err != nil {
+	ctx.SetContentType(string(expfmt.NewFormat(expfmt.TypeTextPlain)))
+	if err := WriteMetrics(ctx, a.cfg.Metrics()); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
 	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(append(data, '\n'))
 }
 
 func (a *AdminServer) dump(ctx *fasthttp.RequestCtx) {
