Refuse hopeless waits sooner and plan around long unloads

Cause: requests waited until their callers gave up (kind late) where no upstream accepted any, and where a further copy of their model was loading that would end too late.

Change: without an accepting upstream a request is refused after half of its time left, as without a copy; a load that ends after the caller gives up does not keep an overloaded queue from refusing. A runner whose unload lasts over 1.5 s gets no models planned that it does not hold.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -398,3 +398,39 @@
 	require.Equal(t, "caller left", lines[0].Event)
 	require.Equal(t, send.Upstream, lines[0].Upstream)
 }
+
+// A load of a further copy that ends after the caller gives up is no reason to wait for it.
+func TestOverloadIsRefusedAlthoughAFurtherCopyLoads(t *testing.T) {
+	h := newHarness(t)
+	all := h.listUpstreams(runnerService, 2, "m")
+	all[1].Residents = nil
+	h.reduce(UpstreamsListed{all})
+	h.reduce(Reported{Report{Address: all[0].Address, Residents: []registrar.ResidentModel{{Model: "m"}}, Gateways: 1, Running: 64, Waiting: 9}})
+	loading := func(remaining time.Duration) {
+		h.reduce(Reported{Report{Address: all[1].Address, Gateways: 1, Loading: "m", LoadRemaining: remaining}})
+	}
+	loading(6 * time.Second)
+	var refused []Fail
+	for range 40 {
+		_, effects := h.submit(route(registrar.Streaming, 2), "m")
+		for _, effect := range effects {
+			refused = append(refused, effect.(Fail))
+		}
+	}
+	require.Greater(t, len(refused), 30)
+	require.GreaterOrEqual(t, refused[0].RetryAfter, 6*time.Second)
+	loading(time.Second)
+	_, effects := h.submit(route(registrar.Streaming, 2), "m")
+	require.Empty(t, effects, "the copy is ready in time")
+}
+
+// Without any upstream, a request waits for half of its time and is then refused.
+func TestRequestWithoutUpstreamsIsRefusedBeforeItsCallerGivesUp(t *testing.T) {
+	h := newHarness(t)
+	_, effects := h.submit(route(registrar.Idempotent, 2), "")
+	require.Empty(t, effects)
+	h.now += time.Second
+	require.Empty(t, h.reduce(Tick{}))
+	h.now += time.Second
+	require.Equal(t, classifier.Busy, h.requireFail(h.reduce(Tick{})).Kind)
+}
--- a/internal/dispatcher/selection.go
+++ b/internal/dispatcher/selection.go
@@ -207,9 +207,13 @@
 	switch {
 	case holders > 0 && pause > minRetryAfter && loadRemaining < 0:
 		return classifier.Busy, d.spread(pause, r.Route.TargetLatency)
-	case accepting == 0 || holders > 0 && loadRemaining < 0:
+	case holders > 0 && (loadRemaining < 0 || loadRemaining > timeLeft):
 		if wait := d.estimateWait(r); wait > timeLeft {
-			return classifier.Busy, wait
+			return classifier.Busy, max(wait, loadRemaining)
+		}
+	case accepting == 0:
+		if wait := d.estimateWait(r); wait > timeLeft || d.now-r.arrivedAt > time.Duration(coldWaitShare*float64(timeLeft)) {
+			return classifier.Busy, max(wait, d.retryDelay(r))
 		}
 	case holders == 0 && loadRemaining > timeLeft:
 		return classifier.Loading, loadRemaining
--- a/internal/dispatcher/timing.go
+++ b/internal/dispatcher/timing.go
@@ -32,7 +32,7 @@
 
 // Limits and weights of decisions.
 const (
-	coldWaitShare       = 0.5  // share of its time left that a request may wait for a model that no runner holds or loads
+	coldWaitShare       = 0.5  // share of its time left that a request may wait for an upstream, or for a model that no runner holds or loads
 	maxWaiting          = 400  // requests that may wait at one gateway; bounds the memory for their bodies
 	stallTargets        = 2    // FirstTimeout of a Send, times the route's TargetLatency
 	stallGaps           = 4    // GapTimeout of a Send, times the route's TargetGap
--- a/internal/reconciler/event.go
+++ b/internal/reconciler/event.go
@@ -159,24 +159,25 @@
 
 // Timing and limits of decisions and reports.
 const (
-	demandTTL                   = 2 * time.Second        // of a gateway's report; outlasts several lost datagrams
-	fullReportPeriod            = time.Second            // between full reports while the state is unchanged
-	reportIntervalPerGateway    = 5 * time.Millisecond   // between partial reports; limits the rate of datagrams to many gateways
-	maxReportInterval           = 400 * time.Millisecond // half of the time without reports after which gateways avoid a runner
-	peerReportTTL               = 3 * time.Second        // after it, the list replaces a peer's report
-	planTTL                     = 250 * time.Millisecond // the period at which gateways report their demand
-	announcementDelay           = 60 * time.Millisecond  // from an announcement to its effect; a datagram takes a few milliseconds
-	adapterRequestTTL           = time.Second            // gateways repeat a request for an adapter while a caller waits for it
-	copyHysteresis              = 1.35                   // a new copy must serve this many times the work of an existing one
-	copyDemandExponent          = 0.75                   // below 1, models with less work get more copies than their share, in reserve for a shift of demand
-	minDemandPerCopy            = 16000.0                // prompt tokens a second that one copy serves with ease
-	startupDelay                = 2 * time.Second        // until a new steward loads from the weight store; by then the list and the reports of its peers have come
-	startupStoreLoads           = 3                      // loads from the weight store that new stewards begin within the window; the platform allows three beyond its rate
-	minLoadTime                 = 100 * time.Millisecond // assumed of a load, where the configuration tells less
-	storeLoadReserve            = 3                      // loads of the weight store's limit that are reserved for models in demand
-	maxConsecutiveAdapterOrders = 8                      // while a load of a model is due; a runner has as many adapter slots
-	maxLoadingAdapters          = 4                      // at once at one runner
-	unknownResultBackoff        = 300 * time.Millisecond // after an order whose answer was lost
-	maxOrderDelay               = 13 * time.Second       // after it an unanswered order is no longer executed; orders take 12 s at most
-	refusedBackoff              = 100 * time.Millisecond // after an order that the runner refused
+	demandTTL                   = 2 * time.Second         // of a gateway's report; outlasts several lost datagrams
+	fullReportPeriod            = time.Second             // between full reports while the state is unchanged
+	reportIntervalPerGateway    = 5 * time.Millisecond    // between partial reports; limits the rate of datagrams to many gateways
+	maxReportInterval           = 400 * time.Millisecond  // half of the time without reports after which gateways avoid a runner
+	peerReportTTL               = 3 * time.Second         // after it, the list replaces a peer's report
+	planTTL                     = 250 * time.Millisecond  // the period at which gateways report their demand
+	announcementDelay           = 60 * time.Millisecond   // from an announcement to its effect; a datagram takes a few milliseconds
+	adapterRequestTTL           = time.Second             // gateways repeat a request for an adapter while a caller waits for it
+	copyHysteresis              = 1.35                    // a new copy must serve this many times the work of an existing one
+	copyDemandExponent          = 0.75                    // below 1, models with less work get more copies than their share, in reserve for a shift of demand
+	minDemandPerCopy            = 16000.0                 // prompt tokens a second that one copy serves with ease
+	startupDelay                = 2 * time.Second         // until a new steward loads from the weight store; by then the list and the reports of its peers have come
+	startupStoreLoads           = 3                       // loads from the weight store that new stewards begin within the window; the platform allows three beyond its rate
+	unloadPatience              = 1500 * time.Millisecond // after it, models planned for a runner that still unloads another are planned elsewhere
+	minLoadTime                 = 100 * time.Millisecond  // assumed of a load, where the configuration tells less
+	storeLoadReserve            = 3                       // loads of the weight store's limit that are reserved for models in demand
+	maxConsecutiveAdapterOrders = 8                       // while a load of a model is due; a runner has as many adapter slots
+	maxLoadingAdapters          = 4                       // at once at one runner
+	unknownResultBackoff        = 300 * time.Millisecond  // after an order whose answer was lost
+	maxOrderDelay               = 13 * time.Second        // after it an unanswered order is no longer executed; orders take 12 s at most
+	refusedBackoff              = 100 * time.Millisecond  // after an order that the runner refused
 )
--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -38,6 +38,7 @@
 	evictionAnnouncedAt      time.Duration       // when the report without evicting was sent
 	loading                  registrar.ModelName
 	loadDoneAt               time.Duration // when loading is expected to finish
+	unloading                unloading     // of this runner
 	storeLoadAt              time.Duration // start of this runner's last load from the weight store
 	storeLoaded              bool          // storeLoadAt is set
 	startedAt                time.Duration // time of the first event
@@ -76,6 +77,27 @@
 	receivedAt  time.Duration
 	storeLoadAt time.Duration // start of its last load from the weight store
 	storeLoaded bool          // storeLoadAt is set
+	unloading   unloading
+}
+
+// unloading tracks how long a runner has been busy with the unload of a model, which
+// waits for the model's runs to end.
+type unloading struct {
+	since time.Duration
+	busy  bool // since is set
+}
+
+// observe records whether the runner is busy with an unload.
+func (u *unloading) observe(now time.Duration, busy bool) {
+	if busy && !u.busy {
+		u.since = now
+	}
+	u.busy = busy
+}
+
+// slow reports whether the unload has lasted longer than unloadPatience.
+func (u *unloading) slow(now time.Duration) bool {
+	return u.busy && now-u.since > unloadPatience
 }
 
 // unresolvedOrder is an order of unknown outcome.
@@ -169,6 +191,7 @@
 	if !r.holds(r.evicting) {
 		r.evicting = ""
 	}
+	r.unloading.observe(r.now, st.Busy && r.loading == "")
 	if !st.Busy && !r.orderPending {
 		if r.now >= r.loadDoneAt || r.holds(r.loading) {
 			r.loading = ""
@@ -205,6 +228,7 @@
 		r.peers[report.Address] = p
 	}
 	p.report, p.receivedAt = report, r.now
+	p.unloading.observe(r.now, report.Busy && (report.Loading == "" || report.LoadQueued))
 	if report.SinceStoreLoad >= 0 {
 		p.storeLoadAt, p.storeLoaded = max(p.storeLoadAt, r.now-report.SinceStoreLoad), true
 	}
--- a/internal/reconciler/reconciler_test.go
+++ b/internal/reconciler/reconciler_test.go
@@ -286,3 +286,25 @@
 	require.Equal(t, registrar.ModelName("a"), o.Model)
 	require.Less(t, f.now-f.reconciler.startedAt, startupDelay)
 }
+
+// A model without a copy must not wait for a runner that is busy for long with the unload
+// of another one.
+func TestModelIsNotPlannedWhereAnUnloadTakesLong(t *testing.T) {
+	f := newFixture(t, []registrar.ModelName{"a", "b"}, []registrar.ModelName{"c"})
+	f.reduce(f.ownState(0))
+	busy := dispatcher.Report{Address: f.runners[1].Address, Incarnation: 7, Residents: f.runners[1].Residents, Busy: true, SinceStoreLoad: -1}
+	for range 20 {
+		f.now += 100 * time.Millisecond
+		f.reduce(PeerReported{busy})
+		f.reduce(f.ownState(0))
+	}
+	v := f.reconciler.buildView(f.reconciler.engine())
+	require.Equal(t, []registrar.UpstreamID{f.runners[0].ID}, v.plan.Runners("d"))
+	require.Equal(t, []registrar.UpstreamID{f.runners[1].ID}, v.plan.Runners("c"), "what it holds stays there")
+	busy.Busy = false
+	f.reduce(PeerReported{busy})
+	f.now += planTTL
+	f.reduce(PeerReported{busy})
+	v = f.reconciler.buildView(f.reconciler.engine())
+	require.Equal(t, []registrar.UpstreamID{f.runners[1].ID}, v.plan.Runners("d"))
+}
--- a/internal/reconciler/view.go
+++ b/internal/reconciler/view.go
@@ -63,7 +63,7 @@
 		}
 		// Until the reports of all peers have had time to arrive after the start, their
 		// stewards are presumed to run.
-		runner := allocator.Runner{ID: u.ID, Memory: e.WeightMemory, Cached: slices.Concat(u.InHostMemory, u.OnHostDisk), Schedulable: u == r.self || r.recentPeer(u) != nil || r.now-r.startedAt < peerReportTTL}
+		runner := allocator.Runner{ID: u.ID, Memory: e.WeightMemory, Cached: slices.Concat(u.InHostMemory, u.OnHostDisk), Schedulable: r.schedulable(u)}
 		for _, resident := range r.residentsOf(u) {
 			runner.Resident = append(runner.Resident, resident.Model)
 			v.holders[resident.Model] = append(v.holders[resident.Model], u.ID)
@@ -85,6 +85,19 @@
 	return v
 }
 
+// schedulable reports whether a runner may get models that it does not hold. Its steward
+// must report; until the reports of all peers have had time to arrive after the start,
+// they are presumed to. A runner whose unload takes long can't load anything meanwhile.
+func (r *Reconciler) schedulable(u *registrar.Upstream) bool {
+	if u == r.self {
+		return !r.unloading.slow(r.now)
+	}
+	if p := r.recentPeer(u); p != nil {
+		return !p.unloading.slow(r.now)
+	}
+	return r.now-r.startedAt < peerReportTTL
+}
+
 // residentsOf returns the models resident at a runner, from its steward's report
 // if there is a recent one, else from its list entry.
 func (r *Reconciler) residentsOf(u *registrar.Upstream) []registrar.ResidentModel {
