Send messages between processes as CBOR

A peer gets the format that it sends, and both until it has sent one, so processes of the build before work with this one.

Ruled out: protobuf messages (the same size, and a second set of types to keep in step); reports half as often (places known late was a loss before).

--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -122,25 +122,26 @@
 }
 
 // Report is the state of a model runner. Its steward sends it to the gateways and
-// to the other stewards of the service.
+// to the other stewards of the service, with the numbers of the cbor tags for names. A
+// number is never used again for another field.
 type Report struct {
-	Address        string                    `json:"address"`
-	Incarnation    int64                     `json:"born"`               // Unix milliseconds of the runner's start
-	Sequence       int64                     `json:"sequence,omitempty"` // load and unload orders accepted since the start
-	Partial        bool                      `json:"partial,omitempty"`  // Residents is omitted because it has not changed since the last report
-	Residents      []registrar.ResidentModel `json:"holdings,omitempty"` // models in memory, without one that is about to be unloaded
-	Loading        registrar.ModelName       `json:"loading,omitempty"`  // model being loaded, empty without one
-	LoadRemaining  time.Duration             `json:"ready,omitempty"`    // time until Loading is loaded
-	Running        int                       `json:"running,omitempty"`  // requests that have a slot
-	Waiting        int                       `json:"waiting,omitempty"`  // requests in the runner's own queue
-	KVUsed         registrar.Tokens          `json:"used,omitempty"`     // KV cache that can't be evicted
-	KVTotal        registrar.Tokens          `json:"total,omitempty"`    // size of the KV cache
-	Draining       bool                      `json:"draining,omitempty"` // the runner is shutting down
-	Busy           bool                      `json:"busy,omitempty"`     // an order for a model is under way; the runner accepts no other
-	Unreachable    bool                      `json:"lost,omitempty"`     // the runner does not answer its steward
-	Gateways       int                       `json:"gateways,omitempty"` // gateways that the steward has heard from lately
-	LoadQueued     bool                      `json:"claimed,omitempty"`  // the load of Loading is announced but waits for the weight store's rate limit
-	SinceStoreLoad time.Duration             `json:"stored,omitempty"`   // time since the last load from the weight store began, negative before the first
+	Address        string                    `json:"address" cbor:"1,keyasint"`
+	Incarnation    int64                     `json:"born" cbor:"2,keyasint"`                          // Unix milliseconds of the runner's start
+	Sequence       int64                     `json:"sequence,omitempty" cbor:"3,keyasint,omitempty"`  // load and unload orders accepted since the start
+	Partial        bool                      `json:"partial,omitempty" cbor:"4,keyasint,omitempty"`   // Residents is omitted because it has not changed since the last report
+	Residents      []registrar.ResidentModel `json:"holdings,omitempty" cbor:"5,keyasint,omitempty"`  // models in memory, without one that is about to be unloaded
+	Loading        registrar.ModelName       `json:"loading,omitempty" cbor:"6,keyasint,omitempty"`   // model being loaded, empty without one
+	LoadRemaining  time.Duration             `json:"ready,omitempty" cbor:"7,keyasint,omitempty"`     // time until Loading is loaded
+	Running        int                       `json:"running,omitempty" cbor:"8,keyasint,omitempty"`   // requests that have a slot
+	Waiting        int                       `json:"waiting,omitempty" cbor:"9,keyasint,omitempty"`   // requests in the runner's own queue
+	KVUsed         registrar.Tokens          `json:"used,omitempty" cbor:"10,keyasint,omitempty"`     // KV cache that can't be evicted
+	KVTotal        registrar.Tokens          `json:"total,omitempty" cbor:"11,keyasint,omitempty"`    // size of the KV cache
+	Draining       bool                      `json:"draining,omitempty" cbor:"12,keyasint,omitempty"` // the runner is shutting down
+	Busy           bool                      `json:"busy,omitempty" cbor:"13,keyasint,omitempty"`     // an order for a model is under way; the runner accepts no other
+	Unreachable    bool                      `json:"lost,omitempty" cbor:"14,keyasint,omitempty"`     // the runner does not answer its steward
+	Gateways       int                       `json:"gateways,omitempty" cbor:"15,keyasint,omitempty"` // gateways that the steward has heard from lately
+	LoadQueued     bool                      `json:"claimed,omitempty" cbor:"16,keyasint,omitempty"`  // the load of Loading is announced but waits for the weight store's rate limit
+	SinceStoreLoad time.Duration             `json:"stored,omitempty" cbor:"17,keyasint"`             // time since the last load from the weight store began, negative before the first
 }
 
 func (Tick) event()               {}
--- a/internal/messenger/demands.go
+++ b/internal/messenger/demands.go
@@ -13,8 +13,8 @@
 // PackedDemands is the demand of one gateway's callers in a compact form. With many
 // models and stewards, model names alone would saturate a gateway's network link.
 type PackedDemands struct {
-	NamesChecksum uint32      `json:"names"` // CRC-32 of the sorted model names of the sender's configuration
-	Rows          [][]float64 `json:"rows"`  // per model: index of its name, WorkRate, RecentWorkRate, RecentRequests and, if not zero, WaitingWork
+	NamesChecksum uint32      `json:"names" cbor:"1,keyasint"` // CRC-32 of the sorted model names of the sender's configuration
+	Rows          [][]float64 `json:"rows" cbor:"2,keyasint"`  // per model: index of its name, WorkRate, RecentWorkRate, RecentRequests and, if not zero, WaitingWork
 }
 
 // significantDigits is the precision of the numbers in a row. The placement of models
--- a/internal/messenger/demands_test.go
+++ b/internal/messenger/demands_test.go
@@ -39,8 +39,8 @@
 		all = append(all, dispatcher.Demand{Model: name, WorkRate: 98765.4 + float64(i), RecentWorkRate: 87654.3, RecentRequests: 12.3, WaitingWork: 45678})
 	}
 	demands := Pack(names, all)
-	data, err := Encode(Message{Sender: "front-be-north-a-1", Demands: &demands, Version: 12})
+	d, err := Encode(Message{Sender: "front-be-north-a-1", Demands: &demands, Version: 12})
 	require.NoError(t, err)
 	const stewards, periodSeconds, linkBytesPerSecond = 100, 0.8, 10e6 / 8
-	require.Less(t, float64(len(data))*stewards/periodSeconds, 0.3*linkBytesPerSecond)
+	require.Less(t, float64(len(d.compact))*stewards/periodSeconds, 0.3*linkBytesPerSecond)
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -3,21 +3,24 @@
 // Usage:
 //
 //	m, err := messenger.New(messenger.Config{Address: "10.1.0.38:7380", Handle: handle})
-//	data, err := messenger.Encode(messenger.Message{Sender: "side-1", Report: &report})
-//	m.Send(netip.MustParseAddrPort("10.1.0.40:7380"), data)
+//	d, err := messenger.Encode(messenger.Message{Sender: "side-1", Report: &report})
+//	m.Send(netip.MustParseAddrPort("10.1.0.40:7380"), d)
 //	m.Run(ctx)
 //
 // A message must fit into one datagram. It may be lost or delayed; the next message of
-// its kind supersedes it.
+// its kind supersedes it. Messages are CBOR with numbers for the names of fields. Earlier
+// builds send and understand JSON; peers get the format that they send, and both before
+// they have sent any.
 package messenger
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"net/netip"
+	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -25,17 +28,21 @@
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
-// maxDatagramBytes is the maximum payload of a UDP datagram over IPv4.
-const maxDatagramBytes = 65507
+const (
+	maxDatagramBytes = 65507 // payload of a UDP datagram over IPv4
+	maxPeers         = 4096  // whose formats are remembered
 
-// Message is the JSON content of a datagram. Exactly one of Demands, RequestedAdapter and
+	formatMemory = 5 * time.Second // several messages of a peer, some of which may be lost
+)
+
+// Message is the content of a datagram. Exactly one of Demands, RequestedAdapter and
 // Report is set.
 type Message struct {
-	Sender           string               `json:"name"`              // name of the sending process
-	Demands          *PackedDemands       `json:"demands,omitempty"` // from a gateway, periodically
-	RequestedAdapter *registrar.AdapterID `json:"wanted,omitempty"`  // from a gateway; adapter that a request waits for
-	Report           *dispatcher.Report   `json:"report,omitempty"`  // from a steward
-	Version          registrar.Version    `json:"version,omitempty"` // of the sender's configuration in force
+	Sender           string               `json:"name" cbor:"1,keyasint"`                        // name of the sending process
+	Demands          *PackedDemands       `json:"demands,omitempty" cbor:"2,keyasint,omitempty"` // from a gateway, periodically
+	RequestedAdapter *registrar.AdapterID `json:"wanted,omitempty" cbor:"3,keyasint,omitempty"`  // from a gateway; adapter that a request waits for
+	Report           *dispatcher.Report   `json:"report,omitempty" cbor:"4,keyasint,omitempty"`  // from a steward
+	Version          registrar.Version    `json:"version,omitempty" cbor:"5,keyasint,omitempty"` // of the sender's configuration in force
 }
 
 // Config configures a Messenger. Run calls Handle for each message that it receives.
@@ -45,10 +52,19 @@
 	Logger  zerolog.Logger
 }
 
+// peerFormat is the format of a peer's messages.
+type peerFormat struct {
+	format format
+	at     time.Time // of its last message
+}
+
 // Messenger sends and receives messages over one UDP socket.
 type Messenger struct {
 	cfg  Config
 	conn *net.UDPConn
+
+	mu      sync.Mutex
+	formats map[netip.AddrPort]peerFormat
 }
 
 // New returns a messenger that listens on cfg.Address.
@@ -61,26 +77,49 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for datagrams: %w", err)
 	}
-	return &Messenger{cfg, conn}, nil
+	return &Messenger{cfg: cfg, conn: conn, formats: map[netip.AddrPort]peerFormat{}}, nil
 }
 
-// Encode encodes a message for Send. It fails if the message exceeds a datagram.
-func Encode(m Message) ([]byte, error) {
-	data, err := json.Marshal(m)
-	if err == nil && len(data) > maxDatagramBytes {
-		err = fmt.Errorf("message of %d bytes exceeds a datagram", len(data))
+// Send sends an encoded message. A failure is only logged, since datagrams can be lost
+// anyway.
+func (m *Messenger) Send(to netip.AddrPort, d *Datagram) {
+	m.mu.Lock()
+	f := m.formats[to].format
+	m.mu.Unlock()
+	if f != formatJSON {
+		m.write(to, d.compact)
 	}
-	return data, err
+	if f == formatCBOR {
+		return
+	}
+	data, err := d.json()
+	if err != nil {
+		m.cfg.Logger.Error().Str("peer", to.String()).Err(err).Msg("cannot encode message")
+		return
+	}
+	m.write(to, data)
 }
 
-// Send sends an encoded message. A failure is only logged, since datagrams can be lost
-// anyway.
-func (m *Messenger) Send(to netip.AddrPort, data []byte) {
+func (m *Messenger) write(to netip.AddrPort, data []byte) {
 	if _, err := m.conn.WriteToUDPAddrPort(data, to); err != nil {
 		m.cfg.Logger.Debug().Str("peer", to.String()).Err(err).Msg("cannot send datagram")
 	}
 }
 
+// setFormat records the format of a peer's message. A peer that does not know this
+// process sends both, so JSON counts only when no CBOR has come for a while.
+func (m *Messenger) setFormat(from netip.AddrPort, f format) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if known := m.formats[from]; f == formatJSON && known.format == formatCBOR && time.Since(known.at) < formatMemory {
+		return
+	}
+	if len(m.formats) >= maxPeers {
+		clear(m.formats) // peers that are gone; the others get both formats until their next message
+	}
+	m.formats[from] = peerFormat{f, time.Now()}
+}
+
 // Run receives messages until ctx ends and then closes the socket.
 func (m *Messenger) Run(ctx context.Context) {
 	stop := context.AfterFunc(ctx, func() { _ = m.conn.Close() })
@@ -95,11 +134,12 @@
 			m.cfg.Logger.Debug().Err(err).Msg("cannot receive datagram")
 			continue
 		}
-		var msg Message
-		if err := json.Unmarshal(buf[:n], &msg); err != nil {
+		msg, f, err := decode(buf[:n])
+		if err != nil {
 			m.cfg.Logger.Warn().Str("peer", from.String()).Err(err).Msg("cannot decode datagram")
 			continue
 		}
+		m.setFormat(from, f)
 		m.cfg.Handle(from, msg)
 	}
 }
--- a/internal/registrar/upstream.go
+++ b/internal/registrar/upstream.go
@@ -27,15 +27,15 @@
 // ResidentModel is a model in the memory of an upstream's accelerators, ready to run
 // requests, with its resident adapters.
 type ResidentModel struct {
-	Model    ModelName     `json:"model"`
-	Version  int           `json:"version"`
-	Adapters []AdapterName `json:"adapters,omitempty"`
+	Model    ModelName     `json:"model" cbor:"1,keyasint"`
+	Version  int           `json:"version" cbor:"2,keyasint"`
+	Adapters []AdapterName `json:"adapters,omitempty" cbor:"3,keyasint,omitempty"`
 }
 
 // AdapterID identifies an adapter by its model and its name.
 type AdapterID struct {
-	Model ModelName   `json:"model"`
-	Name  AdapterName `json:"name"`
+	Model ModelName   `json:"model" cbor:"1,keyasint"`
+	Name  AdapterName `json:"name" cbor:"2,keyasint"`
 }
 
 // Change is one change of the platform's list: a new or updated entry, or with a
