Poll the store less while peers announce versions

Change: a gateway that has heard a steward within the last second holds its call for the configuration for 5 s, since the datagrams name the version and a newer one is fetched from the sender within 0.7 s; without peers it stays at half of the bound. Stewards read the list every 4 s after their start in place of 2.5 s. Ruled out: longer pauses between a gateway's reads of the list, which carries what leaves.

--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -25,7 +25,7 @@
 // stewardPollTiming polls more slowly than gatewayPollTiming, since loads take seconds,
 // stewards send each other the state of their runners, and gateways announce a newer
 // configuration.
-var stewardPollTiming = pollTiming{configurationTimeout: 10 * time.Second, listDelay: 2500 * time.Millisecond, listWarmup: 3 * time.Second}
+var stewardPollTiming = pollTiming{configurationTimeout: 10 * time.Second, listDelay: 4 * time.Second, listWarmup: 3 * time.Second}
 
 // Fencer issues fencing tokens.
 type Fencer interface {
--- a/internal/driver/syncer_test.go
+++ b/internal/driver/syncer_test.go
@@ -126,3 +126,19 @@
 	cancel()
 	require.NoError(t, <-done)
 }
+
+// Long polls may last longer than a configuration may take to apply only while peers
+// announce their versions.
+func TestLongPollsAreShortWithoutPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSyncer(&longPollStore{}, zerolog.Nop(), gatewayPollTiming(maxApplyDelay, maxApplyDelay))
+		require.Equal(t, maxApplyDelay/2, s.configurationTimeout())
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		s.handlePeerVersion(netip.MustParseAddrPort("10.0.0.2:7380"), 0)
+		s.mu.Unlock()
+		require.Equal(t, peerPollTimeout, s.configurationTimeout())
+		time.Sleep(peerMemory)
+		require.Equal(t, maxApplyDelay/2, s.configurationTimeout())
+	})
+}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -2,7 +2,7 @@
 //
 // Usage:
 //
-//	w := watcher.New(watcher.Config{Store: store, Topic: topic, PollTimeout: time.Second, OnReplace: replace, OnChange: apply, ...})
+//	w := watcher.New(watcher.Config{Store: store, Topic: topic, PollTimeout: func() time.Duration { return time.Second }, OnReplace: replace, OnChange: apply, ...})
 //	w.Run(ctx)
 //
 // It first reads the latest record of each key and then the records written after that.
@@ -60,9 +60,9 @@
 type Config struct {
 	Store       Store
 	Topic       string
-	PollTimeout time.Duration // of long polls: how long Read waits for a record
-	PollDelay   time.Duration // pause between calls after the first that succeeds
-	Warmup      time.Duration // time from the start in which the pause is at most warmupDelay
+	PollTimeout func() time.Duration // of the next long poll: how long Read waits for a record
+	PollDelay   time.Duration        // pause between calls after the first that succeeds
+	Warmup      time.Duration        // time from the start in which the pause is at most warmupDelay
 	// OnReplace receives the latest record of each key, which replace all earlier records.
 	// OnChange receives later records.
 	OnReplace func([]Record)
@@ -151,7 +151,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	batch, err := w.cfg.Store.Read(ctx, w.cfg.Topic, w.nextOffset, w.cfg.PollTimeout)
+	batch, err := w.cfg.Store.Read(ctx, w.cfg.Topic, w.nextOffset, w.cfg.PollTimeout())
 	if err != nil {
 		return err
 	}
