Plan around runners whose stewards say that they drain or were restarted

The only copy of a model in demand was missing for 8 s.

Change: a report that says draining, or is of a later incarnation than the list entry, takes the runner's models out of the plan.

--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -38,7 +38,7 @@
 	evictionAnnouncedAt      time.Duration       // when the report without evicting was sent
 	loading                  registrar.ModelName
 	loadDoneAt               time.Duration // when loading is expected to finish
-	unloading                unloading     // of this runner
+	unloading                condition     // this runner is busy with the unload of a model
 	storeLoadAt              time.Duration // start of this runner's last load from the weight store
 	storeLoaded              bool          // storeLoadAt is set
 	startedAt                time.Duration // time of the first event
@@ -77,27 +77,27 @@
 	receivedAt  time.Duration
 	storeLoadAt time.Duration // start of its last load from the weight store
 	storeLoaded bool          // storeLoadAt is set
-	unloading   unloading
+	unloading   condition     // it is busy with the unload of a model, which waits for the model's runs to end
+	lost        condition     // its steward can't reach it
 }
 
-// unloading tracks how long a runner has been busy with the unload of a model, which
-// waits for the model's runs to end.
-type unloading struct {
+// condition tracks for how long something has been true of a runner.
+type condition struct {
 	since time.Duration
-	busy  bool // since is set
+	holds bool // since is set
 }
 
-// observe records whether the runner is busy with an unload.
-func (u *unloading) observe(now time.Duration, busy bool) {
-	if busy && !u.busy {
-		u.since = now
+// observe records whether the condition holds now.
+func (c *condition) observe(now time.Duration, holds bool) {
+	if holds && !c.holds {
+		c.since = now
 	}
-	u.busy = busy
+	c.holds = holds
 }
 
-// slow reports whether the unload has lasted longer than unloadPatience.
-func (u *unloading) slow(now time.Duration) bool {
-	return u.busy && now-u.since > unloadPatience
+// longerThan reports whether the condition has held longer than d.
+func (c *condition) longerThan(d, now time.Duration) bool {
+	return c.holds && now-c.since > d
 }
 
 // unresolvedOrder is an order of unknown outcome.
@@ -229,6 +229,7 @@
 	}
 	p.report, p.receivedAt = report, r.now
 	p.unloading.observe(r.now, report.Busy && (report.Loading == "" || report.LoadQueued))
+	p.lost.observe(r.now, report.Unreachable)
 	if report.SinceStoreLoad >= 0 {
 		p.storeLoadAt, p.storeLoaded = max(p.storeLoadAt, r.now-report.SinceStoreLoad), true
 	}
--- a/internal/reconciler/reconciler_test.go
+++ b/internal/reconciler/reconciler_test.go
@@ -308,3 +308,33 @@
 	v = f.reconciler.buildView(f.reconciler.engine())
 	require.Equal(t, []registrar.UpstreamID{f.runners[1].ID}, v.plan.Runners("d"))
 }
+
+// A steward knows before the list that its runner drains, crashed or was restarted. The
+// models that only this runner held must be planned elsewhere at once.
+func TestModelsOfARunnerThatStopsServingArePlannedElsewhere(t *testing.T) {
+	for name, change := range map[string]func(*dispatcher.Report){
+		"draining":  func(r *dispatcher.Report) { r.Draining = true },
+		"lost":      func(r *dispatcher.Report) { r.Unreachable = true },
+		"restarted": func(r *dispatcher.Report) { r.Incarnation, r.Residents = 8, nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, []registrar.ModelName{"a", "b"}, []registrar.ModelName{"c"}, []registrar.ModelName{"d"})
+			report := dispatcher.Report{Address: f.runners[1].Address, Incarnation: 7, Residents: f.runners[1].Residents, SinceStoreLoad: -1}
+			plan := func() []registrar.UpstreamID {
+				f.reduce(PeerReported{dispatcher.Report{Address: f.runners[2].Address, Incarnation: 7, Residents: f.runners[2].Residents, SinceStoreLoad: -1}})
+				f.reduce(PeerReported{report})
+				f.reduce(f.ownState(0))
+				v := f.reconciler.buildView(f.reconciler.engine())
+				return v.plan.Runners("c")
+			}
+			require.Equal(t, []registrar.UpstreamID{f.runners[1].ID}, plan())
+			change(&report)
+			f.now += planTTL
+			plan()
+			f.now += lossPatience + planTTL
+			planned := plan()
+			require.Len(t, planned, 1)
+			require.NotEqual(t, f.runners[1].ID, planned[0])
+		})
+	}
+}
--- a/internal/reconciler/view.go
+++ b/internal/reconciler/view.go
@@ -58,7 +58,7 @@
 	}
 	var runners []allocator.Runner
 	for _, u := range r.runners {
-		if u.State != registrar.Ready {
+		if !r.serves(u) {
 			continue
 		}
 		// Until the reports of all peers have had time to arrive after the start, their
@@ -85,15 +85,35 @@
 	return v
 }
 
+// serves reports whether the models of a listed runner count. Its steward learns sooner
+// than the list that it drains or was restarted. One that its steward can't reach counts,
+// since most are back before a load elsewhere would end.
+func (r *Reconciler) serves(u *registrar.Upstream) bool {
+	if u.State != registrar.Ready {
+		return false
+	}
+	if u == r.self {
+		return !r.state.Draining
+	}
+	p := r.peers[u.Address]
+	if p == nil || r.now-p.receivedAt >= peerReportTTL {
+		return true
+	}
+	if p.report.Incarnation != u.Incarnation {
+		return p.report.Incarnation < u.Incarnation
+	}
+	return !p.report.Draining
+}
+
 // schedulable reports whether a runner may get models that it does not hold. Its steward
 // must report; until the reports of all peers have had time to arrive after the start,
 // they are presumed to. A runner whose unload takes long can't load anything meanwhile.
 func (r *Reconciler) schedulable(u *registrar.Upstream) bool {
 	if u == r.self {
-		return !r.unloading.slow(r.now)
+		return !r.unloading.longerThan(unloadPatience, r.now)
 	}
 	if p := r.recentPeer(u); p != nil {
-		return !p.unloading.slow(r.now)
+		return !p.unloading.longerThan(unloadPatience, r.now)
 	}
 	return r.now-r.startedAt < peerReportTTL
 }
