--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -229,7 +229,6 @@
 	}
 	p.report, p.receivedAt = report, r.now
 	p.unloading.observe(r.now, report.Busy && (report.Loading == "" || report.LoadQueued))
-	p.lost.observe(r.now, report.Unreachable)
 	if report.SinceStoreLoad >= 0 {
 		p.storeLoadAt, p.storeLoaded = max(p.storeLoadAt, r.now-report.SinceStoreLoad), true
 	}
