--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -78,7 +78,6 @@
 	storeLoadAt time.Duration // start of its last load from the weight store
 	storeLoaded bool          // storeLoadAt is set
 	unloading   condition     // it is busy with the unload of a model, which waits for the model's runs to end
-	lost        condition     // its steward can't reach it
 }
 
 // condition tracks for how long something has been true of a runner.
