Close the entry's listener once, and wait for it

The end of an entry's context and its Run both close the listener; a second net.Listener.Close returns while the first still waits for Accept, so the next process listened too early.

Change: concurrent calls of Close wait for the first. TestAddressIsFreeAfterClose fails on the code before with the same error (GOMAXPROCS 2 and 4; not with 1) and passes now. Ruled out: another process or test at that address (each cluster has its own).

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -46,8 +46,11 @@
 type Acceptor struct {
 	cfg      Config
 	listener net.Listener
-	server   *fasthttp.Server
-	index    atomic.Pointer[configIndex]
+	// closeListener makes concurrent calls of Close wait for the first: a second
+	// net.Listener.Close returns while the first is still under way.
+	closeListener sync.Once
+	server        *fasthttp.Server
+	index         atomic.Pointer[configIndex]
 
 	mu        sync.Mutex
 	mailboxes map[reducer.RequestID]*mailbox
@@ -99,9 +102,10 @@
 	return a.server.Serve(a.listener)
 }
 
-// Close stops listening and closes the open connections.
+// Close stops listening and closes the open connections. When it returns, the address can
+// be listened on again, also if another call has begun to close the listener.
 func (a *Acceptor) Close() {
-	_ = a.listener.Close()
+	a.closeListener.Do(func() { _ = a.listener.Close() })
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for conn := range a.conns {
