Make the test of a late queue head fail without the sorting

Cause: its second request was queued after the first had become late, and insertion alone puts it first, so the test passed with sortQueues switched off. Now both are queued in time; it fails without the sorting and passes with it.

--- a/internal/dispatcher/backlog_test.go
+++ b/internal/dispatcher/backlog_test.go
@@ -92,8 +92,9 @@
 	full := Report{Address: all[0].Address, Residents: []registrar.ResidentModel{{Model: "m"}}, Gateways: 1, Running: 64, Waiting: 9}
 	h.reduce(Reported{full})
 	first, _ := h.submit(route(registrar.Streaming, 2), "m")
-	h.now += 290 * time.Millisecond // the first one can't be in time any more
+	h.now += 100 * time.Millisecond
 	second, _ := h.submit(route(registrar.Streaming, 2), "m")
+	h.now += 190 * time.Millisecond // the first one can't be in time any more
 	h.reduce(Tick{})
 	free := full
 	free.Running, free.Waiting = 63, 0
