Log and count what upstreams say of their request limits

Callers saw nothing; an upstream that named a limit got as many requests as before. The logs could not tell gateways that don't know the header from gateways that each keep to the whole limit, so the header is decoded now, a line says when a gateway learns of a limit or its end, and a counter tells the sends to limited upstreams. What is sent does not change yet.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -34,6 +35,7 @@
 	demandByModel      map[registrar.ModelName]*demandRate
 	statsByModel       map[modelKey]*modelStats
 	restrictions       map[registrar.UpstreamID]restriction
+	limits             *limiter.Table
 	gatewayCount       int
 	refuseAt           time.Duration // of Stopping, zero before it
 
@@ -44,6 +46,7 @@
 type Counters struct {
 	Arrived      int `json:"arrived"`  // requests
 	Sent         int `json:"sent"`     // sends
+	SentLimited  int `json:"limited"`  // of these, to upstreams that named a limit
 	Completed    int `json:"whole"`    // requests with a complete answer
 	Refused      int `json:"refused"`  // requests that no upstream ran, answered with an error
 	Lost         int `json:"lost"`     // requests that an upstream may have run, answered with an error
@@ -86,6 +89,7 @@
 		demandByModel:      map[registrar.ModelName]*demandRate{},
 		statsByModel:       map[modelKey]*modelStats{},
 		restrictions:       map[registrar.UpstreamID]restriction{},
+		limits:             limiter.NewTable(),
 		gatewayCount:       defaultGatewayCount,
 	}
 }
@@ -185,6 +189,9 @@
 		u.quota.remainingLate--
 	}
 	d.Counters.Sent++
+	if d.limits.Rate(u.info.ID, u.info.Incarnation) > 0 {
+		d.Counters.SentLimited++
+	}
 	if r.Model != "" {
 		u.backlog.add(pendingStart{r.ID, d.now, d.priority(r)})
 	}
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -79,15 +79,18 @@
 	Cause   string // error text for the log
 }
 
-// UpstreamNotice says that an upstream's response asked for no new requests, for a while
-// or for good.
+// UpstreamNotice carries what an upstream's response says of new requests: that it wants
+// none, for a while or for good, or how many.
 type UpstreamNotice struct {
+	Request     RequestID // of the Send
 	Upstream    registrar.UpstreamID
 	Incarnation int64         // of the Send
 	Address     string        // of the Send
 	Other       bool          // another instance than that of the Send answered at its address; its incarnation is unknown
 	Leaving     bool          // the upstream is shutting down
 	Pause       time.Duration // how long it wants no requests from this gateway, zero if it does not say
+	Limit       float64       // requests per second that it takes from all gateways together, zero if it does not say
+	Unlimited   bool          // it answered the request and named no limit
 }
 
 // Outcome is how a send to an upstream ended.
@@ -214,6 +217,7 @@
 	TimeToSend time.Duration // from the request's arrival to its last send
 	Elapsed    time.Duration // from its arrival to now
 	Pause      time.Duration // how long the upstream wants no requests, zero if it does not say
+	Limit      float64       // requests per second that the upstream takes from all gateways together, zero if it does not say
 }
 
 func (Send) effect()         {}
--- a/internal/dispatcher/notice.go
+++ b/internal/dispatcher/notice.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -33,6 +34,10 @@
 		}
 		ev.Incarnation = u.info.Incarnation
 	}
+	d.learnLimit(ev)
+	if !ev.Leaving && ev.Pause <= 0 {
+		return
+	}
 	known := d.restrictions[ev.Upstream]
 	if known.incarnation > ev.Incarnation {
 		return
@@ -52,6 +57,25 @@
 	d.restrict(ev.Upstream, known)
 }
 
+// learnLimit records the limit that an answer names or, if it names none, the end of the
+// limit, unless the request was sent before the limit was named.
+func (d *Dispatcher) learnLimit(ev UpstreamNotice) {
+	if r := d.requests[ev.Request]; ev.Unlimited && (r == nil || r.sentAt <= d.limits.NamedAt(ev.Upstream)) {
+		return
+	}
+	if ev.Limit == 0 && !ev.Unlimited {
+		return
+	}
+	if !d.limits.Learn(d.now, limiter.Limit{Upstream: ev.Upstream, Incarnation: ev.Incarnation, Rate: ev.Limit}) {
+		return
+	}
+	entry := Log{Event: "upstream limited", Upstream: ev.Upstream, Limit: ev.Limit, Waiting: d.waitingCount, ReportAge: d.reportAge(d.upstreams[ev.Upstream])}
+	if ev.Unlimited {
+		entry.Event = "upstream limit ended"
+	}
+	d.emit(entry)
+}
+
 // restrict applies a restriction to an upstream, which may not be listed now.
 func (d *Dispatcher) restrict(id registrar.UpstreamID, r restriction) {
 	if len(d.restrictions) >= maxRestrictions {
--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -86,6 +86,9 @@
 	if entry.Pause > 0 {
 		ev = ev.Int64("pause", entry.Pause.Milliseconds())
 	}
+	if entry.Limit > 0 {
+		ev = ev.Float64("limit", entry.Limit)
+	}
 	if entry.ReportAge > 0 {
 		ev = ev.Int64("age", entry.ReportAge.Milliseconds())
 	}
--- /dev/null
+++ b/internal/limiter/limit.go
@@ -0,0 +1,103 @@
+// Package limiter keeps the requests of all gateways to an upstream within the rate that
+// the upstream asks for.
+//
+// Usage:
+//
+//	limits := limiter.NewTable()
+//	changed := limits.Learn(now, limiter.Limit{Upstream: "i-7f3a91c2", Incarnation: born, Rate: 2.5})
+//	issuer := limiter.NewIssuer(limits)
+//	permits := issuer.Issue(now, "i-7f3a91c2", 3)
+//
+// An upstream names its limit in its answers. Gateways and stewards tell each other what
+// they heard last, each with its age, and one steward issues the permits for requests to
+// the upstream. All gateways choose the same steward, and another one when that does not
+// report any more.
+package limiter
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+// maxLimits bounds the limits that a Table remembers.
+const maxLimits = 1000
+
+// Limit is what an upstream said last of the requests that it takes. It is sent between
+// processes with the numbers of the cbor tags for names.
+type Limit struct {
+	Upstream    registrar.UpstreamID `json:"upstream" cbor:"1,keyasint"`
+	Incarnation int64                `json:"born" cbor:"2,keyasint"`
+	Rate        float64              `json:"rate" cbor:"3,keyasint"` // requests per second from all gateways together, zero without a limit
+	Age         time.Duration        `json:"age" cbor:"4,keyasint"`  // since the upstream said so
+}
+
+// known is a Limit with the time at which the upstream named it.
+type known struct {
+	limit   Limit
+	namedAt time.Duration
+}
+
+// Table holds the latest limit of each upstream. It is not safe for concurrent use.
+type Table struct {
+	byUpstream map[registrar.UpstreamID]known
+}
+
+// NewTable returns a table without limits.
+func NewTable() *Table {
+	return &Table{byUpstream: map[registrar.UpstreamID]known{}}
+}
+
+// Learn stores a limit unless a later one of the upstream is known. It reports whether
+// the rate in force has changed.
+func (t *Table) Learn(now time.Duration, l Limit) bool {
+	namedAt := now - l.Age
+	k, ok := t.byUpstream[l.Upstream]
+	if ok && (k.limit.Incarnation > l.Incarnation || k.limit.Incarnation == l.Incarnation && k.namedAt > namedAt) {
+		return false
+	}
+	if !ok && l.Rate == 0 {
+		return false
+	}
+	if !ok && len(t.byUpstream) >= maxLimits {
+		t.forgetOldest()
+	}
+	before := t.Rate(l.Upstream, l.Incarnation)
+	t.byUpstream[l.Upstream] = known{l, namedAt}
+	return before != l.Rate
+}
+
+func (t *Table) forgetOldest() {
+	oldest := slices.MinFunc(slices.Collect(maps.Values(t.byUpstream)), func(a, b known) int { return cmp.Compare(a.namedAt, b.namedAt) })
+	delete(t.byUpstream, oldest.limit.Upstream)
+}
+
+// Rate returns the limit of an incarnation of an upstream in requests per second, zero
+// without one.
+func (t *Table) Rate(id registrar.UpstreamID, incarnation int64) float64 {
+	if k := t.byUpstream[id]; k.limit.Incarnation == incarnation {
+		return k.limit.Rate
+	}
+	return 0
+}
+
+// NamedAt returns when the upstream named its limit, zero if it never did.
+func (t *Table) NamedAt(id registrar.UpstreamID) time.Duration {
+	return t.byUpstream[id].namedAt
+}
+
+// Recent returns the limits that are younger than maxAge, in the order of upstreams. Rates
+// of zero are among them, since they end a limit that others know.
+func (t *Table) Recent(now, maxAge time.Duration) []Limit {
+	var recent []Limit
+	for _, k := range t.byUpstream {
+		if k.limit.Age = now - k.namedAt; k.limit.Age < maxAge {
+			recent = append(recent, k.limit)
+		}
+	}
+	slices.SortFunc(recent, func(a, b Limit) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	return recent
+}
--- a/internal/relayer/gateway_test.go
+++ b/internal/relayer/gateway_test.go
@@ -53,6 +53,7 @@
 
 func (testHeaderCodec) ParseResponse(h http.Header) ResponseInfo {
 	info := ResponseInfo{AttemptID: h.Get("Try"), HasSeal: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != ""}
+	info.RequestLimit, _ = strconv.ParseFloat(h.Get("Limit"), 64)
 	info.RetryAfter, _ = time.ParseDuration(h.Get("Retry-After"))
 	return info
 }
@@ -453,6 +454,35 @@
 	}
 }
 
+// Only the response to the request itself can end a limit, since a late one to another
+// request may have been made before the limit was named.
+func TestResponsesTellTheLimitOfTheirUpstream(t *testing.T) {
+	const late = "HTTP/1.1 200 OK\r\nTry: n0\r\nSeal: s\r\nContent-Length: 0\r\n\r\n"
+	for name, tc := range map[string]struct {
+		response  string
+		limit     float64
+		unlimited bool
+	}{
+		"named":          {late + "HTTP/1.1 200 OK\r\nTry: n1\r\nSeal: s\r\nLimit: 2.4\r\nContent-Length: 0\r\n\r\n", 2.4, false},
+		"named, refused": {"HTTP/1.1 503 Busy\r\nTry: n1\r\nNot-Run: 1\r\nLimit: 2.4\r\nContent-Length: 0\r\n\r\n", 2.4, false},
+		"not named":      {"HTTP/1.1 200 OK\r\nTry: n1\r\nSeal: s\r\nContent-Length: 0\r\n\r\n", 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newFakeDispatcher(startUpstream(t, func(c net.Conn, r *bufio.Reader) {
+				_, _ = readRequest(r)
+				_, _ = io.WriteString(c, tc.response)
+			}))
+			_, address := startGateway(t, d)
+			_, _, err := post(t, address, "n1", "{}")
+			require.NoError(t, err)
+			notices := d.receivedNotices()
+			require.Len(t, notices, 1)
+			require.InDelta(t, tc.limit, notices[0].Limit, 0)
+			require.Equal(t, tc.unlimited, notices[0].Unlimited)
+		})
+	}
+}
+
 // A request whose upstream asked for none while the connection was opened is not written.
 func TestRequestThatIsNotSendableIsNotWritten(t *testing.T) {
 	written := make(chan string, 2)
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -43,6 +43,9 @@
 	Upstream registrar.UpstreamID
 	// Leaving says that the upstream is shutting down and must get no new requests.
 	Leaving bool
+	// RequestLimit is the number of requests per second that the upstream takes from all
+	// gateways together, zero without a limit.
+	RequestLimit float64
 	// RetryAfter of a response with status 503 is how long the upstream wants no requests
 	// from this gateway, zero if it does not say.
 	RetryAfter time.Duration
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -110,8 +110,9 @@
 			return nil, ResponseInfo{}, err
 		}
 		info := g.cfg.HeaderCodec.ParseResponse(resp.Header)
-		g.reportNotice(resp.StatusCode, info, e)
-		if info.AttemptID == in.info.AttemptID || info.AttemptID == "" {
+		matches := info.AttemptID == in.info.AttemptID || info.AttemptID == ""
+		g.reportNotice(resp.StatusCode, info, e, matches)
+		if matches {
 			return resp, info, nil
 		}
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
@@ -125,13 +126,17 @@
 }
 
 // reportNotice tells the dispatcher what a response says about new requests to its
-// upstream, as soon as its headers have been read.
-func (g *Gateway) reportNotice(status int, info ResponseInfo, e dispatcher.Send) {
-	notice := dispatcher.UpstreamNotice{Upstream: e.Upstream, Incarnation: e.Incarnation, Address: e.Address, Leaving: info.Leaving}
+// upstream, as soon as its headers have been read. Only a response that matches the
+// request can end a limit.
+func (g *Gateway) reportNotice(status int, info ResponseInfo, e dispatcher.Send, matches bool) {
+	notice := dispatcher.UpstreamNotice{
+		Request: e.ID, Upstream: e.Upstream, Incarnation: e.Incarnation, Address: e.Address, Leaving: info.Leaving,
+		Limit: info.RequestLimit, Unlimited: matches && info.HasSeal && info.RequestLimit == 0,
+	}
 	if status == http.StatusServiceUnavailable {
 		notice.Pause = info.RetryAfter
 	}
-	if !notice.Leaving && notice.Pause <= 0 {
+	if !notice.Leaving && notice.Pause <= 0 && notice.Limit == 0 && !notice.Unlimited {
 		return
 	}
 	if info.Upstream != "" && info.Upstream != e.Upstream {
