Keep all gateways together within the limit that an upstream names

The class: what an upstream says of all gateways together has to bind them together; a gateway that keeps to it by itself, as it does with a pause, leaves the sum to chance.

Change: a limit binds from the headers of an answer on. Processes tell each other what they heard last, with its age, so a gateway that was not told, or has just started, is bound too. A request to such an upstream needs a permit, which one steward issues for all gateways: the first in rendezvous order that reports. Its successor starts with none. Without a reporting steward each gateway uses an equal part. Requests that the limits leave no time for are refused at once.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -74,6 +74,7 @@
 	mayHaveRun     bool                 // an earlier send may have run
 	avoidUpstream  registrar.UpstreamID // of the last send that failed, was refused or stalled
 	sentAt         time.Duration        // time of the last send
+	permitted      bool                 // the last send used a permit of an upstream with a limit
 	lastCause      string               // error text of the last send
 }
 
@@ -126,6 +127,12 @@
 		d.sendWaiting()
 	case UpstreamNotice:
 		d.handleNotice(ev)
+	case LimitsReported:
+		d.handleLimits(ev)
+		d.sendWaiting()
+	case PermitsIssued:
+		d.handlePermits(ev.Permits)
+		d.sendWaiting()
 	}
 	return d.effects
 }
@@ -189,7 +196,8 @@
 		u.quota.remainingLate--
 	}
 	d.Counters.Sent++
-	if d.limits.Rate(u.info.ID, u.info.Incarnation) > 0 {
+	r.permitted = d.usePermit(u)
+	if r.permitted {
 		d.Counters.SentLimited++
 	}
 	if r.Model != "" {
--- a/internal/dispatcher/dump.go
+++ b/internal/dispatcher/dump.go
@@ -34,6 +34,7 @@
 	Failures        int                   `json:"failures"`         // consecutive failed sends
 	AvoidMillis     int64                 `json:"avoid"`            // how long the upstream is still avoided, zero if it is not
 	ReportAgeMillis int64                 `json:"age"`              // of the last report, zero without one
+	Limit           float64               `json:"limit,omitempty"`  // requests per second that it takes from all gateways together, zero without a limit
 	Report          *Report               `json:"report,omitempty"` // the last one
 }
 
@@ -47,7 +48,7 @@
 	for _, u := range d.upstreams {
 		row := DumpUpstream{
 			ID: u.info.ID, Service: u.info.Service, Accepting: u.accepting(), Open: u.inFlight, Failures: u.consecutiveFailures,
-			AvoidMillis: max(0, u.avoidUntil-d.now).Milliseconds(), ReportAgeMillis: d.reportAge(u).Milliseconds(),
+			AvoidMillis: max(0, u.avoidUntil-d.now).Milliseconds(), ReportAgeMillis: d.reportAge(u).Milliseconds(), Limit: d.limitOf(u),
 		}
 		if u.reported {
 			row.Report = &u.report
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -93,6 +94,12 @@
 	Unlimited   bool          // it answered the request and named no limit
 }
 
+// LimitsReported carries the limits of upstreams that a steward knows.
+type LimitsReported struct{ Limits []limiter.Limit }
+
+// PermitsIssued carries a steward's answer to RequestPermits.
+type PermitsIssued struct{ Permits limiter.Permits }
+
 // Outcome is how a send to an upstream ended.
 type Outcome string
 
@@ -158,6 +165,8 @@
 func (SendStalled) event()        {}
 func (SendEnded) event()          {}
 func (UpstreamNotice) event()     {}
+func (LimitsReported) event()     {}
+func (PermitsIssued) event()      {}
 
 // Effect is an output of the dispatcher, which the driver carries out.
 type Effect interface{ effect() }
@@ -203,6 +212,13 @@
 	Adapter registrar.AdapterID
 }
 
+// RequestPermits asks a steward for permits to send requests to an upstream with a limit,
+// or announces the limit.
+type RequestPermits struct {
+	Address string // of the steward's runner
+	Request limiter.Request
+}
+
 // Log writes a line to the log.
 type Log struct {
 	Event      string
@@ -220,10 +236,11 @@
 	Limit      float64       // requests per second that the upstream takes from all gateways together, zero if it does not say
 }
 
-func (Send) effect()         {}
-func (Fail) effect()         {}
-func (RelayFailure) effect() {}
-func (Abort) effect()        {}
-func (Failover) effect()     {}
-func (LoadAdapter) effect()  {}
-func (Log) effect()          {}
+func (Send) effect()           {}
+func (Fail) effect()           {}
+func (RelayFailure) effect()   {}
+func (Abort) effect()          {}
+func (Failover) effect()       {}
+func (LoadAdapter) effect()    {}
+func (RequestPermits) effect() {}
+func (Log) effect()            {}
--- /dev/null
+++ b/internal/dispatcher/limit.go
@@ -0,0 +1,207 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/egretwall/egretwall/internal/limiter"
+	"github.com/egretwall/egretwall/internal/placer"
+)
+
+// Timing of permits for upstreams that have named a limit.
+const (
+	permitLifetime         = 500 * time.Millisecond // of permits that are not used; the steward counts them as requests
+	permitRetryPeriod      = 50 * time.Millisecond  // before permits for an upstream are requested again
+	permitPeriodPerGateway = 5 * time.Millisecond   // lengthens that period with the number of gateways, which all ask one steward
+	issuerPeriod           = 100 * time.Millisecond // between choices of the steward that issues permits
+	announcePeriod         = 500 * time.Millisecond // between announcements of an unchanged limit
+)
+
+// maxPermits is the number of permits that a gateway requests at once.
+const maxPermits = 4
+
+// permitState is what a gateway may send to an upstream with a limit.
+type permitState struct {
+	count       int           // permits that have not been used
+	expire      time.Duration // when count does
+	requestedAt time.Duration // when permits were last requested
+	announcedAt time.Duration // when the limit was last announced
+	// share is this gateway's part of the limit, which it uses while no steward issues
+	// permits.
+	share        limiter.Bucket
+	shareStarted bool
+
+	issuer         string // of issuerOf
+	issuerChosen   bool   // issuer is set
+	issuerChosenAt time.Duration
+}
+
+// handleLimits records the limits that a steward knows.
+func (d *Dispatcher) handleLimits(ev LimitsReported) {
+	for _, l := range ev.Limits {
+		d.learnLimit(l)
+	}
+}
+
+// learnLimit records a limit and logs a change.
+func (d *Dispatcher) learnLimit(l limiter.Limit) {
+	if !d.limits.Learn(d.now, l) {
+		return
+	}
+	entry := Log{Event: "upstream limited", Upstream: l.Upstream, Limit: l.Rate, Waiting: d.waitingCount, ReportAge: d.reportAge(d.upstreams[l.Upstream])}
+	if l.Rate == 0 {
+		entry.Event = "upstream limit ended"
+	}
+	d.emit(entry)
+}
+
+// handleAnsweredLimit records the limit that an answer names or, if it names none, the end
+// of the limit, and announces it. An answer to a request that was sent before the limit
+// was named does not end it.
+func (d *Dispatcher) handleAnsweredLimit(ev UpstreamNotice) {
+	known := d.limits.Rate(ev.Upstream, ev.Incarnation)
+	if ev.Limit == 0 && !ev.Unlimited || ev.Limit == 0 && known == 0 {
+		return
+	}
+	if r := d.requests[ev.Request]; ev.Unlimited && (r == nil || r.sentAt <= d.limits.NamedAt(ev.Upstream)) {
+		return
+	}
+	l := limiter.Limit{Upstream: ev.Upstream, Incarnation: ev.Incarnation, Rate: ev.Limit}
+	d.learnLimit(l)
+	u := d.upstreams[ev.Upstream]
+	if u == nil || u.info.Incarnation != ev.Incarnation || known == ev.Limit && d.now < u.permits.announcedAt+announcePeriod {
+		return
+	}
+	u.permits.announcedAt = d.now
+	if issuer := d.issuerOf(u); issuer != "" {
+		d.emit(RequestPermits{Address: issuer, Request: limiter.Request{Limit: l}})
+	}
+}
+
+// handlePermits adds the permits that a steward issued.
+func (d *Dispatcher) handlePermits(p limiter.Permits) {
+	u := d.upstreams[p.Upstream]
+	if u == nil || u.info.Incarnation != p.Incarnation {
+		return
+	}
+	if d.now >= u.permits.expire {
+		u.permits.count = 0
+	}
+	u.permits.count += p.Count
+	u.permits.expire = d.now + permitLifetime
+}
+
+// limitOf returns the limit of an upstream in requests per second, zero without one.
+func (d *Dispatcher) limitOf(u *upstream) float64 {
+	return d.limits.Rate(u.info.ID, u.info.Incarnation)
+}
+
+// permitted reports whether the upstream's limit allows a request of this gateway.
+func (d *Dispatcher) permitted(u *upstream) bool {
+	rate := d.limitOf(u)
+	if rate == 0 || u.permits.count > 0 && d.now < u.permits.expire {
+		return true
+	}
+	if d.issuerOf(u) != "" {
+		u.permits.shareStarted = false
+		return false
+	}
+	if !u.permits.shareStarted {
+		u.permits.share, u.permits.shareStarted = limiter.NewBucket(d.now), true
+	}
+	u.permits.share.Fill(d.now, rate/float64(max(1, d.gatewayCount)), 1)
+	return u.permits.share.Has()
+}
+
+// usePermit takes a permit for a request and reports whether the upstream has a limit.
+func (d *Dispatcher) usePermit(u *upstream) bool {
+	if d.limitOf(u) == 0 {
+		return false
+	}
+	if u.permits.count > 0 && d.now < u.permits.expire {
+		u.permits.count--
+		return true
+	}
+	u.permits.share.Take(1)
+	return true
+}
+
+// issuerOf returns the address of the runner whose steward issues the permits for an
+// upstream: the first in rendezvous order among those whose stewards report, so that all
+// gateways choose the same. It is empty if no steward reports.
+func (d *Dispatcher) issuerOf(u *upstream) string {
+	p := &u.permits
+	if p.issuerChosen && d.now < p.issuerChosenAt+issuerPeriod {
+		return p.issuer
+	}
+	p.issuer, p.issuerChosen, p.issuerChosenAt = "", true, d.now
+	var highest uint64
+	for _, other := range d.upstreams {
+		if !other.reported || d.now-other.reportedAt >= reportTimeout {
+			continue
+		}
+		score := placer.Score(string(u.info.ID), other.info.Address)
+		if p.issuer == "" || score > highest || score == highest && other.info.Address < p.issuer {
+			p.issuer, highest = other.info.Address, score
+		}
+	}
+	return p.issuer
+}
+
+// requestPermits asks for permits for one upstream that could run the request but for its
+// limit and is no worse than the chosen one, which may be nil: the one that was asked about
+// least recently. They come too late for the request if another upstream was chosen, and
+// serve the next one.
+func (d *Dispatcher) requestPermits(r *request, group []*upstream, chosen *upstream) {
+	if !d.limits.Any() {
+		return
+	}
+	var next *upstream
+	for _, u := range group {
+		if u == chosen || d.limitOf(u) == 0 || !u.accepting() || !d.couldRun(r, u) {
+			continue
+		}
+		if chosen != nil && d.cost(u) > d.cost(chosen) {
+			continue
+		}
+		if next == nil || u.permits.requestedAt < next.permits.requestedAt {
+			next = u
+		}
+	}
+	period := max(permitRetryPeriod, time.Duration(d.gatewayCount)*permitPeriodPerGateway)
+	if next == nil || next.permits.requestedAt > 0 && d.now < next.permits.requestedAt+period {
+		return
+	}
+	issuer := d.issuerOf(next)
+	if issuer == "" {
+		return
+	}
+	next.permits.requestedAt = d.now
+	l := limiter.Limit{
+		Upstream: next.info.ID, Incarnation: next.info.Incarnation, Rate: d.limitOf(next), Age: d.now - d.limits.NamedAt(next.info.ID),
+	}
+	count := min(maxPermits, max(1, len(d.queues[queueKeyOf(r)])))
+	d.emit(RequestPermits{Address: issuer, Request: limiter.Request{Limit: l, Count: count}})
+}
+
+// couldRun reports whether the upstream would start the request soon but for its limit.
+func (d *Dispatcher) couldRun(r *request, u *upstream) bool {
+	model, adapter := u.holds(d.now, r.Model, r.Adapter)
+	return (r.Model == "" || model && adapter) && d.hasCapacity(r, u)
+}
+
+// limitedRate returns the limit of all upstreams that could run the request together, in
+// requests per second. It is zero if one of them has no limit.
+func (d *Dispatcher) limitedRate(r *request) float64 {
+	total := 0.0
+	for _, u := range d.upstreamsByService[r.Service] {
+		if model, _ := u.holds(d.now, r.Model, ""); !u.accepting() || r.Model != "" && !model {
+			continue
+		}
+		rate := d.limitOf(u)
+		if rate == 0 {
+			return 0
+		}
+		total += rate
+	}
+	return total
+}
--- /dev/null
+++ b/internal/dispatcher/limit_test.go
@@ -0,0 +1,232 @@
+package dispatcher
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretwall/egretwall/internal/limiter"
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+// What an upstream that names a limit may get: limitFactor times the limit and limitSlack
+// requests within limitWindow, from gateways that have known it for limitDelay.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	limitDelay  = 500 * time.Millisecond
+)
+
+// limitedFleet is a fleet of gateways before a plain upstream that names a limit in all
+// answers, and a runner whose steward issues the permits, on a virtual clock.
+type limitedFleet struct {
+	rng      *rand.Rand
+	now      time.Duration
+	rate     float64
+	gateways []*harness
+	told     []time.Duration // when each gateway got the first answer, zero before
+	arrivals []time.Duration // from gateways that have known the limit for limitDelay
+	served   int
+	steward  *limiter.Issuer // nil while no steward runs
+	limits   *limiter.Table
+	pending  []pendingAnswer
+}
+
+// pendingAnswer is an answer that a gateway gets at a time.
+type pendingAnswer struct {
+	at      time.Duration
+	gateway int
+	send    Send
+}
+
+func newLimitedFleet(t *testing.T, gateways int, rate float64) *limitedFleet {
+	f := &limitedFleet{rng: rand.New(rand.NewPCG(1, 2)), rate: rate, told: make([]time.Duration, gateways)}
+	f.startSteward()
+	for range gateways {
+		f.gateways = append(f.gateways, newLimitedGateway(t))
+	}
+	return f
+}
+
+func newLimitedGateway(t *testing.T) *harness {
+	h := newHarness(t)
+	h.reduce(UpstreamsListed{[]*registrar.Upstream{
+		{ID: "limited", Service: plainService, Address: "10.0.0.1:80", State: registrar.Ready, Slots: 64},
+		{ID: "runner", Service: runnerService, Address: "10.0.0.2:80", State: registrar.Ready, Slots: 64},
+	}})
+	return h
+}
+
+func (f *limitedFleet) startSteward() {
+	f.limits = limiter.NewTable()
+	f.steward = limiter.NewIssuer(f.limits)
+}
+
+// run passes time and lets load requests per second arrive at random gateways.
+func (f *limitedFleet) run(duration time.Duration, load float64) {
+	const step = 10 * time.Millisecond
+	for end := f.now + duration; f.now < end; f.now += step {
+		for g, h := range f.gateways {
+			h.now = f.now
+			if f.now%(200*time.Millisecond) == 0 && f.steward != nil {
+				f.carryOut(g, h.reduce(Reported{Report{Address: "10.0.0.2:80", Gateways: len(f.gateways)}}))
+				f.carryOut(g, h.reduce(LimitsReported{f.limits.Recent(f.now, time.Minute)}))
+			}
+			f.carryOut(g, h.reduce(Tick{}))
+		}
+		if f.rng.Float64() < load*step.Seconds() {
+			g := f.rng.IntN(len(f.gateways))
+			_, effects := f.gateways[g].submit(route(registrar.Idempotent, 2), "")
+			f.carryOut(g, effects)
+		}
+		f.answer()
+	}
+}
+
+// answer delivers the answers that are due; each names the limit.
+func (f *limitedFleet) answer() {
+	for len(f.pending) > 0 && f.pending[0].at <= f.now {
+		p := f.pending[0]
+		f.pending = f.pending[1:]
+		h := f.gateways[p.gateway]
+		if f.told[p.gateway] == 0 {
+			f.told[p.gateway] = f.now
+		}
+		f.served++
+		f.carryOut(p.gateway, h.reduce(UpstreamNotice{Request: p.send.ID, Upstream: p.send.Upstream, Limit: f.rate}))
+		f.carryOut(p.gateway, h.reduce(SendEnded{ID: p.send.ID, Try: p.send.Try, Outcome: Completed}))
+	}
+}
+
+func (f *limitedFleet) carryOut(g int, effects []Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Send:
+			if f.told[g] > 0 && f.now-f.told[g] >= limitDelay {
+				f.arrivals = append(f.arrivals, f.now)
+			}
+			f.pending = append(f.pending, pendingAnswer{f.now + 60*time.Millisecond, g, e})
+		case RequestPermits:
+			if f.steward == nil {
+				continue
+			}
+			f.limits.Learn(f.now, e.Request.Limit)
+			permits := f.steward.Issue(f.now, e.Request)
+			f.carryOut(g, f.gateways[g].reduce(PermitsIssued{permits}))
+		}
+	}
+}
+
+// mostInWindow returns the largest number of counted arrivals within limitWindow.
+func (f *limitedFleet) mostInWindow() int {
+	most, first := 0, 0
+	for i, at := range f.arrivals {
+		for at-f.arrivals[first] > limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+func (f *limitedFleet) requireLimitKept(t *testing.T) {
+	t.Helper()
+	require.LessOrEqual(t, float64(f.mostInWindow()), limitFactor*f.rate*limitWindow.Seconds()+limitSlack)
+}
+
+func TestGatewaysTogetherKeepALimitAndUseIt(t *testing.T) {
+	for _, gateways := range []int{1, 6, 30, 103} {
+		for _, rate := range []float64{0.5, 2.4, 20} {
+			t.Run(fmt.Sprintf("%d gateways, %v a second", gateways, rate), func(t *testing.T) {
+				f := newLimitedFleet(t, gateways, rate)
+				f.run(3*time.Second, 4*rate+float64(gateways))
+				f.served = 0
+				const duration = 20 * time.Second
+				f.run(duration, 4*rate+float64(gateways))
+				f.requireLimitKept(t)
+				require.Greater(t, float64(f.served), 0.7*rate*duration.Seconds())
+			})
+		}
+	}
+}
+
+// The steward that issues permits is gone, comes back without memory, and comes and goes.
+func TestLimitIsKeptWhenTheIssuerOfPermitsChanges(t *testing.T) {
+	for _, gateways := range []int{1, 6, 30} {
+		f := newLimitedFleet(t, gateways, 2.4)
+		for _, downtime := range []time.Duration{6 * time.Second, 300 * time.Millisecond, time.Second, 2 * time.Second, 100 * time.Millisecond} {
+			f.run(5*time.Second, 60)
+			f.steward = nil
+			f.run(downtime, 60)
+			f.startSteward()
+		}
+		f.run(5*time.Second, 60)
+		f.requireLimitKept(t)
+	}
+}
+
+// A gateway that has just started knows of no answer that names the limit.
+func TestLimitBindsAGatewayThatWasNotToldByTheUpstream(t *testing.T) {
+	h := newLimitedGateway(t)
+	h.reduce(Reported{Report{Address: "10.0.0.2:80"}})
+	h.reduce(LimitsReported{[]limiter.Limit{{Upstream: "limited", Rate: 0.5, Age: time.Second}}})
+	_, effects := h.submit(route(registrar.Idempotent, 2), "")
+	require.Len(t, effects, 1)
+	require.Equal(t, RequestPermits{Address: "10.0.0.2:80", Request: limiter.Request{
+		Limit: limiter.Limit{Upstream: "limited", Rate: 0.5, Age: time.Second}, Count: 1,
+	}}, effects[0])
+	send := h.requireSend(h.reduce(PermitsIssued{limiter.Permits{Upstream: "limited", Count: 1}}))
+	require.True(t, h.d.Sendable(h.now, send.ID, send.Try))
+}
+
+// A limit that is named while a connection is opened holds back the request.
+func TestRequestWithoutPermitIsNotWritten(t *testing.T) {
+	h := newLimitedGateway(t)
+	_, effects := h.submit(route(registrar.Idempotent, 2), "")
+	first := h.requireSend(effects)
+	_, effects = h.submit(route(registrar.Idempotent, 2), "")
+	second := h.requireSend(effects)
+	h.reduce(UpstreamNotice{Request: first.ID, Upstream: first.Upstream, Limit: 2})
+	require.False(t, h.d.Sendable(h.now, second.ID, second.Try))
+}
+
+func TestLimitEndsWithAnAnswerToALaterRequest(t *testing.T) {
+	h := newLimitedGateway(t)
+	h.now = time.Second
+	id, effects := h.submit(route(registrar.Idempotent, 2), "")
+	early := h.requireSend(effects)
+	h.now += time.Second
+	h.reduce(UpstreamNotice{Request: id, Upstream: "limited", Limit: 20})
+	h.now += time.Millisecond
+	h.reduce(UpstreamNotice{Request: id, Upstream: "limited", Unlimited: true})
+	h.reduce(SendEnded{ID: id, Try: early.Try, Outcome: Completed})
+	_, effects = h.submit(route(registrar.Idempotent, 2), "")
+	require.Empty(t, effects, "the answer may have been made before the limit was named")
+	h.now += time.Second
+	later := h.requireSend(h.reduce(Tick{}))
+	h.reduce(UpstreamNotice{Request: later.ID, Upstream: "limited", Unlimited: true})
+	_, effects = h.submit(route(registrar.Idempotent, 2), "")
+	h.requireSend(effects)
+}
+
+// Requests that the limit leaves no time for are refused at once.
+func TestRequestsBeyondALimitAreRefusedAtOnce(t *testing.T) {
+	h := newLimitedGateway(t)
+	h.reduce(Reported{Report{Address: "10.0.0.2:80"}})
+	h.reduce(LimitsReported{[]limiter.Limit{{Upstream: "limited", Rate: 1}}})
+	refused := 0
+	for range 12 {
+		_, effects := h.submit(route(registrar.Idempotent, 2), "")
+		for _, e := range effects {
+			if answer, ok := e.(Fail); ok {
+				refused++
+				require.GreaterOrEqual(t, answer.RetryAfter, time.Second)
+			}
+		}
+	}
+	require.Equal(t, 8, refused, "callers wait 4 s, in which 4 requests are sent")
+}
--- a/internal/dispatcher/notice.go
+++ b/internal/dispatcher/notice.go
@@ -5,7 +5,6 @@
 	"math"
 	"time"
 
-	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -34,7 +33,7 @@
 		}
 		ev.Incarnation = u.info.Incarnation
 	}
-	d.learnLimit(ev)
+	d.handleAnsweredLimit(ev)
 	if !ev.Leaving && ev.Pause <= 0 {
 		return
 	}
@@ -57,25 +56,6 @@
 	d.restrict(ev.Upstream, known)
 }
 
-// learnLimit records the limit that an answer names or, if it names none, the end of the
-// limit, unless the request was sent before the limit was named.
-func (d *Dispatcher) learnLimit(ev UpstreamNotice) {
-	if r := d.requests[ev.Request]; ev.Unlimited && (r == nil || r.sentAt <= d.limits.NamedAt(ev.Upstream)) {
-		return
-	}
-	if ev.Limit == 0 && !ev.Unlimited {
-		return
-	}
-	if !d.limits.Learn(d.now, limiter.Limit{Upstream: ev.Upstream, Incarnation: ev.Incarnation, Rate: ev.Limit}) {
-		return
-	}
-	entry := Log{Event: "upstream limited", Upstream: ev.Upstream, Limit: ev.Limit, Waiting: d.waitingCount, ReportAge: d.reportAge(d.upstreams[ev.Upstream])}
-	if ev.Unlimited {
-		entry.Event = "upstream limit ended"
-	}
-	d.emit(entry)
-}
-
 // restrict applies a restriction to an upstream, which may not be listed now.
 func (d *Dispatcher) restrict(id registrar.UpstreamID, r restriction) {
 	if len(d.restrictions) >= maxRestrictions {
@@ -98,8 +78,11 @@
 }
 
 // Sendable reports whether the upstream of a Send may still get the request. Opening a
-// connection takes time, in which the upstream may have asked for no new requests.
+// connection takes time, in which the upstream may have asked for no new requests or for fewer.
 func (d *Dispatcher) Sendable(now time.Duration, id RequestID, try Try) bool {
 	r := d.requests[id]
-	return r != nil && r.try == try && r.upstream != nil && r.upstream.accepting() && now >= r.upstream.pausedUntil
+	if r == nil || r.try != try || r.upstream == nil || !r.upstream.accepting() || now < r.upstream.pausedUntil {
+		return false
+	}
+	return r.permitted || d.limitOf(r.upstream) == 0
 }
--- a/internal/dispatcher/selection.go
+++ b/internal/dispatcher/selection.go
@@ -22,24 +22,26 @@
 }
 
 // chooseUpstream returns the upstream for the next send of a request, nil when none
-// can take it now. It asks for the request's adapter if no upstream that holds it
-// has room.
+// can take it now. It asks for permits for an upstream with a limit that would be better,
+// and for the request's adapter if no upstream that holds it has room.
 func (d *Dispatcher) chooseUpstream(r *request) *upstream {
 	if r.Model == "" {
-		return d.leastLoaded(r, d.upstreamsByService[r.Service], func(u *upstream) bool { return d.hasRoom(r, u) })
+		group := d.upstreamsByService[r.Service]
+		u := d.leastLoaded(r, group, func(u *upstream) bool { return d.hasRoom(r, u) })
+		d.requestPermits(r, group, u)
+		return u
 	}
 	group := d.holders(modelKeyOf(r))
 	holds := func(u *upstream) bool {
 		model, adapter := u.holds(d.now, r.Model, r.Adapter)
 		return model && adapter && d.hasRoom(r, u)
 	}
-	if u := d.leastLoaded(r, group, holds); u != nil {
-		return u
-	}
-	if r.Adapter != "" {
+	u := d.leastLoaded(r, group, holds)
+	d.requestPermits(r, group, u)
+	if u == nil && r.Adapter != "" {
 		d.requestAdapter(r, group)
 	}
-	return nil
+	return u
 }
 
 // holders returns the upstreams that hold a model according to their last report or
@@ -68,8 +70,14 @@
 	}
 }
 
-// hasRoom reports whether the upstream would start the request soon.
+// hasRoom reports whether the upstream would start the request soon and its limit allows
+// it.
 func (d *Dispatcher) hasRoom(r *request, u *upstream) bool {
+	return d.permitted(u) && d.hasCapacity(r, u)
+}
+
+// hasCapacity reports whether the upstream would start the request soon.
+func (d *Dispatcher) hasCapacity(r *request, u *upstream) bool {
 	if d.now < u.fullUntil || d.now < u.pausedUntil {
 		return false
 	}
@@ -224,13 +232,17 @@
 }
 
 // estimateWait estimates how long a request must wait for those ahead of it in the
-// queues of its model, for any adapter, from the recent send rate of the model.
+// queues of its model, for any adapter, from the recent send rate of the model or, if all
+// its upstreams have one, from their limits.
 func (d *Dispatcher) estimateWait(r *request) time.Duration {
 	stats := d.statsOf(r)
+	ahead := r.queuePosition - (stats.sends - r.sendsAtEnqueue)
+	if rate := d.limitedRate(r); rate > 0 {
+		return time.Duration(float64(ahead) / rate * float64(time.Second))
+	}
 	if !r.onTime(d.now) {
 		return stats.estimateLateWait(d.now)
 	}
-	ahead := r.queuePosition - (stats.sends - r.sendsAtEnqueue)
 	if ahead <= queueAllowance {
 		return 0
 	}
--- a/internal/dispatcher/upstream.go
+++ b/internal/dispatcher/upstream.go
@@ -22,6 +22,7 @@
 	adapterRequestedAt  map[queueKey]time.Duration // when its steward was last asked for an adapter
 	listed              bool                       // by the last UpstreamsListed
 	restriction
+	permits            permitState
 	backlog            backlog
 	replaced           bool // another instance answers at its address
 	connectionRefused  bool // nothing listened at its address when its last heartbeat was heartbeatAtRefusal
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -260,9 +260,15 @@
 	g.syncer.mu.Lock()
 	g.syncer.handlePeerVersion(from, m.Version)
 	g.syncer.mu.Unlock()
+	if len(m.Limits) > 0 {
+		g.Reduce(dispatcher.LimitsReported{Limits: m.Limits})
+	}
 	if m.Report != nil {
 		g.Reduce(dispatcher.Reported{Report: *m.Report})
 	}
+	if m.Permits != nil {
+		g.Reduce(dispatcher.PermitsIssued{Permits: *m.Permits})
+	}
 }
 
 // refreshUpstreams passes the live upstreams of the configured services to the dispatcher
@@ -382,6 +388,8 @@
 			g.forget(ef.ID)
 		case dispatcher.LoadAdapter:
 			g.send(stewardAddress(ef.Address, g.peerPort), messenger.Message{RequestedAdapter: &ef.Adapter})
+		case dispatcher.RequestPermits:
+			g.send(stewardAddress(ef.Address, g.peerPort), messenger.Message{PermitRequest: &ef.Request, Version: g.syncer.version()})
 		case dispatcher.Log:
 			g.logRequest(ef)
 		}
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -9,6 +9,7 @@
 
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/exchanger"
+	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/messenger"
 	"github.com/egretwall/egretwall/internal/observer"
 	"github.com/egretwall/egretwall/internal/reconciler"
@@ -19,6 +20,8 @@
 const (
 	statePollPeriod = 150 * time.Millisecond // of the runner's state, which the runner itself reports with a delay of the same length
 	gatewayTTL      = 3 * time.Second        // a gateway that has sent nothing for this time gets no more reports
+	limitTTL        = 30 * time.Second       // of a limit that no gateway has repeated; gateways repeat it with each answer
+	limitsPeriod    = time.Second            // between messages with unchanged limits
 	fenceRetryDelay = 300 * time.Millisecond // after a failure to acquire a fencing token
 )
 
@@ -57,7 +60,7 @@
 
 // Steward is the process beside a model runner that orders it to load and unload models,
 // as its reconciler decides, and reports the runner's state to gateways and other
-// stewards. The fields from reconciler to peerStewards are guarded by syncer.mu.
+// stewards. The fields from reconciler to limitsChanged are guarded by syncer.mu.
 type Steward struct {
 	cfg           StewardConfig
 	syncer        *syncer
@@ -66,7 +69,12 @@
 	peerStewards  []netip.AddrPort                 // other stewards of the service
 	peerPort      uint16                           // of PeerAddress
 	pausedUntil   time.Duration                    // until then, the runner wants no calls
-	incarnation   int64                            // of the newest runner listed at RunnerAddress, zero without one
+	runner        registrar.UpstreamID             // the newest one listed at RunnerAddress, empty without one
+	incarnation   int64                            // of runner
+	limits        *limiter.Table
+	issuer        *limiter.Issuer // of permits for upstreams with a limit
+	limitsSentAt  time.Duration   // when limits were last sent to gateways and peers
+	limitsChanged bool            // since then
 	orders        chan reconciler.Order
 	pollNow       chan struct{} // makes pollRunner poll without delay
 	stopRequested chan struct{}
@@ -80,9 +88,10 @@
 func NewSteward(cfg StewardConfig) (*Steward, error) {
 	s := &Steward{
 		cfg: cfg, syncer: newSyncer(cfg.Store, cfg.Log.Logger, stewardPollTiming), gatewaySeenAt: map[netip.AddrPort]time.Duration{},
-		orders: make(chan reconciler.Order, 1), pollNow: make(chan struct{}, 1), stopRequested: make(chan struct{}, 1),
+		limits: limiter.NewTable(), orders: make(chan reconciler.Order, 1), pollNow: make(chan struct{}, 1), stopRequested: make(chan struct{}, 1),
 	}
 	setMemoryLimit(cfg.MemoryMB)
+	s.issuer = limiter.NewIssuer(s.limits)
 	s.reconciler = reconciler.New(reconciler.Config{Address: cfg.RunnerAddress, Holder: cfg.Name, Window: cfg.LoadWindow})
 	s.syncer.onConfiguration = func(c *registrar.Configuration) { s.apply(reconciler.ConfigurationChanged{Configuration: c}) }
 	s.syncer.onList = s.refreshRunners
@@ -177,6 +186,7 @@
 		s.recordPause(err)
 		switch {
 		case err == nil:
+			s.recordRunnerLimit(state)
 			s.reduce(reconciler.StateReported{State: state})
 		case ctx.Err() == nil:
 			s.reduce(reconciler.RunnerLost{})
@@ -237,6 +247,51 @@
 	s.cfg.Log.Logger.Info().Int64("pause", pause.For.Milliseconds()).Msg("runner paused")
 }
 
+// recordRunnerLimit records the limit that the runner named with its state.
+func (s *Steward) recordRunnerLimit(state reconciler.State) {
+	s.syncer.mu.Lock()
+	defer s.syncer.mu.Unlock()
+	if state.RequestLimit > 0 && s.runner != "" && s.incarnation == state.Incarnation {
+		s.learnLimits([]limiter.Limit{{Upstream: s.runner, Incarnation: s.incarnation, Rate: state.RequestLimit}})
+	}
+}
+
+// learnLimits records limits and logs those that change. The caller holds syncer.mu.
+func (s *Steward) learnLimits(limits []limiter.Limit) {
+	for _, l := range limits {
+		if s.limits.Learn(s.syncer.now(), l) {
+			s.limitsChanged = true
+			s.cfg.Log.Logger.Info().Str("upstream", string(l.Upstream)).Float64("limit", l.Rate).Int64("age", l.Age.Milliseconds()).Msg("limit learned")
+		}
+	}
+}
+
+// issuePermits answers a gateway's request for permits. The caller holds syncer.mu.
+func (s *Steward) issuePermits(to netip.AddrPort, request limiter.Request) {
+	s.learnLimits([]limiter.Limit{request.Limit})
+	permits := s.issuer.Issue(s.syncer.now(), request)
+	if permits.Count == 0 {
+		return
+	}
+	data, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, Permits: &permits, Version: s.syncer.version()})
+	if err != nil {
+		s.cfg.Log.Logger.Error().Err(err).Msg("cannot encode permits")
+		return
+	}
+	s.messenger.Send(to, data)
+}
+
+// limitsToSend returns the limits to send with a report, which are none unless they have
+// changed or limitsPeriod has passed. The caller holds syncer.mu.
+func (s *Steward) limitsToSend() []limiter.Limit {
+	now := s.syncer.now()
+	if !s.limitsChanged && now < s.limitsSentAt+limitsPeriod {
+		return nil
+	}
+	s.limitsChanged, s.limitsSentAt = false, now
+	return s.limits.Recent(now, limitTTL)
+}
+
 // pauseLeft returns how long the runner still wants no calls, zero or less if it takes them.
 func (s *Steward) pauseLeft() time.Duration {
 	s.syncer.mu.Lock()
@@ -255,7 +310,9 @@
 			s.peerStewards = append(s.peerStewards, stewardAddress(u.Address, s.peerPort)...)
 			continue
 		}
-		incarnation = max(incarnation, u.Incarnation)
+		if u.Incarnation >= incarnation {
+			s.runner, incarnation = u.ID, u.Incarnation
+		}
 	}
 	if incarnation > s.incarnation {
 		s.incarnation, s.pausedUntil = incarnation, 0 // a pause holds for the incarnation that asked for it
@@ -279,10 +336,14 @@
 	s.syncer.mu.Lock()
 	defer s.syncer.mu.Unlock()
 	s.syncer.handlePeerVersion(from, m.Version)
+	s.learnLimits(m.Limits)
 	if m.Report != nil {
 		s.apply(reconciler.PeerReported{Report: *m.Report})
 		return
 	}
+	if m.PermitRequest != nil {
+		s.issuePermits(from, *m.PermitRequest)
+	}
 	s.gatewaySeenAt[from] = s.syncer.now()
 	if m.Demands != nil {
 		demands, err := m.Demands.Unpack(s.syncer.models())
@@ -321,7 +382,7 @@
 // broadcastReport sends a report to the gateways seen within gatewayTTL and, unless it is
 // partial, to the other stewards. The caller holds syncer.mu.
 func (s *Steward) broadcastReport(r reconciler.BroadcastReport) {
-	data, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, Report: &r.Report, Version: s.syncer.version()})
+	data, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, Report: &r.Report, Version: s.syncer.version(), Limits: s.limitsToSend()})
 	if err != nil {
 		s.cfg.Log.Logger.Error().Err(err).Msg("cannot encode report")
 		return
--- a/internal/driver/steward_test.go
+++ b/internal/driver/steward_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/observer"
 	"github.com/egretwall/egretwall/internal/reconciler"
 	"github.com/egretwall/egretwall/internal/registrar"
@@ -41,7 +42,7 @@
 		require.NoError(t, err)
 		s := &Steward{
 			cfg: StewardConfig{Runner: runner, RunnerAddress: address, Service: "llm", Log: log}, syncer: newSyncer(&longPollStore{}, log.Logger, stewardPollTiming),
-			reconciler: reconciler.New(reconciler.Config{Address: address}), pollNow: make(chan struct{}, 1),
+			reconciler: reconciler.New(reconciler.Config{Address: address}), pollNow: make(chan struct{}, 1), limits: limiter.NewTable(),
 		}
 		s.syncer.onList = s.refreshRunners
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/limiter/limit.go
+++ b/internal/limiter/limit.go
@@ -84,6 +84,16 @@
 	return 0
 }
 
+// Any reports whether an upstream has a limit.
+func (t *Table) Any() bool {
+	for _, k := range t.byUpstream {
+		if k.limit.Rate > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // NamedAt returns when the upstream named its limit, zero if it never did.
 func (t *Table) NamedAt(id registrar.UpstreamID) time.Duration {
 	return t.byUpstream[id].namedAt
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -25,6 +25,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/egretwall/egretwall/internal/dispatcher"
+	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -35,14 +36,17 @@
 	formatMemory = 5 * time.Second // several messages of a peer, some of which may be lost
 )
 
-// Message is the content of a datagram. Exactly one of Demands, RequestedAdapter and
-// Report is set.
+// Message is the content of a datagram. Exactly one of Demands, RequestedAdapter, Report,
+// PermitRequest and Permits is set.
 type Message struct {
 	Sender           string               `json:"name" cbor:"1,keyasint"`                        // name of the sending process
 	Demands          *PackedDemands       `json:"demands,omitempty" cbor:"2,keyasint,omitempty"` // from a gateway, periodically
 	RequestedAdapter *registrar.AdapterID `json:"wanted,omitempty" cbor:"3,keyasint,omitempty"`  // from a gateway; adapter that a request waits for
 	Report           *dispatcher.Report   `json:"report,omitempty" cbor:"4,keyasint,omitempty"`  // from a steward
 	Version          registrar.Version    `json:"version,omitempty" cbor:"5,keyasint,omitempty"` // of the sender's configuration in force
+	PermitRequest    *limiter.Request     `json:"ask,omitempty" cbor:"6,keyasint,omitempty"`     // from a gateway
+	Permits          *limiter.Permits     `json:"permits,omitempty" cbor:"7,keyasint,omitempty"` // from a steward, the answer to PermitRequest
+	Limits           []limiter.Limit      `json:"limits,omitempty" cbor:"8,keyasint,omitempty"`  // from a steward, with some reports
 }
 
 // Config configures a Messenger. Run calls Handle for each message that it receives.
--- a/internal/reconciler/event.go
+++ b/internal/reconciler/event.go
@@ -73,6 +73,7 @@
 	InHostMemory    []registrar.ModelName     `json:"Warm"` // models with their weights in the host's memory
 	OnHostDisk      []registrar.ModelName     `json:"Disk"` // models with their weights on the host's disk
 	Draining        bool                      `json:"Draining"`
+	RequestLimit    float64                   `json:"Limit,omitempty"` // requests per second that it takes from all gateways together, zero without a limit
 }
 
 // Runner is the client of a steward's model runner.
