Refuse requests soon when other gateways get the permits

Cause: the wait for an upstream with a limit was estimated from the limit alone, although several gateways share it.

Change: the longer of that estimate and the usual one, from the gateway's own recent sends.

Evidence: the new test fails before (12 requests go on waiting without a send) and passes.

--- a/internal/dispatcher/selection.go
+++ b/internal/dispatcher/selection.go
@@ -232,22 +232,23 @@
 }
 
 // estimateWait estimates how long a request must wait for those ahead of it in the
-// queues of its model, for any adapter, from the recent send rate of the model or, if all
-// its upstreams have one, from their limits.
+// queues of its model, for any adapter, from the recent send rate of the model. Limits of
+// all its upstreams bound the rate.
 func (d *Dispatcher) estimateWait(r *request) time.Duration {
 	stats := d.statsOf(r)
 	ahead := r.queuePosition - (stats.sends - r.sendsAtEnqueue)
+	wait := time.Duration(0)
 	if rate := d.limitedRate(r); rate > 0 {
-		return time.Duration(float64(ahead) / rate * float64(time.Second))
+		wait = time.Duration(float64(ahead) / rate * float64(time.Second))
 	}
 	if !r.onTime(d.now) {
-		return stats.estimateLateWait(d.now)
+		return max(wait, stats.estimateLateWait(d.now))
 	}
 	if ahead <= queueAllowance {
-		return 0
+		return wait
 	}
 	stats.sendRate.decay(d.now)
-	return time.Duration(float64(ahead) / max(stats.sendRate.value, minSendRate) * float64(time.Second))
+	return max(wait, time.Duration(float64(ahead)/max(stats.sendRate.value, minSendRate)*float64(time.Second)))
 }
 
 // estimateLateWait estimates the wait of requests that can no longer meet their
