Log the release of upstreams and which stream a request resumes

An entry of the list tells the version of an upstream's software, which is decoded now. Lines about requests name the release of their upstream and the attempt that began the stream that a request resumes, so that resumptions by gateways and by callers can be told apart. What is sent does not change yet.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -250,12 +250,12 @@
 // logEvent returns a log line about a request; u is the upstream concerned, nil
 // without one.
 func (d *Dispatcher) logEvent(event string, r *request, u *upstream) Log {
-	entry := Log{Event: event, AttemptID: r.AttemptID, Model: string(r.Model), Try: r.try, Waiting: d.waitingCount, ReportAge: d.reportAge(u)}
+	entry := Log{Event: event, AttemptID: r.AttemptID, Model: string(r.Model), Try: r.try, Waiting: d.waitingCount, ReportAge: d.reportAge(u), Resumes: r.Resumes}
 	if r.Adapter != "" {
 		entry.Model += "/" + string(r.Adapter)
 	}
 	if u != nil {
-		entry.Upstream = u.info.ID
+		entry.Upstream, entry.Release = u.info.ID, u.info.Release
 	}
 	return entry
 }
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -129,6 +129,7 @@
 	PromptTokens registrar.Tokens // length of the prompt
 	OutputTokens registrar.Tokens // expected length of the answer
 	Deadline     time.Duration    // when the caller stops waiting, on the clock of Reduce
+	Resumes      string           // attempt that brought the first event of the stream that the request resumes, empty without one
 }
 
 // Report is the state of a model runner. Its steward sends it to the gateways and
@@ -233,7 +234,9 @@
 	TimeToSend time.Duration // from the request's arrival to its last send
 	Elapsed    time.Duration // from its arrival to now
 	Pause      time.Duration // how long the upstream wants no requests, zero if it does not say
-	Limit      float64       // requests per second that the upstream takes from all gateways together, zero if it does not say
+	Release    registrar.Release
+	Resumes    string  // attempt that began the stream that the request resumes, empty without one
+	Limit      float64 // requests per second that the upstream takes from all gateways together, zero if it does not say
 }
 
 func (Send) effect()           {}
--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -80,6 +80,12 @@
 	if entry.Upstream != "" {
 		ev = ev.Str("upstream", string(entry.Upstream))
 	}
+	if entry.Release != "" {
+		ev = ev.Str("release", string(entry.Release))
+	}
+	if entry.Resumes != "" {
+		ev = ev.Str("resumes", entry.Resumes)
+	}
 	if entry.Cause != "" {
 		ev = ev.Str("cause", entry.Cause)
 	}
--- a/internal/registrar/upstream.go
+++ b/internal/registrar/upstream.go
@@ -9,12 +9,17 @@
 	Draining State = "draining" // finishes its requests and takes no new ones
 )
 
+// Release is the version of an upstream's software, which has no order. A stream that one
+// release has begun can't be continued by another.
+type Release string
+
 // Upstream is the entry of one instance of a service in the platform's list.
 type Upstream struct {
 	ID           UpstreamID
 	Service      ServiceName
 	Address      string // IP and port
 	Domain       DomainName
+	Release      Release // version of its software
 	State        State
 	Incarnation  int64           // start of its process in Unix milliseconds, higher after a restart under the same ID
 	Heartbeat    int64           // number of the heartbeat, rises within an incarnation
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -32,6 +32,7 @@
 	PromptTokens registrar.Tokens // length of the prompt
 	OutputTokens registrar.Tokens // expected length of the response
 	LastEventID  int64            // id of the last event that the caller has received, negative without one
+	Resumes      string           // attempt that brought the first event of the stream that the request resumes, empty without one
 }
 
 // ResponseInfo is the content of the headers of an upstream's response.
