Resume streams at the software release that began them

Cause: nothing bound a stream to the release that began it. A gateway sent a broken stream again to any runner that holds the model, and a caller's resumption went to any gateway, which knew nothing of the stream. The class: what one gateway knows of a stream has to bind every gateway, one that has just started too.

Change: the first event binds the request to its runner's release, also when it is sent again within its answer. The gateway tells two stewards, chosen by rendezvous hashing of the attempt that brought the event; a gateway that does not know a stream asks three, for 300 ms. A stream that nobody knows goes on if the service has had one release for a minute; otherwise it is refused as not run, since any choice may be wrong.

Ruled out: the release in event ids or headers (changes what the upstream sent), a record in the store for each stream (more calls than all else), a release that follows from a hash (the model may be nowhere at that release).

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -7,6 +7,7 @@
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
+	"github.com/egretwall/egretwall/internal/tracker"
 )
 
 // Config configures a Dispatcher.
@@ -36,6 +37,8 @@
 	statsByModel       map[modelKey]*modelStats
 	restrictions       map[registrar.UpstreamID]restriction
 	limits             *limiter.Table
+	streams            *tracker.Tracker
+	releases           map[registrar.ServiceName]map[registrar.Release]time.Duration // when each release was last listed, if it is not now
 	gatewayCount       int
 	refuseAt           time.Duration // of Stopping, zero before it
 
@@ -74,6 +77,8 @@
 	mayHaveRun     bool                 // an earlier send may have run
 	avoidUpstream  registrar.UpstreamID // of the last send that failed, was refused or stalled
 	sentAt         time.Duration        // time of the last send
+	release        registrar.Release    // the only one that may run it, empty for any
+	search         originSearch         // for release
 	permitted      bool                 // the last send used a permit of an upstream with a limit
 	lastCause      string               // error text of the last send
 }
@@ -91,6 +96,8 @@
 		statsByModel:       map[modelKey]*modelStats{},
 		restrictions:       map[registrar.UpstreamID]restriction{},
 		limits:             limiter.NewTable(),
+		streams:            tracker.New(),
+		releases:           map[registrar.ServiceName]map[registrar.Release]time.Duration{},
 		gatewayCount:       defaultGatewayCount,
 	}
 }
@@ -133,6 +140,8 @@
 	case PermitsIssued:
 		d.handlePermits(ev.Permits)
 		d.sendWaiting()
+	case StreamFound:
+		d.handleStreamFound(ev.Origin)
 	}
 	return d.effects
 }
@@ -166,7 +175,7 @@
 	return b
 }
 
-// handleArrival sends a new request, queues it or refuses it.
+// handleArrival admits a new request, once it is known which release may run it.
 func (d *Dispatcher) handleArrival(req Request) {
 	d.Counters.Arrived++
 	d.retryBucket(req.Service).refill(d.now, d.cfg.RetryBudget, d.gatewayCount, 1)
@@ -178,6 +187,13 @@
 		d.refuse(r, classifier.Busy, d.retryDelay(r))
 		return
 	}
+	if d.bindToOrigin(r) {
+		d.admit(r)
+	}
+}
+
+// admit sends a request for the first time, queues it or refuses it.
+func (d *Dispatcher) admit(r *request) {
 	d.enqueue(r)
 	d.sendFromQueue(queueKeyOf(r))
 	if r.upstream == nil && d.requests[r.ID] != nil {
@@ -232,6 +248,9 @@
 	if r == nil || r.try != ev.Try {
 		return
 	}
+	if !r.answerBegan {
+		d.recordOrigin(r)
+	}
 	r.answerBegan = true
 	d.recordStart(r)
 	r.upstream.consecutiveFailures = 0
--- a/internal/dispatcher/dump.go
+++ b/internal/dispatcher/dump.go
@@ -22,6 +22,7 @@
 	Service  registrar.ServiceName `json:"service"`
 	Model    registrar.ModelName   `json:"model"`
 	Adapter  registrar.AdapterName `json:"adapter"`
+	Release  registrar.Release     `json:"release,omitempty"` // the only one that may run them, empty for any
 	Requests int                   `json:"requests"`
 }
 
@@ -43,7 +44,7 @@
 func (d *Dispatcher) Dump() Dump {
 	dump := Dump{Gateways: d.gatewayCount, Open: len(d.requests), Demands: d.Demands(d.now), Counters: d.Counters}
 	for _, key := range d.queueOrder {
-		dump.Waiting = append(dump.Waiting, DumpQueue{key.service, key.model, key.adapter, len(d.queues[key])})
+		dump.Waiting = append(dump.Waiting, DumpQueue{key.service, key.model, key.adapter, key.release, len(d.queues[key])})
 	}
 	for _, u := range d.upstreams {
 		row := DumpUpstream{
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -23,6 +23,7 @@
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
+	"github.com/egretwall/egretwall/internal/tracker"
 )
 
 type (
@@ -100,6 +101,9 @@
 // PermitsIssued carries a steward's answer to RequestPermits.
 type PermitsIssued struct{ Permits limiter.Permits }
 
+// StreamFound says which release began a stream, in answer to FindStream.
+type StreamFound struct{ Origin tracker.Origin }
+
 // Outcome is how a send to an upstream ended.
 type Outcome string
 
@@ -129,7 +133,8 @@
 	PromptTokens registrar.Tokens // length of the prompt
 	OutputTokens registrar.Tokens // expected length of the answer
 	Deadline     time.Duration    // when the caller stops waiting, on the clock of Reduce
-	Resumes      string           // attempt that brought the first event of the stream that the request resumes, empty without one
+	Resumed      bool             // the caller has received events of the stream
+	Resumes      string           // attempt that brought the first of them, empty if it is unknown
 }
 
 // Report is the state of a model runner. Its steward sends it to the gateways and
@@ -168,6 +173,7 @@
 func (UpstreamNotice) event()     {}
 func (LimitsReported) event()     {}
 func (PermitsIssued) event()      {}
+func (StreamFound) event()        {}
 
 // Effect is an output of the dispatcher, which the driver carries out.
 type Effect interface{ effect() }
@@ -220,6 +226,18 @@
 	Request limiter.Request
 }
 
+// RecordStream tells stewards which release began a stream.
+type RecordStream struct {
+	Addresses []string // of the stewards' runners
+	Origin    tracker.Origin
+}
+
+// FindStream asks stewards which release began a stream.
+type FindStream struct {
+	Addresses []string // of the stewards' runners
+	Stream    tracker.StreamID
+}
+
 // Log writes a line to the log.
 type Log struct {
 	Event      string
@@ -246,4 +264,6 @@
 func (Failover) effect()       {}
 func (LoadAdapter) effect()    {}
 func (RequestPermits) effect() {}
+func (RecordStream) effect()   {}
+func (FindStream) effect()     {}
 func (Log) effect()            {}
--- a/internal/dispatcher/limit.go
+++ b/internal/dispatcher/limit.go
@@ -157,7 +157,7 @@
 	}
 	var next *upstream
 	for _, u := range group {
-		if u == chosen || d.limitOf(u) == 0 || !u.accepting() || !d.couldRun(r, u) {
+		if u == chosen || d.limitOf(u) == 0 || !u.accepting() || !r.eligible(u) || !d.couldRun(r, u) {
 			continue
 		}
 		if chosen != nil && d.cost(u) > d.cost(chosen) {
@@ -194,7 +194,7 @@
 func (d *Dispatcher) limitedRate(r *request) float64 {
 	total := 0.0
 	for _, u := range d.upstreamsByService[r.Service] {
-		if model, _ := u.holds(d.now, r.Model, ""); !u.accepting() || r.Model != "" && !model {
+		if model, _ := u.holds(d.now, r.Model, ""); !u.accepting() || !r.eligible(u) || r.Model != "" && !model {
 			continue
 		}
 		rate := d.limitOf(u)
--- a/internal/dispatcher/queue.go
+++ b/internal/dispatcher/queue.go
@@ -13,6 +13,7 @@
 	service registrar.ServiceName
 	model   registrar.ModelName
 	adapter registrar.AdapterName
+	release registrar.Release // empty for any
 }
 
 // modelKey identifies a model of a service. Requests for its adapters share its
@@ -57,7 +58,7 @@
 }
 
 func queueKeyOf(r *request) queueKey {
-	return queueKey{r.Service, r.Model, r.Adapter}
+	return queueKey{r.Service, r.Model, r.Adapter, r.release}
 }
 
 // onTime reports whether the request can still meet its target latency, counting
--- /dev/null
+++ b/internal/dispatcher/resume.go
@@ -0,0 +1,171 @@
+package dispatcher
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/placer"
+	"github.com/egretwall/egretwall/internal/registrar"
+	"github.com/egretwall/egretwall/internal/tracker"
+)
+
+// Timing and numbers of the search for the release that began a stream.
+const (
+	originTimeout     = 300 * time.Millisecond // for stewards to answer
+	reporterTimeout   = time.Second            // for stewards to report, which a gateway that has just started must wait for
+	originRetryPeriod = 60 * time.Millisecond  // before they are asked again, in case the datagram or its answer was lost
+	releaseMemory     = time.Minute            // a release that was listed within it may have begun a stream
+	orphanRetryAfter  = time.Second            // of a stream whose origin is unknown
+	recorderCount     = 2                      // stewards that are told of each stream
+	askedRecorders    = 3                      // stewards that are asked; a recorder may have gone since
+)
+
+// originSearch is the search for the release that began the stream that a request resumes.
+type originSearch struct {
+	until   time.Duration // zero without a search
+	askedAt time.Duration
+	asked   bool // a steward has been asked
+}
+
+// recordReleases records the releases that are listed now.
+func (d *Dispatcher) recordReleases() {
+	for _, u := range d.upstreams {
+		releases := d.releases[u.info.Service]
+		if releases == nil {
+			releases = map[registrar.Release]time.Duration{}
+			d.releases[u.info.Service] = releases
+		}
+		releases[u.info.Release] = d.now
+	}
+}
+
+// recentReleases returns the releases of a service that are listed or were listed within
+// releaseMemory.
+func (d *Dispatcher) recentReleases(service registrar.ServiceName) []registrar.Release {
+	var recent []registrar.Release
+	for release, seenAt := range d.releases[service] {
+		listed := slices.ContainsFunc(d.upstreamsByService[service], func(u *upstream) bool { return u.info.Release == release })
+		if listed || d.now-seenAt < releaseMemory {
+			recent = append(recent, release)
+		}
+	}
+	return recent
+}
+
+// eligible reports whether an upstream may run a request: a stream that has begun goes on
+// at the release that began it.
+func (r *request) eligible(u *upstream) bool {
+	return r.release == "" || r.release == u.info.Release
+}
+
+// stream returns the id of the stream that the request begins or resumes.
+func (r *request) stream() tracker.StreamID {
+	if r.Resumes != "" {
+		return tracker.StreamID(r.Resumes)
+	}
+	return tracker.StreamID(r.AttemptID)
+}
+
+// recordOrigin binds a request whose first event has reached its caller to the release of
+// its upstream, and tells stewards.
+func (d *Dispatcher) recordOrigin(r *request) {
+	if r.Route.Kind != registrar.Streaming || !r.Route.Repeatable() {
+		return
+	}
+	r.release = r.upstream.info.Release
+	o := tracker.Origin{Stream: r.stream(), Release: r.release}
+	d.streams.Record(d.now, o)
+	if recorders := d.recordersOf(o.Stream, recorderCount); len(recorders) > 0 {
+		d.emit(RecordStream{Addresses: recorders, Origin: o})
+	}
+}
+
+// recordersOf returns the addresses of the runners whose stewards know the origin of a
+// stream: the first n in rendezvous order among those whose stewards report.
+func (d *Dispatcher) recordersOf(id tracker.StreamID, n int) []string {
+	type candidate struct {
+		address string
+		score   uint64
+	}
+	var candidates []candidate
+	for _, u := range d.upstreams {
+		if u.reported && d.now-u.reportedAt < reportTimeout {
+			candidates = append(candidates, candidate{u.info.Address, placer.Score(string(id), u.info.Address)})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.address, b.address))
+	})
+	var addresses []string
+	for _, c := range candidates[:min(n, len(candidates))] {
+		addresses = append(addresses, c.address)
+	}
+	return addresses
+}
+
+// bindToOrigin binds a request that resumes a stream to the release that began it. It
+// returns false while that is not known; the request then waits for StreamFound.
+func (d *Dispatcher) bindToOrigin(r *request) bool {
+	if !r.Resumed || r.Route.Kind != registrar.Streaming {
+		return true
+	}
+	if release, ok := d.streams.Release(r.stream()); ok {
+		r.release = release
+		return true
+	}
+	r.search.until = min(d.now+reporterTimeout, r.Deadline-answerMargin)
+	d.askForOrigin(r)
+	return false
+}
+
+// askForOrigin asks stewards for the release that began the stream of a request.
+func (d *Dispatcher) askForOrigin(r *request) {
+	r.search.askedAt = d.now
+	recorders := d.recordersOf(r.stream(), askedRecorders)
+	if len(recorders) == 0 {
+		return
+	}
+	if !r.search.asked {
+		r.search.asked, r.search.until = true, min(r.search.until, d.now+originTimeout)
+	}
+	d.emit(FindStream{Addresses: recorders, Stream: r.stream()})
+}
+
+// continueSearch asks once more, or ends the search when its time is over.
+func (d *Dispatcher) continueSearch(r *request) {
+	switch {
+	case d.now >= r.search.until:
+		d.endSearch(r)
+	case d.now >= r.search.askedAt+originRetryPeriod:
+		d.askForOrigin(r)
+	}
+}
+
+// endSearch sends a request whose origin is unknown to the only release that may have
+// begun its stream. It refuses the request if there are several.
+func (d *Dispatcher) endSearch(r *request) {
+	r.search = originSearch{}
+	releases := d.recentReleases(r.Service)
+	if len(releases) > 1 {
+		r.lastCause = "the release that began the stream is unknown"
+		d.refuse(r, classifier.Orphaned, orphanRetryAfter)
+		return
+	}
+	if len(releases) == 1 {
+		r.release = releases[0]
+	}
+	d.admit(r)
+}
+
+// handleStreamFound goes on with the requests that wait for the origin of a stream.
+func (d *Dispatcher) handleStreamFound(o tracker.Origin) {
+	d.streams.Record(d.now, o)
+	for _, r := range d.requestsByID() {
+		if r.search.until > 0 && r.stream() == o.Stream {
+			r.search, r.release = originSearch{}, o.Release
+			d.admit(r)
+		}
+	}
+}
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -177,6 +177,10 @@
 	d.recordQueueLengths()
 	d.sortQueues()
 	for _, r := range d.requestsByID() {
+		if r.search.until > 0 {
+			d.continueSearch(r)
+			continue
+		}
 		limit := r.Deadline
 		if r.upstream == nil && !r.answerBegan {
 			limit = d.waitDeadline(r)
--- a/internal/dispatcher/selection.go
+++ b/internal/dispatcher/selection.go
@@ -100,7 +100,7 @@
 		ties := 0
 		for _, u := range group {
 			avoid := d.now < u.avoidUntil || u.info.ID == r.avoidUpstream || u.unresponsive(d.now)
-			if !u.accepting() || avoid != avoidedPass || !allowed(u) {
+			if !u.accepting() || !r.eligible(u) || avoid != avoidedPass || !allowed(u) {
 				continue
 			}
 			cost := d.cost(u)
@@ -140,7 +140,7 @@
 	adapterHeld := false
 	for _, u := range group {
 		model, adapter := u.holds(d.now, r.Model, r.Adapter)
-		if !model || !u.accepting() || d.now < u.avoidUntil {
+		if !model || !u.accepting() || !r.eligible(u) || d.now < u.avoidUntil {
 			continue
 		}
 		name := configurator.UpstreamName(u.info.ID)
@@ -197,7 +197,7 @@
 	timeLeft := d.waitDeadline(r) - d.now
 	holders, accepting, loadRemaining, pause := 0, 0, time.Duration(-1), maxDuration
 	for _, u := range d.upstreamsByService[r.Service] {
-		if !u.accepting() {
+		if !u.accepting() || !r.eligible(u) {
 			continue
 		}
 		accepting++
--- a/internal/dispatcher/upstream.go
+++ b/internal/dispatcher/upstream.go
@@ -33,6 +33,7 @@
 // handleUpstreamsListed replaces the set of live upstreams. A new incarnation starts
 // without the report and statistics of its predecessor.
 func (d *Dispatcher) handleUpstreamsListed(all []*registrar.Upstream) {
+	d.recordReleases()
 	for _, u := range d.upstreams {
 		u.listed = false
 	}
@@ -55,6 +56,7 @@
 			delete(d.upstreams, id)
 		}
 	}
+	d.recordReleases()
 }
 
 // handleReport stores a report unless it is of another incarnation or older than the
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -242,6 +242,15 @@
 	}
 }
 
+// stewardsAt returns the addresses of the stewards beside runners.
+func (g *Gateway) stewardsAt(runners []string) []netip.AddrPort {
+	var stewards []netip.AddrPort
+	for _, address := range runners {
+		stewards = append(stewards, stewardAddress(address, g.peerPort)...)
+	}
+	return stewards
+}
+
 // send sends a message to each address.
 func (g *Gateway) send(to []netip.AddrPort, m messenger.Message) {
 	m.Sender = g.cfg.Name
@@ -266,6 +275,9 @@
 	if m.Report != nil {
 		g.Reduce(dispatcher.Reported{Report: *m.Report})
 	}
+	if m.Origin != nil {
+		g.Reduce(dispatcher.StreamFound{Origin: *m.Origin})
+	}
 	if m.Permits != nil {
 		g.Reduce(dispatcher.PermitsIssued{Permits: *m.Permits})
 	}
@@ -390,6 +402,10 @@
 			g.send(stewardAddress(ef.Address, g.peerPort), messenger.Message{RequestedAdapter: &ef.Adapter})
 		case dispatcher.RequestPermits:
 			g.send(stewardAddress(ef.Address, g.peerPort), messenger.Message{PermitRequest: &ef.Request, Version: g.syncer.version()})
+		case dispatcher.RecordStream:
+			g.send(g.stewardsAt(ef.Addresses), messenger.Message{Origin: &ef.Origin, Version: g.syncer.version()})
+		case dispatcher.FindStream:
+			g.send(g.stewardsAt(ef.Addresses), messenger.Message{Stream: ef.Stream, Version: g.syncer.version()})
 		case dispatcher.Log:
 			g.logRequest(ef)
 		}
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -14,6 +14,7 @@
 	"github.com/egretwall/egretwall/internal/observer"
 	"github.com/egretwall/egretwall/internal/reconciler"
 	"github.com/egretwall/egretwall/internal/registrar"
+	"github.com/egretwall/egretwall/internal/tracker"
 )
 
 // Timing of stewards.
@@ -60,7 +61,7 @@
 
 // Steward is the process beside a model runner that orders it to load and unload models,
 // as its reconciler decides, and reports the runner's state to gateways and other
-// stewards. The fields from reconciler to limitsChanged are guarded by syncer.mu.
+// stewards. The fields from reconciler to streams are guarded by syncer.mu.
 type Steward struct {
 	cfg           StewardConfig
 	syncer        *syncer
@@ -75,6 +76,7 @@
 	issuer        *limiter.Issuer // of permits for upstreams with a limit
 	limitsSentAt  time.Duration   // when limits were last sent to gateways and peers
 	limitsChanged bool            // since then
+	streams       *tracker.Tracker
 	orders        chan reconciler.Order
 	pollNow       chan struct{} // makes pollRunner poll without delay
 	stopRequested chan struct{}
@@ -88,7 +90,7 @@
 func NewSteward(cfg StewardConfig) (*Steward, error) {
 	s := &Steward{
 		cfg: cfg, syncer: newSyncer(cfg.Store, cfg.Log.Logger, stewardPollTiming), gatewaySeenAt: map[netip.AddrPort]time.Duration{},
-		limits: limiter.NewTable(), orders: make(chan reconciler.Order, 1), pollNow: make(chan struct{}, 1), stopRequested: make(chan struct{}, 1),
+		limits: limiter.NewTable(), streams: tracker.New(), orders: make(chan reconciler.Order, 1), pollNow: make(chan struct{}, 1), stopRequested: make(chan struct{}, 1),
 	}
 	setMemoryLimit(cfg.MemoryMB)
 	s.issuer = limiter.NewIssuer(s.limits)
@@ -281,6 +283,21 @@
 	s.messenger.Send(to, data)
 }
 
+// tellOrigin tells a gateway which release began a stream, if it is known. The caller holds
+// syncer.mu.
+func (s *Steward) tellOrigin(to netip.AddrPort, id tracker.StreamID) {
+	release, ok := s.streams.Release(id)
+	if !ok {
+		return
+	}
+	data, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, Origin: &tracker.Origin{Stream: id, Release: release}, Version: s.syncer.version()})
+	if err != nil {
+		s.cfg.Log.Logger.Error().Err(err).Msg("cannot encode origin of a stream")
+		return
+	}
+	s.messenger.Send(to, data)
+}
+
 // limitsToSend returns the limits to send with a report, which are none unless they have
 // changed or limitsPeriod has passed. The caller holds syncer.mu.
 func (s *Steward) limitsToSend() []limiter.Limit {
@@ -344,6 +361,12 @@
 	if m.PermitRequest != nil {
 		s.issuePermits(from, *m.PermitRequest)
 	}
+	if m.Origin != nil {
+		s.streams.Record(s.syncer.now(), *m.Origin)
+	}
+	if m.Stream != "" {
+		s.tellOrigin(from, m.Stream)
+	}
 	s.gatewaySeenAt[from] = s.syncer.now()
 	if m.Demands != nil {
 		demands, err := m.Demands.Unpack(s.syncer.models())
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -27,6 +27,7 @@
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
+	"github.com/egretwall/egretwall/internal/tracker"
 )
 
 const (
@@ -37,7 +38,7 @@
 )
 
 // Message is the content of a datagram. Exactly one of Demands, RequestedAdapter, Report,
-// PermitRequest and Permits is set.
+// PermitRequest, Permits, Origin and Stream is set.
 type Message struct {
 	Sender           string               `json:"name" cbor:"1,keyasint"`                        // name of the sending process
 	Demands          *PackedDemands       `json:"demands,omitempty" cbor:"2,keyasint,omitempty"` // from a gateway, periodically
@@ -46,6 +47,8 @@
 	Version          registrar.Version    `json:"version,omitempty" cbor:"5,keyasint,omitempty"` // of the sender's configuration in force
 	PermitRequest    *limiter.Request     `json:"ask,omitempty" cbor:"6,keyasint,omitempty"`     // from a gateway
 	Permits          *limiter.Permits     `json:"permits,omitempty" cbor:"7,keyasint,omitempty"` // from a steward, the answer to PermitRequest
+	Origin           *tracker.Origin      `json:"origin,omitempty" cbor:"9,keyasint,omitempty"`  // from a gateway, and from a steward that knows Stream
+	Stream           tracker.StreamID     `json:"stream,omitempty" cbor:"10,keyasint,omitempty"` // from a gateway that asks for its origin
 	Limits           []limiter.Limit      `json:"limits,omitempty" cbor:"8,keyasint,omitempty"`  // from a steward, with some reports
 }
 
--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -188,7 +188,7 @@
 	id := g.cfg.Dispatcher.Submit(dispatcher.Request{
 		AttemptID: in.info.AttemptID, Route: route, Model: in.info.Model, Adapter: in.info.Adapter,
 		PromptTokens: in.info.PromptTokens, OutputTokens: in.info.OutputTokens, Deadline: now + timeout,
-		Resumes: in.info.Resumes,
+		Resumed: in.info.LastEventID >= 0 || in.info.Resumes != "", Resumes: in.info.Resumes,
 	}, mailbox)
 	out.lastEventID = in.info.LastEventID
 	for {
