Don't search for the origin of a stream that the caller does not name

Such a resumption waited 300 ms for an answer that no steward could give; callers saw a later next event.

It is now decided at once: it goes on at the only release, or is refused between several. The new test failed before.

--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -105,8 +105,9 @@
 	return addresses
 }
 
-// bindToOrigin binds a request that resumes a stream to the release that began it. It
-// returns false while that is not known; the request then waits for StreamFound.
+// bindToOrigin binds a request that resumes a stream to the release that began it, and
+// reports whether the request can be admitted now. Otherwise it waits for StreamFound or,
+// if nothing can be asked, has been admitted or refused.
 func (d *Dispatcher) bindToOrigin(r *request) bool {
 	if !r.Resumed || r.Route.Kind != registrar.Streaming {
 		return true
@@ -115,6 +116,10 @@
 		r.release = release
 		return true
 	}
+	if r.Resumes == "" {
+		d.endSearch(r)
+		return false
+	}
 	r.search.until = min(d.now+reporterTimeout, r.Deadline-answerMargin)
 	d.askForOrigin(r)
 	return false
