Keep the origins of streams through a loss of all processes

What callers saw: after a loss of power of all gateways and stewards, streams between two releases were refused, since nobody remembered which release had begun them.

Change: while a service has several releases, the stewards that keep its streams write them to the store once a second, and read them once when they are asked for a stream that they don't know.

Streams that began within the last second before the loss are not kept.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -38,7 +38,7 @@
 	restrictions       map[registrar.UpstreamID]restriction
 	limits             *limiter.Table
 	streams            *tracker.Tracker
-	releases           map[registrar.ServiceName]map[registrar.Release]time.Duration // when each release was last listed, if it is not now
+	releases           map[registrar.ServiceName]*tracker.Releases
 	gatewayCount       int
 	refuseAt           time.Duration // of Stopping, zero before it
 
@@ -97,7 +97,7 @@
 		restrictions:       map[registrar.UpstreamID]restriction{},
 		limits:             limiter.NewTable(),
 		streams:            tracker.New(),
-		releases:           map[registrar.ServiceName]map[registrar.Release]time.Duration{},
+		releases:           map[registrar.ServiceName]*tracker.Releases{},
 		gatewayCount:       defaultGatewayCount,
 	}
 }
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -16,10 +16,11 @@
 	originTimeout     = 300 * time.Millisecond // for stewards to answer
 	reporterTimeout   = time.Second            // for stewards to report, which a gateway that has just started must wait for
 	originRetryPeriod = 60 * time.Millisecond  // before they are asked again, in case the datagram or its answer was lost
-	releaseMemory     = time.Minute            // a release that was listed within it may have begun a stream
 	orphanRetryAfter  = time.Second            // of a stream whose origin is unknown
 	recorderCount     = 2                      // stewards that are told of each stream
 	askedRecorders    = 3                      // stewards that are asked; a recorder may have gone since
+	minRecorderPool   = 4                      // stewards among which recorders are chosen
+	stewardsPerPool   = 24                     // for so many stewards one is in the pool; each writes to the store
 )
 
 // originSearch is the search for the release that began the stream that a request resumes.
@@ -29,31 +30,6 @@
 	asked   bool // a steward has been asked
 }
 
-// recordReleases records the releases that are listed now.
-func (d *Dispatcher) recordReleases() {
-	for _, u := range d.upstreams {
-		releases := d.releases[u.info.Service]
-		if releases == nil {
-			releases = map[registrar.Release]time.Duration{}
-			d.releases[u.info.Service] = releases
-		}
-		releases[u.info.Release] = d.now
-	}
-}
-
-// recentReleases returns the releases of a service that are listed or were listed within
-// releaseMemory.
-func (d *Dispatcher) recentReleases(service registrar.ServiceName) []registrar.Release {
-	var recent []registrar.Release
-	for release, seenAt := range d.releases[service] {
-		listed := slices.ContainsFunc(d.upstreamsByService[service], func(u *upstream) bool { return u.info.Release == release })
-		if listed || d.now-seenAt < releaseMemory {
-			recent = append(recent, release)
-		}
-	}
-	return recent
-}
-
 // eligible reports whether an upstream may run a request: a stream that has begun goes on
 // at the release that began it.
 func (r *request) eligible(u *upstream) bool {
@@ -83,26 +59,25 @@
 }
 
 // recordersOf returns the addresses of the runners whose stewards know the origin of a
-// stream: the first n in rendezvous order among those whose stewards report.
+// stream: the first n in rendezvous order for the stream among a pool, the first in
+// rendezvous order for all streams among the runners whose stewards report.
 func (d *Dispatcher) recordersOf(id tracker.StreamID, n int) []string {
-	type candidate struct {
-		address string
-		score   uint64
-	}
-	var candidates []candidate
+	var addresses []string
 	for _, u := range d.upstreams {
 		if u.reported && d.now-u.reportedAt < reportTimeout {
-			candidates = append(candidates, candidate{u.info.Address, placer.Score(string(id), u.info.Address)})
+			addresses = append(addresses, u.info.Address)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.address, b.address))
+	pool := firstInRendezvousOrder("recorders", addresses, max(minRecorderPool, len(addresses)/stewardsPerPool))
+	return firstInRendezvousOrder(string(id), pool, n)
+}
+
+// firstInRendezvousOrder returns the n addresses with the highest scores for a key.
+func firstInRendezvousOrder(key string, addresses []string, n int) []string {
+	slices.SortFunc(addresses, func(a, b string) int {
+		return cmp.Or(cmp.Compare(placer.Score(key, b), placer.Score(key, a)), cmp.Compare(a, b))
 	})
-	var addresses []string
-	for _, c := range candidates[:min(n, len(candidates))] {
-		addresses = append(addresses, c.address)
-	}
-	return addresses
+	return addresses[:min(n, len(addresses))]
 }
 
 // bindToOrigin binds a request that resumes a stream to the release that began it, and
@@ -152,7 +127,10 @@
 // begun its stream. It refuses the request if there are several.
 func (d *Dispatcher) endSearch(r *request) {
 	r.search = originSearch{}
-	releases := d.recentReleases(r.Service)
+	var releases []registrar.Release
+	if known := d.releases[r.Service]; known != nil {
+		releases = known.Recent(d.now)
+	}
 	if len(releases) > 1 {
 		r.lastCause = "the release that began the stream is unknown"
 		d.refuse(r, classifier.Orphaned, orphanRetryAfter)
--- a/internal/dispatcher/resume_test.go
+++ b/internal/dispatcher/resume_test.go
@@ -112,7 +112,7 @@
 	h.resume("a")
 	h.now += originTimeout
 	require.Equal(t, classifier.Orphaned, h.requireFail(h.reduce(Tick{})).Kind)
-	h.now += releaseMemory
+	h.now += time.Minute
 	h.listReleases("v2", "v2")
 	h.resume("b")
 	h.now += originTimeout
--- a/internal/dispatcher/upstream.go
+++ b/internal/dispatcher/upstream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/egretwall/egretwall/internal/registrar"
+	"github.com/egretwall/egretwall/internal/tracker"
 )
 
 // upstream is what the gateway knows of one incarnation of an upstream.
@@ -33,7 +34,7 @@
 // handleUpstreamsListed replaces the set of live upstreams. A new incarnation starts
 // without the report and statistics of its predecessor.
 func (d *Dispatcher) handleUpstreamsListed(all []*registrar.Upstream) {
-	d.recordReleases()
+	d.listReleases(all)
 	for _, u := range d.upstreams {
 		u.listed = false
 	}
@@ -56,7 +57,20 @@
 			delete(d.upstreams, id)
 		}
 	}
-	d.recordReleases()
+}
+
+// listReleases records the releases of each service that are listed.
+func (d *Dispatcher) listReleases(all []*registrar.Upstream) {
+	byService := map[registrar.ServiceName][]*registrar.Upstream{}
+	for _, entry := range all {
+		byService[entry.Service] = append(byService[entry.Service], entry)
+		if d.releases[entry.Service] == nil {
+			d.releases[entry.Service] = tracker.NewReleases()
+		}
+	}
+	for service, releases := range d.releases {
+		releases.List(d.now, byService[service])
+	}
 }
 
 // handleReport stores a report unless it is of another incarnation or older than the
--- /dev/null
+++ b/internal/driver/origins.go
@@ -0,0 +1,146 @@
+package driver
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/egretwall/egretwall/internal/messenger"
+	"github.com/egretwall/egretwall/internal/tracker"
+)
+
+// Timing and limits of what stewards keep of streams in the store.
+const (
+	originSavePeriod  = time.Second            // between writes; streams that began since are lost with all stewards
+	originLoadPeriod  = 500 * time.Millisecond // between attempts to read them
+	maxPendingOrigins = 20_000                 // that wait to be written
+)
+
+// OriginStore keeps the origins of streams in the platform's store, so that they outlive
+// all stewards.
+type OriginStore interface {
+	// AppendOrigins writes origins.
+	AppendOrigins(ctx context.Context, origins []tracker.Origin) error
+	// ReadOrigins returns the origins that the store still has.
+	ReadOrigins(ctx context.Context) ([]tracker.Origin, error)
+}
+
+// originKeeper is a steward's knowledge of the streams that gateways have told it about.
+// While the service has several releases it writes it to the store, and reads it from there
+// when it is first asked for a stream that it does not know. Its fields but store and
+// logger are guarded by the steward's syncer.mu.
+type originKeeper struct {
+	store    OriginStore
+	logger   zerolog.Logger
+	streams  *tracker.Tracker
+	releases *tracker.Releases
+	saving   bool             // the service has several releases
+	pending  []tracker.Origin // to be written
+	loaded   bool             // the store has been read
+	load     chan struct{}    // asks for that
+}
+
+func newOriginKeeper(store OriginStore, logger zerolog.Logger) *originKeeper {
+	return &originKeeper{store: store, logger: logger, streams: tracker.New(), releases: tracker.NewReleases(), load: make(chan struct{}, 1)}
+}
+
+// record stores an origin that a gateway told.
+func (k *originKeeper) record(now time.Duration, o tracker.Origin) {
+	if _, known := k.streams.Release(o.Stream); known {
+		return
+	}
+	k.streams.Record(now, o)
+	if k.saving && len(k.pending) < maxPendingOrigins {
+		k.pending = append(k.pending, o)
+	}
+}
+
+// takePending returns the origins to write now. When the service gets a second release,
+// these are all that are known.
+func (k *originKeeper) takePending(now time.Duration) []tracker.Origin {
+	several := len(k.releases.Recent(now)) > 1
+	if several && !k.saving {
+		k.pending = k.streams.Origins()
+	}
+	k.saving = several
+	pending := k.pending
+	k.pending = nil
+	return pending
+}
+
+// giveBack keeps origins whose write failed for the next one.
+func (k *originKeeper) giveBack(origins []tracker.Origin) {
+	if len(k.pending)+len(origins) <= maxPendingOrigins {
+		k.pending = append(origins, k.pending...)
+	}
+}
+
+// keepOrigins writes and reads origins until ctx ends.
+func (s *Steward) keepOrigins(ctx context.Context) {
+	ticker := time.NewTicker(originSavePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.saveOrigins(ctx)
+		case <-s.origins.load:
+			s.loadOrigins(ctx)
+		}
+	}
+}
+
+func (s *Steward) saveOrigins(ctx context.Context) {
+	s.syncer.mu.Lock()
+	pending := s.origins.takePending(s.syncer.now())
+	s.syncer.mu.Unlock()
+	if len(pending) == 0 {
+		return
+	}
+	if err := s.origins.store.AppendOrigins(ctx, pending); err != nil {
+		s.origins.logger.Warn().Int("streams", len(pending)).Err(err).Msg("origins of streams not written")
+		s.syncer.mu.Lock()
+		s.origins.giveBack(pending)
+		s.syncer.mu.Unlock()
+	}
+}
+
+func (s *Steward) loadOrigins(ctx context.Context) {
+	origins, err := s.origins.store.ReadOrigins(ctx)
+	if err != nil {
+		s.origins.logger.Warn().Err(err).Msg("origins of streams not read")
+		pause(ctx, originLoadPeriod)
+		return
+	}
+	s.origins.logger.Info().Int("streams", len(origins)).Msg("origins of streams read")
+	s.syncer.mu.Lock()
+	defer s.syncer.mu.Unlock()
+	s.origins.loaded = true
+	for _, o := range origins {
+		s.origins.streams.Record(s.syncer.now(), o)
+	}
+}
+
+// tellOrigin tells a gateway which release began a stream, if it is known. Otherwise it has
+// the store read, once; the gateway asks again. The caller holds syncer.mu.
+func (s *Steward) tellOrigin(to netip.AddrPort, id tracker.StreamID) {
+	release, ok := s.origins.streams.Release(id)
+	if !ok {
+		if !s.origins.loaded {
+			select {
+			case s.origins.load <- struct{}{}:
+			default:
+			}
+		}
+		return
+	}
+	data, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, Origin: &tracker.Origin{Stream: id, Release: release}, Version: s.syncer.version()})
+	if err != nil {
+		s.cfg.Log.Logger.Error().Err(err).Msg("cannot encode origin of a stream")
+		return
+	}
+	s.messenger.Send(to, data)
+}
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -14,15 +14,12 @@
 	"github.com/egretwall/egretwall/internal/observer"
 	"github.com/egretwall/egretwall/internal/reconciler"
 	"github.com/egretwall/egretwall/internal/registrar"
-	"github.com/egretwall/egretwall/internal/tracker"
 )
 
 // Timing of stewards.
 const (
 	statePollPeriod = 150 * time.Millisecond // of the runner's state, which the runner itself reports with a delay of the same length
 	gatewayTTL      = 3 * time.Second        // a gateway that has sent nothing for this time gets no more reports
-	limitTTL        = 30 * time.Second       // of a limit that no gateway has repeated; gateways repeat it with each answer
-	limitsPeriod    = time.Second            // between messages with unchanged limits
 	fenceRetryDelay = 300 * time.Millisecond // after a failure to acquire a fencing token
 )
 
@@ -47,6 +44,7 @@
 	MemoryMB      float64               // MiB that the process may use
 	Store         Store
 	Fencer        Fencer
+	Origins       OriginStore
 	Runner        reconciler.Runner
 	AdminAddress  string // of the admin server
 	Log           *observer.BoundedLogger
@@ -61,7 +59,7 @@
 
 // Steward is the process beside a model runner that orders it to load and unload models,
 // as its reconciler decides, and reports the runner's state to gateways and other
-// stewards. The fields from reconciler to streams are guarded by syncer.mu.
+// stewards. The fields from reconciler to origins are guarded by syncer.mu.
 type Steward struct {
 	cfg           StewardConfig
 	syncer        *syncer
@@ -76,7 +74,7 @@
 	issuer        *limiter.Issuer // of permits for upstreams with a limit
 	limitsSentAt  time.Duration   // when limits were last sent to gateways and peers
 	limitsChanged bool            // since then
-	streams       *tracker.Tracker
+	origins       *originKeeper
 	orders        chan reconciler.Order
 	pollNow       chan struct{} // makes pollRunner poll without delay
 	stopRequested chan struct{}
@@ -90,10 +88,11 @@
 func NewSteward(cfg StewardConfig) (*Steward, error) {
 	s := &Steward{
 		cfg: cfg, syncer: newSyncer(cfg.Store, cfg.Log.Logger, stewardPollTiming), gatewaySeenAt: map[netip.AddrPort]time.Duration{},
-		limits: limiter.NewTable(), streams: tracker.New(), orders: make(chan reconciler.Order, 1), pollNow: make(chan struct{}, 1), stopRequested: make(chan struct{}, 1),
+		limits: limiter.NewTable(), orders: make(chan reconciler.Order, 1), pollNow: make(chan struct{}, 1), stopRequested: make(chan struct{}, 1),
 	}
 	setMemoryLimit(cfg.MemoryMB)
 	s.issuer = limiter.NewIssuer(s.limits)
+	s.origins = newOriginKeeper(cfg.Origins, cfg.Log.Logger)
 	s.reconciler = reconciler.New(reconciler.Config{Address: cfg.RunnerAddress, Holder: cfg.Name, Window: cfg.LoadWindow})
 	s.syncer.onConfiguration = func(c *registrar.Configuration) { s.apply(reconciler.ConfigurationChanged{Configuration: c}) }
 	s.syncer.onList = s.refreshRunners
@@ -143,7 +142,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var g sync.WaitGroup
-	for _, run := range []func(context.Context){s.syncer.run, s.messenger.Run, s.acquireFence, s.pollRunner, s.sendOrders} {
+	for _, run := range []func(context.Context){s.syncer.run, s.messenger.Run, s.acquireFence, s.pollRunner, s.sendOrders, s.keepOrigins} {
 		g.Go(func() { run(ctx) })
 	}
 	errc := make(chan error, 2)
@@ -249,66 +248,6 @@
 	s.cfg.Log.Logger.Info().Int64("pause", pause.For.Milliseconds()).Msg("runner paused")
 }
 
-// recordRunnerLimit records the limit that the runner named with its state.
-func (s *Steward) recordRunnerLimit(state reconciler.State) {
-	s.syncer.mu.Lock()
-	defer s.syncer.mu.Unlock()
-	if state.RequestLimit > 0 && s.runner != "" && s.incarnation == state.Incarnation {
-		s.learnLimits([]limiter.Limit{{Upstream: s.runner, Incarnation: s.incarnation, Rate: state.RequestLimit}})
-	}
-}
-
-// learnLimits records limits and logs those that change. The caller holds syncer.mu.
-func (s *Steward) learnLimits(limits []limiter.Limit) {
-	for _, l := range limits {
-		if s.limits.Learn(s.syncer.now(), l) {
-			s.limitsChanged = true
-			s.cfg.Log.Logger.Info().Str("upstream", string(l.Upstream)).Float64("limit", l.Rate).Int64("age", l.Age.Milliseconds()).Msg("limit learned")
-		}
-	}
-}
-
-// issuePermits answers a gateway's request for permits. The caller holds syncer.mu.
-func (s *Steward) issuePermits(to netip.AddrPort, request limiter.Request) {
-	s.learnLimits([]limiter.Limit{request.Limit})
-	permits := s.issuer.Issue(s.syncer.now(), request)
-	if permits.Count == 0 {
-		return
-	}
-	data, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, Permits: &permits, Version: s.syncer.version()})
-	if err != nil {
-		s.cfg.Log.Logger.Error().Err(err).Msg("cannot encode permits")
-		return
-	}
-	s.messenger.Send(to, data)
-}
-
-// tellOrigin tells a gateway which release began a stream, if it is known. The caller holds
-// syncer.mu.
-func (s *Steward) tellOrigin(to netip.AddrPort, id tracker.StreamID) {
-	release, ok := s.streams.Release(id)
-	if !ok {
-		return
-	}
-	data, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, Origin: &tracker.Origin{Stream: id, Release: release}, Version: s.syncer.version()})
-	if err != nil {
-		s.cfg.Log.Logger.Error().Err(err).Msg("cannot encode origin of a stream")
-		return
-	}
-	s.messenger.Send(to, data)
-}
-
-// limitsToSend returns the limits to send with a report, which are none unless they have
-// changed or limitsPeriod has passed. The caller holds syncer.mu.
-func (s *Steward) limitsToSend() []limiter.Limit {
-	now := s.syncer.now()
-	if !s.limitsChanged && now < s.limitsSentAt+limitsPeriod {
-		return nil
-	}
-	s.limitsChanged, s.limitsSentAt = false, now
-	return s.limits.Recent(now, limitTTL)
-}
-
 // pauseLeft returns how long the runner still wants no calls, zero or less if it takes them.
 func (s *Steward) pauseLeft() time.Duration {
 	s.syncer.mu.Lock()
@@ -334,6 +273,7 @@
 	if incarnation > s.incarnation {
 		s.incarnation, s.pausedUntil = incarnation, 0 // a pause holds for the incarnation that asked for it
 	}
+	s.origins.releases.List(s.syncer.now(), all)
 	s.apply(reconciler.RunnersListed{Upstreams: all})
 }
 
@@ -362,7 +302,7 @@
 		s.issuePermits(from, *m.PermitRequest)
 	}
 	if m.Origin != nil {
-		s.streams.Record(s.syncer.now(), *m.Origin)
+		s.origins.record(s.syncer.now(), *m.Origin)
 	}
 	if m.Stream != "" {
 		s.tellOrigin(from, m.Stream)
--- /dev/null
+++ b/internal/tracker/releases.go
@@ -0,0 +1,48 @@
+package tracker
+
+import (
+	"slices"
+	"time"
+
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+// releaseMemory is how long after its last listing a release may have begun streams that
+// are still to be resumed.
+const releaseMemory = time.Minute
+
+// Releases tells which releases of one service may have begun a stream. It is not safe for
+// concurrent use.
+type Releases struct {
+	listed []registrar.Release
+	seenAt map[registrar.Release]time.Duration // when each was last listed, if it is not now
+}
+
+// NewReleases returns a Releases that knows none.
+func NewReleases() *Releases {
+	return &Releases{seenAt: map[registrar.Release]time.Duration{}}
+}
+
+// List replaces the releases of the upstreams that are listed.
+func (r *Releases) List(now time.Duration, upstreams []*registrar.Upstream) {
+	for _, release := range r.listed {
+		r.seenAt[release] = now
+	}
+	r.listed = r.listed[:0]
+	for _, u := range upstreams {
+		if !slices.Contains(r.listed, u.Release) {
+			r.listed = append(r.listed, u.Release)
+		}
+	}
+}
+
+// Recent returns the releases that are listed or were within releaseMemory.
+func (r *Releases) Recent(now time.Duration) []registrar.Release {
+	recent := slices.Clone(r.listed)
+	for release, seenAt := range r.seenAt {
+		if now-seenAt < releaseMemory && !slices.Contains(recent, release) {
+			recent = append(recent, release)
+		}
+	}
+	return recent
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -62,3 +62,14 @@
 	release, ok := t.previous[id]
 	return release, ok
 }
+
+// Origins returns the origins of all streams, in no order.
+func (t *Tracker) Origins() []Origin {
+	all := make([]Origin, 0, len(t.current)+len(t.previous))
+	for _, generation := range []map[StreamID]registrar.Release{t.previous, t.current} {
+		for id, release := range generation {
+			all = append(all, Origin{id, release})
+		}
+	}
+	return all
+}
