Tell all gateways when an upstream says that it is leaving

Change: a gateway that hears it tells the steward that would issue permits for the upstream, with the message for limits, and all gateways learn it from there. It holds for the incarnation; a later word about the limit does not undo it.

Evidence: TestLeavingAnswerToOneGatewayBindsTheOthers failed before and passes.

--- a/internal/dispatcher/limit.go
+++ b/internal/dispatcher/limit.go
@@ -42,16 +42,31 @@
 	}
 }
 
-// learnLimit records a limit and logs a change.
+// learnLimit records a limit, or that an upstream is leaving, and logs a change.
 func (d *Dispatcher) learnLimit(l limiter.Limit) {
+	rate := d.limits.Rate(l.Upstream, l.Incarnation)
 	if !d.limits.Learn(d.now, l) {
 		return
 	}
-	entry := Log{Event: "upstream limited", Upstream: l.Upstream, Limit: l.Rate, Waiting: d.waitingCount, ReportAge: d.reportAge(d.upstreams[l.Upstream])}
-	if l.Rate == 0 {
+	entry := Log{Upstream: l.Upstream, Limit: l.Rate, Waiting: d.waitingCount, ReportAge: d.reportAge(d.upstreams[l.Upstream])}
+	known := d.restrictions[l.Upstream]
+	if known.incarnation < l.Incarnation {
+		known = restriction{incarnation: l.Incarnation}
+	}
+	if l.Leaving && known.incarnation == l.Incarnation && !known.leaving {
+		known.leaving, entry.Event = true, "upstream leaving"
+		d.restrict(l.Upstream, known)
+		d.emit(entry)
+	}
+	switch {
+	case l.Rate == rate:
+	case l.Rate == 0:
 		entry.Event = "upstream limit ended"
+		d.emit(entry)
+	default:
+		entry.Event = "upstream limited"
+		d.emit(entry)
 	}
-	d.emit(entry)
 }
 
 // handleAnsweredLimit records the limit that an answer names or, if it names none, the end
@@ -67,8 +82,16 @@
 	}
 	l := limiter.Limit{Upstream: ev.Upstream, Incarnation: ev.Incarnation, Rate: ev.Limit}
 	d.learnLimit(l)
-	u := d.upstreams[ev.Upstream]
-	if u == nil || u.info.Incarnation != ev.Incarnation || known == ev.Limit && d.now < u.permits.announcedAt+announcePeriod {
+	if u := d.upstreams[ev.Upstream]; u != nil && (known != ev.Limit || d.now >= u.permits.announcedAt+announcePeriod) {
+		d.announceLimit(l)
+	}
+}
+
+// announceLimit tells the steward that issues permits for an upstream what the upstream
+// said, for the other gateways.
+func (d *Dispatcher) announceLimit(l limiter.Limit) {
+	u := d.upstreams[l.Upstream]
+	if u == nil || u.info.Incarnation != l.Incarnation {
 		return
 	}
 	u.permits.announcedAt = d.now
--- a/internal/dispatcher/notice.go
+++ b/internal/dispatcher/notice.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -48,6 +49,9 @@
 	if ev.Leaving && !known.leaving {
 		known.leaving, event.Event = true, "upstream leaving"
 		d.emit(event)
+		l := limiter.Limit{Upstream: ev.Upstream, Incarnation: ev.Incarnation, Rate: d.limits.Rate(ev.Upstream, ev.Incarnation), Leaving: true}
+		d.limits.Learn(d.now, l)
+		d.announceLimit(l)
 	}
 	if until := d.now + ev.Pause; ev.Pause > 0 && until > known.pausedUntil {
 		known.pausedUntil, event.Event, event.Pause = until, "upstream paused", ev.Pause
--- a/internal/dispatcher/notice_test.go
+++ b/internal/dispatcher/notice_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -38,6 +39,25 @@
 	require.NotEqual(t, first.Upstream, h.requireSend(effects).Upstream)
 }
 
+// A plain service has no steward beside it that could tell the other gateways, one that has
+// just started among them.
+func TestLeavingAnswerToOneGatewayBindsTheOthers(t *testing.T) {
+	first, other := newLimitedGateway(t), newLimitedGateway(t)
+	first.reduce(Reported{Report{Address: "10.0.0.2:80"}})
+	_, effects := first.submit(route(registrar.Idempotent, 2), "")
+	send := first.requireSend(effects)
+	announced, ok := first.reduce(notice(send, true, 0))[0].(RequestPermits)
+	require.True(t, ok)
+	steward := limiter.NewTable()
+	require.True(t, steward.Learn(0, announced.Request.Limit))
+	_, effects = other.submit(route(registrar.Idempotent, 2), "")
+	crossing := other.requireSend(effects)
+	other.reduce(LimitsReported{steward.Recent(time.Second, time.Minute)})
+	require.False(t, other.d.Sendable(other.now, crossing.ID, crossing.Try))
+	_, effects = other.submit(route(registrar.Idempotent, 2), "")
+	require.Empty(t, effects)
+}
+
 func TestNewIncarnationOfALeavingUpstreamIsOpen(t *testing.T) {
 	h := newHarness(t)
 	all := h.listUpstreams(plainService, 1)
--- a/internal/driver/limits.go
+++ b/internal/driver/limits.go
@@ -29,7 +29,7 @@
 	for _, l := range limits {
 		if s.limits.Learn(s.syncer.now(), l) {
 			s.limitsChanged = true
-			s.cfg.Log.Logger.Info().Str("upstream", string(l.Upstream)).Float64("limit", l.Rate).Int64("age", l.Age.Milliseconds()).Msg("limit learned")
+			s.cfg.Log.Logger.Info().Str("upstream", string(l.Upstream)).Float64("limit", l.Rate).Bool("leaving", l.Leaving).Int64("age", l.Age.Milliseconds()).Msg("limit learned")
 		}
 	}
 }
--- a/internal/limiter/limit.go
+++ b/internal/limiter/limit.go
@@ -6,12 +6,12 @@
 //	limits := limiter.NewTable()
 //	changed := limits.Learn(now, limiter.Limit{Upstream: "i-7f3a91c2", Incarnation: born, Rate: 2.5})
 //	issuer := limiter.NewIssuer(limits)
-//	permits := issuer.Issue(now, "i-7f3a91c2", 3)
+//	permits := issuer.Issue(now, limiter.Request{Limit: limit, Count: 3})
 //
-// An upstream names its limit in its answers. Gateways and stewards tell each other what
-// they heard last, each with its age, and one steward issues the permits for requests to
-// the upstream. All gateways choose the same steward, and another one when that does not
-// report any more.
+// An upstream names its limit in its answers, and says there that it is leaving. Gateways
+// and stewards tell each other what they heard last, each with its age, and one steward
+// issues the permits for requests to the upstream. All gateways choose the same steward,
+// and another one when that does not report any more.
 package limiter
 
 import (
@@ -26,13 +26,14 @@
 // maxLimits bounds the limits that a Table remembers.
 const maxLimits = 1000
 
-// Limit is what an upstream said last of the requests that it takes. It is sent between
+// Limit is what an upstream said last of the new requests that it takes. It is sent between
 // processes with the numbers of the cbor tags for names.
 type Limit struct {
 	Upstream    registrar.UpstreamID `json:"upstream" cbor:"1,keyasint"`
 	Incarnation int64                `json:"born" cbor:"2,keyasint"`
-	Rate        float64              `json:"rate" cbor:"3,keyasint"` // requests per second from all gateways together, zero without a limit
-	Age         time.Duration        `json:"age" cbor:"4,keyasint"`  // since the upstream said so
+	Rate        float64              `json:"rate" cbor:"3,keyasint"`                        // requests per second from all gateways together, zero without a limit
+	Age         time.Duration        `json:"age" cbor:"4,keyasint"`                         // since the upstream said so
+	Leaving     bool                 `json:"leaving,omitempty" cbor:"5,keyasint,omitempty"` // it shuts down and takes none, whatever Rate says
 }
 
 // known is a Limit with the time at which the upstream named it.
@@ -52,22 +53,29 @@
 }
 
 // Learn stores a limit unless a later one of the upstream is known. It reports whether
-// the rate in force has changed.
+// that changes what the upstream takes. An upstream that is leaving does not come back
+// within its incarnation.
 func (t *Table) Learn(now time.Duration, l Limit) bool {
 	namedAt := now - l.Age
 	k, ok := t.byUpstream[l.Upstream]
+	if ok && k.limit.Incarnation == l.Incarnation {
+		if l.Leaving && !k.limit.Leaving && k.namedAt > namedAt {
+			l.Rate, namedAt = k.limit.Rate, k.namedAt
+		}
+		l.Leaving = l.Leaving || k.limit.Leaving
+	}
 	if ok && (k.limit.Incarnation > l.Incarnation || k.limit.Incarnation == l.Incarnation && k.namedAt > namedAt) {
 		return false
 	}
-	if !ok && l.Rate == 0 {
+	if !ok && l.Rate == 0 && !l.Leaving {
 		return false
 	}
 	if !ok && len(t.byUpstream) >= maxLimits {
 		t.forgetOldest()
 	}
-	before := t.Rate(l.Upstream, l.Incarnation)
+	rate, leaving := t.Rate(l.Upstream, l.Incarnation), t.Leaving(l.Upstream, l.Incarnation)
 	t.byUpstream[l.Upstream] = known{l, namedAt}
-	return before != l.Rate
+	return rate != l.Rate || leaving != l.Leaving
 }
 
 func (t *Table) forgetOldest() {
@@ -84,6 +92,12 @@
 	return 0
 }
 
+// Leaving reports whether an incarnation of an upstream is leaving.
+func (t *Table) Leaving(id registrar.UpstreamID, incarnation int64) bool {
+	k := t.byUpstream[id]
+	return k.limit.Leaving && k.limit.Incarnation == incarnation
+}
+
 // Any reports whether an upstream has a limit.
 func (t *Table) Any() bool {
 	for _, k := range t.byUpstream {
--- a/internal/limiter/limit_test.go
+++ b/internal/limiter/limit_test.go
@@ -29,3 +29,16 @@
 	require.False(t, table.Learn(time.Second, Limit{Upstream: "u", Incarnation: 1, Rate: 1}))
 	require.InDelta(t, 3, table.Rate("u", 2), 0)
 }
+
+func TestLeavingUpstreamDoesNotComeBack(t *testing.T) {
+	table := NewTable()
+	require.True(t, table.Learn(10*time.Second, Limit{Upstream: "u", Incarnation: 1, Rate: 2}))
+	require.True(t, table.Learn(10*time.Second, Limit{Upstream: "u", Incarnation: 1, Leaving: true, Age: time.Second}), "an older statement")
+	require.True(t, table.Leaving("u", 1))
+	require.InDelta(t, 2, table.Rate("u", 1), 0)
+	require.True(t, table.Learn(11*time.Second, Limit{Upstream: "u", Incarnation: 1}))
+	require.True(t, table.Leaving("u", 1))
+	require.False(t, table.Leaving("u", 2))
+	require.True(t, table.Learn(12*time.Second, Limit{Upstream: "v", Incarnation: 1, Leaving: true}))
+	require.Len(t, table.Recent(12*time.Second, time.Minute), 2)
+}
