--- a/internal/reconciler/fleet_test.go
+++ b/internal/reconciler/fleet_test.go
@@ -209,3 +209,56 @@
 		}
 	}
 }
+
+// A runner with the only copy of a model in demand names a limit. Its callers must find a
+// copy elsewhere as soon as a load from a disk has ended, and models with few requests must
+// stay where they are.
+func TestDemandBeyondALimitIsServedElsewhere(t *testing.T) {
+	const hot, rate, limit, copyRate = registrar.ModelName("m0"), 8.0, 2.0, 20.0
+	for seed := range uint64(3) {
+		f := newFleet(seed, 6, 9, 1.8)
+		for i, m := range f.members {
+			for j := range 9 {
+				model := registrar.ModelName(fmt.Sprint("m", j))
+				m.state.OnHostDisk = append(m.state.OnHostDisk, model)
+				if j%6 == i {
+					m.state.Residents = append(m.state.Residents, registrar.ResidentModel{Model: model})
+				}
+			}
+			m.upstream.Residents, m.upstream.OnHostDisk = m.state.Residents, m.state.OnHostDisk
+		}
+		limited := f.members[0]
+		served, asked := 0.0, 0.0
+		for f.now < 16*time.Second {
+			f.step()
+			if f.now == 4*time.Second {
+				limited.state.RequestLimit = limit
+			}
+			if f.now%(250*time.Millisecond) != 0 {
+				continue
+			}
+			demands := []dispatcher.Demand{{Model: hot, WorkRate: rate * 1000, RecentWorkRate: rate * 1000, RecentRequests: rate * dispatcher.RecentTimeConstant.Seconds()}}
+			for _, m := range f.members {
+				f.reduce(m, DemandReported{Gateway: "g", Demands: demands})
+			}
+			if f.now < 6*time.Second {
+				continue
+			}
+			capacity := 0.0
+			for _, m := range f.members {
+				if !slices.ContainsFunc(m.state.Residents, func(r registrar.ResidentModel) bool { return r.Model == hot }) {
+					continue
+				}
+				if m.state.RequestLimit > 0 {
+					capacity += m.state.RequestLimit
+				} else {
+					capacity += copyRate
+				}
+			}
+			asked += rate
+			served += min(rate, capacity)
+		}
+		require.GreaterOrEqual(t, served/asked, 0.9, "seed %d: share of requests that a copy can serve", seed)
+		require.Contains(t, limited.state.Residents, registrar.ResidentModel{Model: "m6"}, "seed %d: a model without demand", seed)
+	}
+}
--- a/internal/reconciler/forecast.go
+++ b/internal/reconciler/forecast.go
@@ -1,6 +1,10 @@
 package reconciler
 
-import "math"
+import (
+	"math"
+
+	"github.com/egretwall/egretwall/internal/dispatcher"
+)
 
 // Parameters of demand forecasts.
 const (
@@ -27,3 +31,11 @@
 	}
 	return level + waitingWorkWeight*d.waitingWork
 }
+
+// requestRate returns the requests that arrive a second, averaged over seconds.
+func (d modelDemand) requestRate() float64 {
+	if d.fastRate <= 0 {
+		return 0
+	}
+	return d.slowRate / d.fastRate * d.recentRequests / dispatcher.RecentTimeConstant.Seconds()
+}
