--- a/internal/limiter/limit.go
+++ b/internal/limiter/limit.go
@@ -23,8 +23,11 @@
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
-// maxLimits bounds the limits that a Table remembers.
-const maxLimits = 1000
+// Bounds of what a Table remembers. An upstream repeats its limit in each answer.
+const (
+	maxLimits   = 1000
+	limitMemory = 5 * time.Minute
+)
 
 // Limit is what an upstream said last of the new requests that it takes. It is sent between
 // processes with the numbers of the cbor tags for names.
@@ -70,15 +73,21 @@
 	if !ok && l.Rate == 0 && !l.Leaving {
 		return false
 	}
-	if !ok && len(t.byUpstream) >= maxLimits {
-		t.forgetOldest()
+	if !ok {
+		t.makeRoom(now)
 	}
 	rate, leaving := t.Rate(l.Upstream, l.Incarnation), t.Leaving(l.Upstream, l.Incarnation)
 	t.byUpstream[l.Upstream] = known{l, namedAt}
 	return rate != l.Rate || leaving != l.Leaving
 }
 
-func (t *Table) forgetOldest() {
+// makeRoom forgets limits that nobody has repeated for limitMemory and, if there are still
+// maxLimits, the oldest one.
+func (t *Table) makeRoom(now time.Duration) {
+	maps.DeleteFunc(t.byUpstream, func(_ registrar.UpstreamID, k known) bool { return now-k.namedAt > limitMemory })
+	if len(t.byUpstream) < maxLimits {
+		return
+	}
 	oldest := slices.MinFunc(slices.Collect(maps.Values(t.byUpstream)), func(a, b known) int { return cmp.Compare(a.namedAt, b.namedAt) })
 	delete(t.byUpstream, oldest.limit.Upstream)
 }
--- a/internal/limiter/limit_test.go
+++ b/internal/limiter/limit_test.go
@@ -1,10 +1,13 @@
 package limiter
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/egretwall/egretwall/internal/registrar"
 )
 
 func TestLaterStatementOfAnUpstreamCounts(t *testing.T) {
@@ -42,3 +45,13 @@
 	require.True(t, table.Learn(12*time.Second, Limit{Upstream: "v", Incarnation: 1, Leaving: true}))
 	require.Len(t, table.Recent(12*time.Second, time.Minute), 2)
 }
+
+func TestNumberOfLimitsIsBounded(t *testing.T) {
+	table := NewTable()
+	for i := range 2 * maxLimits {
+		require.True(t, table.Learn(time.Duration(i), Limit{Upstream: registrar.UpstreamID(fmt.Sprint(i)), Rate: 1}))
+	}
+	require.Len(t, table.Recent(time.Second, time.Hour), maxLimits)
+	require.True(t, table.Learn(2*limitMemory, Limit{Upstream: "u", Rate: 1}))
+	require.Len(t, table.Recent(2*limitMemory, time.Hour), 1)
+}
