Ask stewards which releases may have begun an unknown stream

Suspected, not seen: after a loss of power a gateway's list may lack a release whose runners have not registered again, so a stream of unknown origin would go on at the other one.

Change: a steward that does not know a stream says which releases of its service it has seen, listed or in the store's records of streams; the gateway counts them. Only stewards of the stream's service keep it, so that they write to the store by their own service's releases.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -142,6 +142,8 @@
 		d.sendWaiting()
 	case StreamFound:
 		d.handleStreamFound(ev.Origin)
+	case StreamUnknown:
+		d.handleStreamUnknown(ev.Absence)
 	}
 	return d.effects
 }
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -104,6 +104,9 @@
 // StreamFound says which release began a stream, in answer to FindStream.
 type StreamFound struct{ Origin tracker.Origin }
 
+// StreamUnknown says that a steward does not know a stream, in answer to FindStream.
+type StreamUnknown struct{ Absence tracker.Absence }
+
 // Outcome is how a send to an upstream ended.
 type Outcome string
 
@@ -175,6 +178,7 @@
 func (LimitsReported) event()     {}
 func (PermitsIssued) event()      {}
 func (StreamFound) event()        {}
+func (StreamUnknown) event()      {}
 
 // Effect is an output of the dispatcher, which the driver carries out.
 type Effect interface{ effect() }
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -27,7 +27,9 @@
 type originSearch struct {
 	until   time.Duration // zero without a search
 	askedAt time.Duration
-	asked   bool // a steward has been asked
+	asks    int // how often stewards have been asked
+	asked   int // stewards that were asked last
+	absent  int // of these, those that don't know the stream
 }
 
 // eligible reports whether an upstream may run a request: a stream that has begun goes on
@@ -53,23 +55,23 @@
 	r.release = r.upstream.info.Release
 	o := tracker.Origin{Stream: r.stream(), Release: r.release}
 	d.streams.Record(d.now, o)
-	if recorders := d.recordersOf(o.Stream, recorderCount); len(recorders) > 0 {
+	if recorders := d.recordersOf(r, recorderCount); len(recorders) > 0 {
 		d.emit(RecordStream{Addresses: recorders, Origin: o})
 	}
 }
 
 // recordersOf returns the addresses of the runners whose stewards know the origin of a
-// stream: the first n in rendezvous order for the stream among a pool, the first in
-// rendezvous order for all streams among the runners whose stewards report.
-func (d *Dispatcher) recordersOf(id tracker.StreamID, n int) []string {
+// request's stream: the first n in rendezvous order for the stream among a pool, the first
+// in rendezvous order for all streams among the service's runners whose stewards report.
+func (d *Dispatcher) recordersOf(r *request, n int) []string {
 	var addresses []string
-	for _, u := range d.upstreams {
+	for _, u := range d.upstreamsByService[r.Service] {
 		if u.reported && d.now-u.reportedAt < reportTimeout {
 			addresses = append(addresses, u.info.Address)
 		}
 	}
 	pool := firstInRendezvousOrder("recorders", addresses, max(minRecorderPool, len(addresses)/stewardsPerPool))
-	return firstInRendezvousOrder(string(id), pool, n)
+	return firstInRendezvousOrder(string(r.stream()), pool, n)
 }
 
 // firstInRendezvousOrder returns the n addresses with the highest scores for a key.
@@ -103,13 +105,15 @@
 // askForOrigin asks stewards for the release that began the stream of a request.
 func (d *Dispatcher) askForOrigin(r *request) {
 	r.search.askedAt = d.now
-	recorders := d.recordersOf(r.stream(), askedRecorders)
+	recorders := d.recordersOf(r, askedRecorders)
 	if len(recorders) == 0 {
 		return
 	}
-	if !r.search.asked {
-		r.search.asked, r.search.until = true, min(r.search.until, d.now+originTimeout)
+	if r.search.asks == 0 {
+		r.search.until = min(r.search.until, d.now+originTimeout)
 	}
+	r.search.asks++
+	r.search.asked, r.search.absent = len(recorders), 0
 	d.emit(FindStream{Addresses: recorders, Stream: r.stream()})
 }
 
@@ -152,3 +156,21 @@
 		}
 	}
 }
+
+// handleStreamUnknown records the releases that a steward has seen. It ends the search when
+// all stewards that were asked don't know the stream. The first round does not count, since
+// the message about the stream's beginning may still be under way.
+func (d *Dispatcher) handleStreamUnknown(absence tracker.Absence) {
+	for _, r := range d.requestsByID() {
+		if r.search.until == 0 || r.stream() != absence.Stream {
+			continue
+		}
+		if known := d.releases[r.Service]; known != nil {
+			known.See(d.now, absence.Releases)
+		}
+		r.search.absent++
+		if r.search.asks > 1 && r.search.absent >= r.search.asked {
+			d.endSearch(r)
+		}
+	}
+}
--- a/internal/dispatcher/resume_test.go
+++ b/internal/dispatcher/resume_test.go
@@ -96,6 +96,30 @@
 	h.requireSend(h.resume(""))
 }
 
+// After a loss of power the list may still lack the release that began the stream.
+func TestReleaseThatAStewardHasSeenMayHaveBegunAStream(t *testing.T) {
+	h := newHarness(t)
+	h.listReleases("v1", "v1")
+	h.resume("a")
+	h.reduce(StreamUnknown{tracker.Absence{Stream: "a", Releases: []registrar.Release{"v1", "v2"}}})
+	h.now += originTimeout
+	require.Equal(t, classifier.Orphaned, h.requireFail(h.reduce(Tick{})).Kind)
+}
+
+func TestSearchEndsWhenNoStewardKnowsTheStream(t *testing.T) {
+	h := newHarness(t)
+	h.listReleases("v1", "v1")
+	h.resume("a")
+	absence := StreamUnknown{tracker.Absence{Stream: "a", Releases: []registrar.Release{"v1"}}}
+	for range 2 {
+		require.Empty(t, h.reduce(absence), "the word of its beginning may be under way")
+	}
+	h.now += originRetryPeriod
+	h.reduce(Tick{})
+	require.Empty(t, h.reduce(absence))
+	h.requireSend(h.reduce(absence))
+}
+
 func TestStreamOfUnknownOriginGoesOnAtTheOnlyRelease(t *testing.T) {
 	h := newHarness(t)
 	h.listReleases("v1", "v1")
--- a/internal/dispatcher/resumehistory_test.go
+++ b/internal/dispatcher/resumehistory_test.go
@@ -78,10 +78,15 @@
 			}
 		case FindStream:
 			for _, address := range ef.Addresses {
-				if release, ok := f.stewards[address].Release(ef.Stream); ok && rapid.IntRange(0, 4).Draw(f.rt, "answered") > 0 {
-					if err := f.reduce(g, StreamFound{tracker.Origin{Stream: ef.Stream, Release: release}}); err != nil {
-						return err
-					}
+				if rapid.IntRange(0, 4).Draw(f.rt, "answered") == 0 {
+					continue
+				}
+				var answer Event = StreamUnknown{tracker.Absence{Stream: ef.Stream, Releases: []registrar.Release{"v0", "v1"}}}
+				if release, ok := f.stewards[address].Release(ef.Stream); ok {
+					answer = StreamFound{tracker.Origin{Stream: ef.Stream, Release: release}}
+				}
+				if err := f.reduce(g, answer); err != nil {
+					return err
 				}
 			}
 		}
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -278,6 +278,9 @@
 	if m.Origin != nil {
 		g.Reduce(dispatcher.StreamFound{Origin: *m.Origin})
 	}
+	if m.Absence != nil {
+		g.Reduce(dispatcher.StreamUnknown{Absence: *m.Absence})
+	}
 	if m.Permits != nil {
 		g.Reduce(dispatcher.PermitsIssued{Permits: *m.Permits})
 	}
--- a/internal/driver/origins.go
+++ b/internal/driver/origins.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/egretwall/egretwall/internal/messenger"
+	"github.com/egretwall/egretwall/internal/registrar"
 	"github.com/egretwall/egretwall/internal/tracker"
 )
 
@@ -121,23 +122,29 @@
 	s.origins.loaded = true
 	for _, o := range origins {
 		s.origins.streams.Record(s.syncer.now(), o)
+		s.origins.releases.See(s.syncer.now(), []registrar.Release{o.Release})
 	}
 }
 
-// tellOrigin tells a gateway which release began a stream, if it is known. Otherwise it has
-// the store read, once; the gateway asks again. The caller holds syncer.mu.
+// tellOrigin tells a gateway which release began a stream, or that this is not known. If the
+// store has not been read yet, it is read, and the gateway asks again. The caller holds
+// syncer.mu.
 func (s *Steward) tellOrigin(to netip.AddrPort, id tracker.StreamID) {
-	release, ok := s.origins.streams.Release(id)
-	if !ok {
-		if !s.origins.loaded {
-			select {
-			case s.origins.load <- struct{}{}:
-			default:
-			}
+	m := messenger.Message{Sender: s.cfg.Name, Version: s.syncer.version()}
+	release, known := s.origins.streams.Release(id)
+	switch {
+	case known:
+		m.Origin = &tracker.Origin{Stream: id, Release: release}
+	case s.origins.loaded:
+		m.Absence = &tracker.Absence{Stream: id, Releases: s.origins.releases.Recent(s.syncer.now())}
+	default:
+		select {
+		case s.origins.load <- struct{}{}:
+		default:
 		}
 		return
 	}
-	data, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, Origin: &tracker.Origin{Stream: id, Release: release}, Version: s.syncer.version()})
+	data, err := messenger.Encode(m)
 	if err != nil {
 		s.cfg.Log.Logger.Error().Err(err).Msg("cannot encode origin of a stream")
 		return
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -38,18 +38,19 @@
 )
 
 // Message is the content of a datagram. Exactly one of Demands, RequestedAdapter, Report,
-// PermitRequest, Permits, Origin and Stream is set.
+// PermitRequest, Permits, Origin, Stream and Absence is set.
 type Message struct {
-	Sender           string               `json:"name" cbor:"1,keyasint"`                        // name of the sending process
-	Demands          *PackedDemands       `json:"demands,omitempty" cbor:"2,keyasint,omitempty"` // from a gateway, periodically
-	RequestedAdapter *registrar.AdapterID `json:"wanted,omitempty" cbor:"3,keyasint,omitempty"`  // from a gateway; adapter that a request waits for
-	Report           *dispatcher.Report   `json:"report,omitempty" cbor:"4,keyasint,omitempty"`  // from a steward
-	Version          registrar.Version    `json:"version,omitempty" cbor:"5,keyasint,omitempty"` // of the sender's configuration in force
-	PermitRequest    *limiter.Request     `json:"ask,omitempty" cbor:"6,keyasint,omitempty"`     // from a gateway
-	Permits          *limiter.Permits     `json:"permits,omitempty" cbor:"7,keyasint,omitempty"` // from a steward, the answer to PermitRequest
-	Origin           *tracker.Origin      `json:"origin,omitempty" cbor:"9,keyasint,omitempty"`  // from a gateway, and from a steward that knows Stream
-	Stream           tracker.StreamID     `json:"stream,omitempty" cbor:"10,keyasint,omitempty"` // from a gateway that asks for its origin
-	Limits           []limiter.Limit      `json:"limits,omitempty" cbor:"8,keyasint,omitempty"`  // from a steward, with some reports
+	Sender           string               `json:"name" cbor:"1,keyasint"`                         // name of the sending process
+	Demands          *PackedDemands       `json:"demands,omitempty" cbor:"2,keyasint,omitempty"`  // from a gateway, periodically
+	RequestedAdapter *registrar.AdapterID `json:"wanted,omitempty" cbor:"3,keyasint,omitempty"`   // from a gateway; adapter that a request waits for
+	Report           *dispatcher.Report   `json:"report,omitempty" cbor:"4,keyasint,omitempty"`   // from a steward
+	Version          registrar.Version    `json:"version,omitempty" cbor:"5,keyasint,omitempty"`  // of the sender's configuration in force
+	PermitRequest    *limiter.Request     `json:"ask,omitempty" cbor:"6,keyasint,omitempty"`      // from a gateway
+	Permits          *limiter.Permits     `json:"permits,omitempty" cbor:"7,keyasint,omitempty"`  // from a steward, the answer to PermitRequest
+	Origin           *tracker.Origin      `json:"origin,omitempty" cbor:"9,keyasint,omitempty"`   // from a gateway, and from a steward that knows Stream
+	Stream           tracker.StreamID     `json:"stream,omitempty" cbor:"10,keyasint,omitempty"`  // from a gateway that asks for its origin
+	Absence          *tracker.Absence     `json:"absence,omitempty" cbor:"11,keyasint,omitempty"` // from a steward that does not know Stream
+	Limits           []limiter.Limit      `json:"limits,omitempty" cbor:"8,keyasint,omitempty"`   // from a steward, with some reports
 }
 
 // Config configures a Messenger. Run calls Handle for each message that it receives.
--- a/internal/tracker/releases.go
+++ b/internal/tracker/releases.go
@@ -15,7 +15,7 @@
 // concurrent use.
 type Releases struct {
 	listed []registrar.Release
-	seenAt map[registrar.Release]time.Duration // when each was last listed, if it is not now
+	seenAt map[registrar.Release]time.Duration // when each was last listed or seen, if it is not listed now
 }
 
 // NewReleases returns a Releases that knows none.
@@ -36,6 +36,13 @@
 	}
 }
 
+// See records that releases are known to have begun streams lately.
+func (r *Releases) See(now time.Duration, releases []registrar.Release) {
+	for _, release := range releases {
+		r.seenAt[release] = now
+	}
+}
+
 // Recent returns the releases that are listed or were within releaseMemory.
 func (r *Releases) Recent(now time.Duration) []registrar.Release {
 	recent := slices.Clone(r.listed)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -32,6 +32,12 @@
 	Release registrar.Release `json:"release" cbor:"2,keyasint"`
 }
 
+// Absence says that a steward does not know a stream, and which releases may have begun it.
+type Absence struct {
+	Stream   StreamID            `json:"stream" cbor:"1,keyasint"`
+	Releases []registrar.Release `json:"releases" cbor:"2,keyasint"`
+}
+
 // Tracker holds the origins of streams for generationTime. It is not safe for concurrent
 // use.
 type Tracker struct {
