Read the changes of limits and streams as a newcomer would

Table.Learn by cases, and no search for limits among the upstreams of each waiting request while none is known. No change of behaviour.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -177,7 +177,8 @@
 	return b
 }
 
-// handleArrival admits a new request, once it is known which release may run it.
+// handleArrival takes a new request in. If it resumes a stream of unknown origin, the
+// request is admitted only after the search for it.
 func (d *Dispatcher) handleArrival(req Request) {
 	d.Counters.Arrived++
 	d.retryBucket(req.Service).refill(d.now, d.cfg.RetryBudget, d.gatewayCount, 1)
@@ -194,7 +195,7 @@
 	}
 }
 
-// admit sends a request for the first time, queues it or refuses it.
+// admit sends a new request, queues it or refuses it.
 func (d *Dispatcher) admit(r *request) {
 	d.enqueue(r)
 	d.sendFromQueue(queueKeyOf(r))
--- a/internal/dispatcher/limit.go
+++ b/internal/dispatcher/limit.go
@@ -215,6 +215,9 @@
 // limitedRate returns the limit of all upstreams that could run the request together, in
 // requests per second. It is zero if one of them has no limit.
 func (d *Dispatcher) limitedRate(r *request) float64 {
+	if !d.limits.Any() {
+		return 0
+	}
 	total := 0.0
 	for _, u := range d.upstreamsByService[r.Service] {
 		if model, _ := u.holds(d.now, r.Model, ""); !u.accepting() || !r.eligible(u) || r.Model != "" && !model {
--- a/internal/dispatcher/notice.go
+++ b/internal/dispatcher/notice.go
@@ -82,7 +82,8 @@
 }
 
 // Sendable reports whether the upstream of a Send may still get the request. Opening a
-// connection takes time, in which the upstream may have asked for no new requests or for fewer.
+// connection takes time, in which the upstream may have asked for no new requests or named
+// a limit.
 func (d *Dispatcher) Sendable(now time.Duration, id RequestID, try Try) bool {
 	r := d.requests[id]
 	if r == nil || r.try != try || r.upstream == nil || !r.upstream.accepting() || now < r.upstream.pausedUntil {
--- a/internal/limiter/limit.go
+++ b/internal/limiter/limit.go
@@ -55,26 +55,25 @@
 	return &Table{byUpstream: map[registrar.UpstreamID]known{}}
 }
 
-// Learn stores a limit unless a later one of the upstream is known. It reports whether
+// Learn stores a limit unless a later one of the upstream is known, and reports whether
 // that changes what the upstream takes. An upstream that is leaving does not come back
 // within its incarnation.
 func (t *Table) Learn(now time.Duration, l Limit) bool {
 	namedAt := now - l.Age
 	k, ok := t.byUpstream[l.Upstream]
-	if ok && k.limit.Incarnation == l.Incarnation {
-		if l.Leaving && !k.limit.Leaving && k.namedAt > namedAt {
-			l.Rate, namedAt = k.limit.Rate, k.namedAt
-		}
-		l.Leaving = l.Leaving || k.limit.Leaving
-	}
-	if ok && (k.limit.Incarnation > l.Incarnation || k.limit.Incarnation == l.Incarnation && k.namedAt > namedAt) {
-		return false
-	}
-	if !ok && l.Rate == 0 && !l.Leaving {
-		return false
-	}
-	if !ok {
+	switch {
+	case !ok && l.Rate == 0 && !l.Leaving:
+		return false // there is no limit to end
+	case !ok:
 		t.makeRoom(now)
+	case k.limit.Incarnation > l.Incarnation:
+		return false
+	case k.limit.Incarnation == l.Incarnation:
+		leaving := k.limit.Leaving || l.Leaving
+		if k.namedAt > namedAt {
+			l, namedAt = k.limit, k.namedAt
+		}
+		l.Leaving = leaving
 	}
 	rate, leaving := t.Rate(l.Upstream, l.Incarnation), t.Leaving(l.Upstream, l.Incarnation)
 	t.byUpstream[l.Upstream] = known{l, namedAt}
