Ask limited runners for no further adapters, and rarely for spare permits

Also a request that had another choice took permits from those that waited.

Change: an adapter that is held somewhere is loaded only at a further runner without a limit. A gateway that has another choice asks for no more than its equal part of the limit.

Evidence: both new tests fail before (a load at the third runner; 7 requests for permits instead of 2 in 6 s).

--- a/internal/dispatcher/limit.go
+++ b/internal/dispatcher/limit.go
@@ -172,8 +172,8 @@
 
 // requestPermits asks for permits for one upstream that could run the request but for its
 // limit and is no worse than the chosen one, which may be nil: the one that was asked about
-// least recently. They come too late for the request if another upstream was chosen, and
-// serve the next one.
+// least recently. If another upstream was chosen, they come too late for the request and
+// serve the next one, so the gateway then asks for no more than its equal part of the limit.
 func (d *Dispatcher) requestPermits(r *request, group []*upstream, chosen *upstream) {
 	if !d.limits.Any() {
 		return
@@ -190,8 +190,14 @@
 			next = u
 		}
 	}
+	if next == nil {
+		return
+	}
 	period := max(permitRetryPeriod, time.Duration(d.gatewayCount)*permitPeriodPerGateway)
-	if next == nil || next.permits.requestedAt > 0 && d.now < next.permits.requestedAt+period {
+	if chosen != nil {
+		period = max(period, time.Duration(float64(d.gatewayCount)/d.limitOf(next)*float64(time.Second)))
+	}
+	if next.permits.requestedAt > 0 && d.now < next.permits.requestedAt+period {
 		return
 	}
 	issuer := d.issuerOf(next)
--- a/internal/dispatcher/limit_test.go
+++ b/internal/dispatcher/limit_test.go
@@ -244,3 +244,47 @@
 	h.reduce(Tick{})
 	require.LessOrEqual(t, h.d.Waiting(), queueAllowance, "none was sent within a second")
 }
+
+// Runners that name limits must not load each adapter that waits for permits.
+func TestAdapterIsNotLoadedAtFurtherRunnersWithLimits(t *testing.T) {
+	h := newHarness(t)
+	all := h.listUpstreams(runnerService, 3, "m")
+	all[0].Residents[0].Adapters = []registrar.AdapterName{"a1"}
+	h.reduce(UpstreamsListed{all})
+	for _, u := range all {
+		h.reduce(Reported{Report{Address: u.Address, Residents: u.Residents, Gateways: 6}})
+	}
+	limits := []limiter.Limit{{Upstream: "u1", Rate: 2}, {Upstream: "u2", Rate: 2}, {Upstream: "u3", Rate: 2}}
+	h.reduce(LimitsReported{limits})
+	arrive := func() []Effect {
+		h.lastID++
+		return h.reduce(Arrived{Request{ID: h.lastID, Route: route(registrar.Streaming, 2), Service: runnerService, Model: "m", Adapter: "a1", Deadline: h.now + 4*time.Second}})
+	}
+	effects := arrive()
+	require.Len(t, effects, 1)
+	require.IsType(t, RequestPermits{}, effects[0], "only a permit for the runner that holds the adapter")
+	h.now += 100 * time.Millisecond
+	require.Contains(t, h.reduce(LimitsReported{[]limiter.Limit{{Upstream: "u3"}}}), LoadAdapter{Address: all[2].Address, Adapter: registrar.AdapterID{Model: "m", Name: "a1"}})
+}
+
+// Permits that a request with another choice asks for may be missed by requests that wait.
+func TestPermitsAreRequestedRarelyWhileOthersHaveRoom(t *testing.T) {
+	h := newHarness(t)
+	h.listUpstreams(plainService, 2)
+	h.reduce(LimitsReported{[]limiter.Limit{{Upstream: "u1", Rate: 2}}})
+	asked := 0
+	for range 60 {
+		h.now += 100 * time.Millisecond
+		h.reduce(Reported{Report{Address: "10.0.0.1:80", Gateways: 6}})
+		id, effects := h.submit(route(registrar.Idempotent, 2), "")
+		for _, e := range effects {
+			switch e := e.(type) {
+			case RequestPermits:
+				asked++
+			case Send:
+				h.reduce(SendEnded{ID: id, Try: e.Try, Outcome: Completed})
+			}
+		}
+	}
+	require.Equal(t, 2, asked, "an equal part of the limit: once in 3 s")
+}
--- a/internal/dispatcher/selection.go
+++ b/internal/dispatcher/selection.go
@@ -134,7 +134,7 @@
 
 // requestAdapter asks the steward of one runner that holds the model to load the
 // request's adapter. If runners that hold the adapter are full, it asks only a runner
-// with free slots, since at a full one the adapter would only displace others.
+// with free slots and no limit, since elsewhere the adapter would only displace others.
 func (d *Dispatcher) requestAdapter(r *request, group []*upstream) {
 	var idle, busy, withRoom []configurator.UpstreamName
 	adapterHeld := false
@@ -153,7 +153,7 @@
 			continue
 		}
 		idle = append(idle, name)
-		if u.hasFreshReport(d.now) && u.report.Running+u.report.Waiting < d.slots(u) {
+		if u.hasFreshReport(d.now) && u.report.Running+u.report.Waiting < d.slots(u) && d.limitOf(u) == 0 {
 			withRoom = append(withRoom, name)
 		}
 	}
