Revert "Plan models elsewhere whose demand exceeds their runner's limit"

TestGatewaysTogetherKeepTheLimitOfAnUpstream failed twice in nine runs: gateway-1 got no answer for model 3 within 20 s after the limits had ended. The plan gave a runner with a limit no further models, so a model without a copy found no place; as nothing was sent to that runner, no answer ended its limit. Every model must stay reachable.

--- a/internal/dispatcher/demand.go
+++ b/internal/dispatcher/demand.go
@@ -9,12 +9,12 @@
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
-// RecentTimeConstant is the time constant of the fast average of demand, which shows a
-// shift of demand early.
-const RecentTimeConstant = 800 * time.Millisecond
-
-// slowTimeConstant is that of the slow average, which fluctuates less.
-const slowTimeConstant = 2500 * time.Millisecond
+// Time constants of the averages of demand: the fast one shows a shift of demand
+// early, the slow one fluctuates less.
+const (
+	fastTimeConstant = 800 * time.Millisecond
+	slowTimeConstant = 2500 * time.Millisecond
+)
 
 // decayingRate is an exponentially decaying value. With add it is the rate per second
 // of the added amounts, averaged over timeConstant.
@@ -40,7 +40,7 @@
 }
 
 func newDemandRate(now time.Duration) *demandRate {
-	return &demandRate{decayingRate{RecentTimeConstant, 0, now}, decayingRate{slowTimeConstant, 0, now}, decayingRate{RecentTimeConstant, 0, now}}
+	return &demandRate{decayingRate{fastTimeConstant, 0, now}, decayingRate{slowTimeConstant, 0, now}, decayingRate{fastTimeConstant, 0, now}}
 }
 
 func (r *demandRate) add(now time.Duration, work float64) {
@@ -98,7 +98,7 @@
 		}
 		byModel[m] = &Demand{
 			Model: m, WorkRate: math.Round(rate.slowWork.value), RecentWorkRate: math.Round(rate.fastWork.value),
-			RecentRequests: math.Round(10*rate.arrivals.value*RecentTimeConstant.Seconds()) / 10,
+			RecentRequests: math.Round(10*rate.arrivals.value*fastTimeConstant.Seconds()) / 10,
 		}
 	}
 	for key, waiting := range d.queues {
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -161,7 +161,6 @@
 	Gateways       int                       `json:"gateways,omitempty" cbor:"15,keyasint,omitempty"` // gateways that the steward has heard from lately
 	LoadQueued     bool                      `json:"claimed,omitempty" cbor:"16,keyasint,omitempty"`  // the load of Loading is announced but waits for the weight store's rate limit
 	SinceStoreLoad time.Duration             `json:"stored,omitempty" cbor:"17,keyasint"`             // time since the last load from the weight store began, negative before the first
-	RequestLimit   float64                   `json:"limit,omitempty" cbor:"18,keyasint,omitempty"`    // requests per second that the runner takes from all gateways together, zero without a limit
 }
 
 func (Tick) event()               {}
--- a/internal/driver/limits.go
+++ b/internal/driver/limits.go
@@ -15,15 +15,13 @@
 	limitsPeriod = time.Second      // between messages with unchanged limits
 )
 
-// recordRunnerLimit records the limit that the runner named with its state. It returns the
-// limit in force, of which gateways may have told.
-func (s *Steward) recordRunnerLimit(state reconciler.State) float64 {
+// recordRunnerLimit records the limit that the runner named with its state.
+func (s *Steward) recordRunnerLimit(state reconciler.State) {
 	s.syncer.mu.Lock()
 	defer s.syncer.mu.Unlock()
 	if state.RequestLimit > 0 && s.runner != "" && s.incarnation == state.Incarnation {
 		s.learnLimits([]limiter.Limit{{Upstream: s.runner, Incarnation: s.incarnation, Rate: state.RequestLimit}})
 	}
-	return s.limits.Rate(s.runner, state.Incarnation)
 }
 
 // learnLimits records limits and logs those that change. The caller holds syncer.mu.
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -187,7 +187,7 @@
 		s.recordPause(err)
 		switch {
 		case err == nil:
-			state.RequestLimit = s.recordRunnerLimit(state)
+			s.recordRunnerLimit(state)
 			s.reduce(reconciler.StateReported{State: state})
 		case ctx.Err() == nil:
 			s.reduce(reconciler.RunnerLost{})
--- a/internal/reconciler/forecast.go
+++ b/internal/reconciler/forecast.go
@@ -1,10 +1,6 @@
 package reconciler
 
-import (
-	"math"
-
-	"github.com/egretwall/egretwall/internal/dispatcher"
-)
+import "math"
 
 // Parameters of demand forecasts.
 const (
@@ -31,11 +27,3 @@
 	}
 	return level + waitingWorkWeight*d.waitingWork
 }
-
-// requestRate returns the requests that arrive a second, averaged over seconds.
-func (d modelDemand) requestRate() float64 {
-	if d.fastRate <= 0 {
-		return 0
-	}
-	return d.slowRate / d.fastRate * d.recentRequests / dispatcher.RecentTimeConstant.Seconds()
-}
--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -240,7 +240,7 @@
 	report := dispatcher.Report{
 		Address: r.cfg.Address, Incarnation: r.state.Incarnation, Sequence: r.state.Sequence, Loading: r.loading,
 		LoadRemaining: max(0, r.loadDoneAt-r.now), Running: r.state.Running, Waiting: r.state.Waiting, SinceStoreLoad: -1,
-		KVUsed: r.state.KVUsed, KVTotal: r.state.KVTotal, Draining: r.state.Draining, Busy: r.state.Busy, Unreachable: r.unreachable, Gateways: r.GatewayCount(), RequestLimit: r.state.RequestLimit,
+		KVUsed: r.state.KVUsed, KVTotal: r.state.KVTotal, Draining: r.state.Draining, Busy: r.state.Busy, Unreachable: r.unreachable, Gateways: r.GatewayCount(),
 	}
 	if r.storeLoaded {
 		report.SinceStoreLoad = r.now - r.storeLoadAt
@@ -253,7 +253,7 @@
 			report.Residents = append(report.Residents, resident)
 		}
 	}
-	key := fmt.Sprint(report.Loading, report.LoadQueued, r.storeLoadAt, report.Unreachable, report.Draining, report.RequestLimit, report.Residents)
+	key := fmt.Sprint(report.Loading, report.LoadQueued, r.storeLoadAt, report.Unreachable, report.Draining, report.Residents)
 	interval := min(maxReportInterval, time.Duration(report.Gateways)*reportIntervalPerGateway)
 	switch {
 	case key != r.fullReportKey || r.now-r.fullReportedAt >= fullReportPeriod:
--- a/internal/reconciler/view.go
+++ b/internal/reconciler/view.go
@@ -1,7 +1,6 @@
 package reconciler
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/egretwall/egretwall/internal/allocator"
@@ -13,7 +12,6 @@
 	holders map[registrar.ModelName][]registrar.UpstreamID // runners with the model resident, without peers that evict it
 	loading map[registrar.ModelName]int                    // number of runners that are loading the model or have announced it
 	demand  map[registrar.ModelName]float64                // forecast work rate, in prompt tokens a second
-	rates   map[registrar.ModelName]float64                // requests a second
 	plan    *allocator.Plan
 }
 
@@ -39,7 +37,7 @@
 func (r *Reconciler) buildView(e *registrar.Engine) *serviceView {
 	v := &serviceView{
 		holders: map[registrar.ModelName][]registrar.UpstreamID{}, loading: map[registrar.ModelName]int{},
-		demand: map[registrar.ModelName]float64{}, rates: map[registrar.ModelName]float64{},
+		demand: map[registrar.ModelName]float64{},
 	}
 	totals := map[registrar.ModelName]modelDemand{}
 	for _, reported := range r.demandByGateway {
@@ -56,7 +54,7 @@
 		}
 	}
 	for m, d := range totals {
-		v.demand[m], v.rates[m] = d.forecast(), d.requestRate()
+		v.demand[m] = d.forecast()
 	}
 	var runners []allocator.Runner
 	for _, u := range r.runners {
@@ -66,7 +64,7 @@
 		// Until the reports of all peers have had time to arrive after the start, their
 		// stewards are presumed to run.
 		runner := allocator.Runner{ID: u.ID, Memory: e.WeightMemory, Cached: slices.Concat(u.InHostMemory, u.OnHostDisk), Schedulable: r.schedulable(u)}
-		for _, resident := range v.withinLimit(r.residentsOf(u), r.limitOf(u)) {
+		for _, resident := range r.residentsOf(u) {
 			runner.Resident = append(runner.Resident, resident.Model)
 			v.holders[resident.Model] = append(v.holders[resident.Model], u.ID)
 		}
@@ -109,12 +107,8 @@
 
 // schedulable reports whether a runner may get models that it does not hold. Its steward
 // must report; until the reports of all peers have had time to arrive after the start,
-// they are presumed to. A runner whose unload takes long can't load anything meanwhile, and
-// one with a limit is to get less work.
+// they are presumed to. A runner whose unload takes long can't load anything meanwhile.
 func (r *Reconciler) schedulable(u *registrar.Upstream) bool {
-	if r.limitOf(u) > 0 {
-		return false
-	}
 	if u == r.self {
 		return !r.unloading.longerThan(unloadPatience, r.now)
 	}
@@ -124,32 +118,6 @@
 	return r.now-r.startedAt < peerReportTTL
 }
 
-// limitOf returns the limit of a runner in requests per second, zero without one.
-func (r *Reconciler) limitOf(u *registrar.Upstream) float64 {
-	if u == r.self {
-		return r.state.RequestLimit
-	}
-	if p := r.recentPeer(u); p != nil {
-		return p.report.RequestLimit
-	}
-	return 0
-}
-
-// withinLimit returns those of a runner's models, from the one with the fewest requests on,
-// whose requests its limit allows. The others are planned elsewhere.
-func (v *serviceView) withinLimit(residents []registrar.ResidentModel, limit float64) []registrar.ResidentModel {
-	if limit <= 0 {
-		return residents
-	}
-	sorted := slices.SortedStableFunc(slices.Values(residents), func(a, b registrar.ResidentModel) int { return cmp.Compare(v.rates[a.Model], v.rates[b.Model]) })
-	for i, resident := range sorted {
-		if limit -= v.rates[resident.Model]; limit < 0 {
-			return sorted[:i]
-		}
-	}
-	return sorted
-}
-
 // residentsOf returns the models resident at a runner, from its steward's report
 // if there is a recent one, else from its list entry.
 func (r *Reconciler) residentsOf(u *registrar.Upstream) []registrar.ResidentModel {
