Load adapters at a runner with a limit only with a permit

Change: at an upstream with a limit an adapter is loaded only with a permit, one for each; the permit is asked for first, preferably at a runner that holds the adapter.

Evidence: TestAdapterIsLoadedWithAPermit failed before (loads before any permit) and passes; the process test of limits passes six times.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -215,7 +215,7 @@
 		u.quota.remainingLate--
 	}
 	d.Counters.Sent++
-	r.permitted = d.usePermit(u)
+	r.permitted = d.usePermit(u, queueKeyOf(r))
 	if r.permitted {
 		d.Counters.SentLimited++
 	}
--- a/internal/dispatcher/limit.go
+++ b/internal/dispatcher/limit.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"github.com/egretwall/egretwall/internal/limiter"
@@ -25,6 +26,7 @@
 	expire      time.Duration // when count does
 	requestedAt time.Duration // when permits were last requested
 	announcedAt time.Duration // when the limit was last announced
+	reserved    []queueKey    // whose adapters are being loaded to use these permits
 	// share is this gateway's part of the limit, which it uses while no steward issues
 	// permits.
 	share        limiter.Bucket
@@ -107,7 +109,7 @@
 		return
 	}
 	if d.now >= u.permits.expire {
-		u.permits.count = 0
+		u.permits.count, u.permits.reserved = 0, nil
 	}
 	u.permits.count += p.Count
 	u.permits.expire = d.now + permitLifetime
@@ -135,11 +137,30 @@
 	return u.permits.share.Has()
 }
 
-// usePermit takes a permit for a request and reports whether the upstream has a limit.
-func (d *Dispatcher) usePermit(u *upstream) bool {
+// permitsAdapter reports whether an adapter may be loaded for requests of a queue. At an
+// upstream with a limit there is one for each permit, since adapters that are loaded before
+// their requests may be sent displace one another.
+func (d *Dispatcher) permitsAdapter(u *upstream, key queueKey) bool {
+	if d.limitOf(u) == 0 {
+		return true
+	}
+	return d.permitted(u) && (slices.Contains(u.permits.reserved, key) || len(u.permits.reserved) < max(1, u.permits.count))
+}
+
+// reserve notes that an adapter is loaded to use a permit.
+func (p *permitState) reserve(key queueKey) {
+	if !slices.Contains(p.reserved, key) {
+		p.reserved = append(p.reserved, key)
+	}
+}
+
+// usePermit takes a permit for a request of a queue and reports whether the upstream has a
+// limit.
+func (d *Dispatcher) usePermit(u *upstream, key queueKey) bool {
 	if d.limitOf(u) == 0 {
 		return false
 	}
+	u.permits.reserved = slices.DeleteFunc(u.permits.reserved, func(k queueKey) bool { return k == key })
 	if u.permits.count > 0 && d.now < u.permits.expire {
 		u.permits.count--
 		return true
@@ -171,51 +192,54 @@
 }
 
 // requestPermits asks for permits for one upstream that could run the request but for its
-// limit and is no worse than the chosen one, which may be nil: the one that was asked about
-// least recently. If another upstream was chosen, they come too late for the request and
-// serve the next one, so the gateway then asks for no more than its equal part of the limit.
+// limit and is no worse than the chosen one, which may be nil: if possible one that holds
+// the request's adapter, then the one that was asked about least recently. If another
+// upstream was chosen, the permits come too late for the request and serve the next one, so
+// the gateway then asks for no more than its equal part of the limit.
 func (d *Dispatcher) requestPermits(r *request, group []*upstream, chosen *upstream) {
 	if !d.limits.Any() {
 		return
 	}
 	var next *upstream
+	nextHoldsAdapter := false
 	for _, u := range group {
-		if u == chosen || d.limitOf(u) == 0 || !u.accepting() || !r.eligible(u) || !d.couldRun(r, u) {
+		if u == chosen || !u.accepting() || !r.eligible(u) || !d.permitsDue(u, chosen) {
 			continue
 		}
-		if chosen != nil && d.cost(u) > d.cost(chosen) {
+		model, adapter := u.holds(d.now, r.Model, r.Adapter)
+		if r.Model != "" && !model || !d.hasCapacity(r, u) {
 			continue
 		}
-		if next == nil || u.permits.requestedAt < next.permits.requestedAt {
-			next = u
+		if next == nil || adapter && !nextHoldsAdapter || adapter == nextHoldsAdapter && u.permits.requestedAt < next.permits.requestedAt {
+			next, nextHoldsAdapter = u, adapter
 		}
 	}
 	if next == nil {
 		return
 	}
-	period := max(permitRetryPeriod, time.Duration(d.gatewayCount)*permitPeriodPerGateway)
-	if chosen != nil {
-		period = max(period, time.Duration(float64(d.gatewayCount)/d.limitOf(next)*float64(time.Second)))
-	}
-	if next.permits.requestedAt > 0 && d.now < next.permits.requestedAt+period {
-		return
-	}
-	issuer := d.issuerOf(next)
-	if issuer == "" {
-		return
-	}
 	next.permits.requestedAt = d.now
 	l := limiter.Limit{
 		Upstream: next.info.ID, Incarnation: next.info.Incarnation, Rate: d.limitOf(next), Age: d.now - d.limits.NamedAt(next.info.ID),
 	}
 	count := min(maxPermits, max(1, len(d.queues[queueKeyOf(r)])))
-	d.emit(RequestPermits{Address: issuer, Request: limiter.Request{Limit: l, Count: count}})
+	d.emit(RequestPermits{Address: d.issuerOf(next), Request: limiter.Request{Limit: l, Count: count}})
 }
 
-// couldRun reports whether the upstream would start the request soon but for its limit.
-func (d *Dispatcher) couldRun(r *request, u *upstream) bool {
-	model, adapter := u.holds(d.now, r.Model, r.Adapter)
-	return (r.Model == "" || model && adapter) && d.hasCapacity(r, u)
+// permitsDue reports whether permits for an upstream may be requested now. The chosen one
+// for the request at hand may be nil.
+func (d *Dispatcher) permitsDue(u, chosen *upstream) bool {
+	rate := d.limitOf(u)
+	if rate == 0 || d.issuerOf(u) == "" {
+		return false
+	}
+	period := max(permitRetryPeriod, time.Duration(d.gatewayCount)*permitPeriodPerGateway)
+	if chosen != nil {
+		period = max(period, time.Duration(float64(d.gatewayCount)/rate*float64(time.Second)))
+	}
+	if u.permits.requestedAt > 0 && d.now < u.permits.requestedAt+period {
+		return false
+	}
+	return chosen == nil || d.cost(u) <= d.cost(chosen)
 }
 
 // limitedRate returns the limit of all upstreams that could run the request together, in
--- a/internal/dispatcher/limit_test.go
+++ b/internal/dispatcher/limit_test.go
@@ -288,3 +288,29 @@
 	}
 	require.Equal(t, 2, asked, "an equal part of the limit: once in 3 s")
 }
+
+// Requests for many adapters wait for permits of one runner. Loaded before their permits,
+// the adapters would displace one another until they are used.
+func TestAdapterIsLoadedWithAPermit(t *testing.T) {
+	h := newHarness(t)
+	h.now = time.Second
+	all := h.listUpstreams(runnerService, 1, "m")
+	h.reduce(Reported{Report{Address: all[0].Address, Residents: all[0].Residents, Gateways: 6}})
+	h.reduce(LimitsReported{[]limiter.Limit{{Upstream: "u1", Rate: 2}}})
+	asked := 0
+	for i := range 3 {
+		h.lastID++
+		effects := h.reduce(Arrived{Request{
+			ID: h.lastID, Route: route(registrar.Streaming, 2), Service: runnerService, Model: "m", Adapter: registrar.AdapterName(fmt.Sprint("a", i)), Deadline: h.now + 4*time.Second,
+		}})
+		for _, e := range effects {
+			require.IsType(t, RequestPermits{}, e)
+			asked++
+		}
+	}
+	require.Equal(t, 1, asked)
+	effects := h.reduce(PermitsIssued{limiter.Permits{Upstream: "u1", Count: 1}})
+	require.Equal(t, []Effect{LoadAdapter{Address: all[0].Address, Adapter: registrar.AdapterID{Model: "m", Name: "a0"}}}, effects, "of the first request only")
+	h.reduce(Reported{Report{Address: all[0].Address, Residents: []registrar.ResidentModel{{Model: "m", Adapters: []registrar.AdapterName{"a0"}}}, Gateways: 6}})
+	require.Equal(t, 2, h.d.Waiting())
+}
--- a/internal/dispatcher/selection.go
+++ b/internal/dispatcher/selection.go
@@ -134,10 +134,10 @@
 
 // requestAdapter asks the steward of one runner that holds the model to load the
 // request's adapter. If runners that hold the adapter are full, it asks only a runner
-// with free slots and no limit, since elsewhere the adapter would only displace others.
+// with free slots, since at a full one the adapter would only displace others.
 func (d *Dispatcher) requestAdapter(r *request, group []*upstream) {
 	var idle, busy, withRoom []configurator.UpstreamName
-	adapterHeld := false
+	adapterHeld, key := false, queueKeyOf(r)
 	for _, u := range group {
 		model, adapter := u.holds(d.now, r.Model, r.Adapter)
 		if !model || !u.accepting() || !r.eligible(u) || d.now < u.avoidUntil {
@@ -148,12 +148,14 @@
 		case adapter:
 			adapterHeld = true
 			continue
+		case !d.permitsAdapter(u, key):
+			continue
 		case u.hasFreshReport(d.now) && u.report.Busy:
 			busy = append(busy, name)
 			continue
 		}
 		idle = append(idle, name)
-		if u.hasFreshReport(d.now) && u.report.Running+u.report.Waiting < d.slots(u) && d.limitOf(u) == 0 {
+		if u.hasFreshReport(d.now) && u.report.Running+u.report.Waiting < d.slots(u) {
 			withRoom = append(withRoom, name)
 		}
 	}
@@ -169,11 +171,11 @@
 	// All gateways ask the same runner, the first in rendezvous order.
 	first := placer.Rank(string(r.Model)+"/"+string(r.Adapter), names)[0]
 	u := d.upstreams[registrar.UpstreamID(first)]
-	key := queueKeyOf(r)
 	if requestedAt, ok := u.adapterRequestedAt[key]; ok && d.now < requestedAt+adapterRetryPeriod {
 		return
 	}
 	u.adapterRequestedAt[key] = d.now
+	u.permits.reserve(key)
 	d.emit(LoadAdapter{Address: u.info.Address, Adapter: registrar.AdapterID{Model: r.Model, Name: r.Adapter}})
 }
 
