--- a/internal/dispatcher/limit.go
+++ b/internal/dispatcher/limit.go
@@ -10,7 +10,7 @@
 
 // Timing of permits for upstreams that have named a limit.
 const (
-	permitLifetime         = 500 * time.Millisecond // of permits that are not used; the steward counts them as requests
+	permitLifetime         = 500 * time.Millisecond // of permits that are not used; the limit counts them as requests
 	permitRetryPeriod      = 50 * time.Millisecond  // before permits for an upstream are requested again
 	permitPeriodPerGateway = 5 * time.Millisecond   // lengthens that period with the number of gateways, which all ask one steward
 	issuerPeriod           = 100 * time.Millisecond // between choices of the steward that issues permits
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -19,8 +19,8 @@
 	orphanRetryAfter  = time.Second            // of a stream whose origin is unknown
 	recorderCount     = 2                      // stewards that are told of each stream
 	askedRecorders    = 3                      // stewards that are asked; a recorder may have gone since
-	minRecorderPool   = 4                      // stewards among which recorders are chosen
-	stewardsPerPool   = 24                     // for so many stewards one is in the pool; each writes to the store
+	minRecorderPool   = 4                      // least number of stewards among which recorders are chosen
+	stewardsPerPool   = 24                     // one of so many is in that pool; few, since each of them writes to the store
 )
 
 // originSearch is the search for the release that began the stream that a request resumes.
@@ -83,8 +83,8 @@
 }
 
 // bindToOrigin binds a request that resumes a stream to the release that began it, and
-// reports whether the request can be admitted now. Otherwise it waits for StreamFound or,
-// if nothing can be asked, has been admitted or refused.
+// reports whether the caller is to admit it. Otherwise the request waits for the end of a
+// search, or endSearch has admitted or refused it already.
 func (d *Dispatcher) bindToOrigin(r *request) bool {
 	if !r.Resumed || r.Route.Kind != registrar.Streaming {
 		return true
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -47,10 +47,10 @@
 	Version          registrar.Version    `json:"version,omitempty" cbor:"5,keyasint,omitempty"`  // of the sender's configuration in force
 	PermitRequest    *limiter.Request     `json:"ask,omitempty" cbor:"6,keyasint,omitempty"`      // from a gateway
 	Permits          *limiter.Permits     `json:"permits,omitempty" cbor:"7,keyasint,omitempty"`  // from a steward, the answer to PermitRequest
+	Limits           []limiter.Limit      `json:"limits,omitempty" cbor:"8,keyasint,omitempty"`   // from a steward, with some reports
 	Origin           *tracker.Origin      `json:"origin,omitempty" cbor:"9,keyasint,omitempty"`   // from a gateway, and from a steward that knows Stream
 	Stream           tracker.StreamID     `json:"stream,omitempty" cbor:"10,keyasint,omitempty"`  // from a gateway that asks for its origin
 	Absence          *tracker.Absence     `json:"absence,omitempty" cbor:"11,keyasint,omitempty"` // from a steward that does not know Stream
-	Limits           []limiter.Limit      `json:"limits,omitempty" cbor:"8,keyasint,omitempty"`   // from a steward, with some reports
 }
 
 // Config configures a Messenger. Run calls Handle for each message that it receives.
