Log the source of a configuration and how long the store had been silent

Ruled out: a line for each call to the store, several a second for each process. Conclusion: a late configuration shows its cause in its own line.

--- a/internal/driver/syncer.go
+++ b/internal/driver/syncer.go
@@ -77,11 +77,14 @@
 func (s *syncer) run(ctx context.Context) {
 	var g sync.WaitGroup
 	g.Go(func() {
-		watcher.New(watcher.Config{
+		var w *watcher.Watcher
+		install := func(records []watcher.Record) { s.installConfigurations(records, fromStore, w.Idle()) }
+		w = watcher.New(watcher.Config{
 			Store: s.store, Topic: s.store.ConfigurationTopic(), PollTimeout: s.configurationTimeout, Logger: s.logger,
 			// The configuration in force stays after a restore: only a higher version replaces it.
-			OnReplace: s.installConfigurations, OnChange: s.installConfigurations, OnRestored: func() {}, OnReachable: func(bool) {},
-		}).Run(ctx)
+			OnReplace: install, OnChange: install, OnRestored: func() {}, OnReachable: func(bool) {},
+		})
+		w.Run(ctx)
 	})
 	g.Go(func() {
 		watcher.New(watcher.Config{
@@ -113,9 +116,19 @@
 	return s.timing.configurationTimeout
 }
 
+// configurationSource names the process that a configuration was read from.
+type configurationSource string
+
+// The sources of configurations.
+const (
+	fromStore configurationSource = "store"
+	fromPeer  configurationSource = "peer"
+)
+
 // installConfigurations puts the newest of the configurations in force if it is newer
-// than the present one. Other records are ignored.
-func (s *syncer) installConfigurations(records []watcher.Record) {
+// than the present one. Other records are ignored. The source had not answered for idle
+// before.
+func (s *syncer) installConfigurations(records []watcher.Record, source configurationSource, idle time.Duration) {
 	for _, r := range records {
 		c, err := s.store.DecodeConfiguration(r)
 		if err != nil {
@@ -128,7 +141,8 @@
 		s.mu.Lock()
 		if s.registrar.Install(c) {
 			s.currentRecord, s.behindSince = exchanger.Record{Key: r.Key, Value: r.Value}, 0
-			s.logger.Info().Int64("version", int64(c.Version)).Int("routes", len(c.Routes)).Msg("configuration in force")
+			s.logger.Info().Int64("version", int64(c.Version)).Int("routes", len(c.Routes)).
+				Str("source", string(source)).Int64("idle", idle.Milliseconds()).Msg("configuration in force")
 			s.onConfiguration(c)
 		}
 		s.mu.Unlock()
@@ -186,7 +200,10 @@
 		s.logger.Warn().Str("peer", from.String()).Int64("version", int64(v)).Err(err).Msg("configuration not fetched")
 	} else {
 		s.logger.Info().Str("peer", from.String()).Int64("version", int64(v)).Msg("configuration fetched")
-		s.installConfigurations([]watcher.Record{{Key: r.Key, Value: r.Value}})
+		s.mu.Lock()
+		behind := s.now() - s.behindSince
+		s.mu.Unlock()
+		s.installConfigurations([]watcher.Record{{Key: r.Key, Value: r.Value}}, fromPeer, behind)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -85,6 +85,8 @@
 	era            Era  // of the last ReadLatest, in which nextOffset is valid
 	reachable      bool
 	statusReported bool
+	answeredAt     time.Time     // when the store last answered a call; zero before
+	idle           time.Duration // between the last two answers
 }
 
 // New returns a watcher of cfg.Topic; Run starts it.
@@ -92,6 +94,21 @@
 	return &Watcher{cfg: cfg}
 }
 
+// Idle returns how long the store had not answered before its last answer. It may be
+// called from OnReplace and OnChange.
+func (w *Watcher) Idle() time.Duration {
+	return w.idle
+}
+
+// recordAnswer records that the store has answered a call.
+func (w *Watcher) recordAnswer() {
+	now := time.Now()
+	if !w.answeredAt.IsZero() {
+		w.idle = now.Sub(w.answeredAt)
+	}
+	w.answeredAt = now
+}
+
 // Run follows the topic until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	startedAt := time.Now()
@@ -155,6 +172,7 @@
 	if err != nil {
 		return err
 	}
+	w.recordAnswer()
 	if batch.Era != w.era {
 		return nil
 	}
@@ -171,6 +189,7 @@
 	if err != nil {
 		return err
 	}
+	w.recordAnswer()
 	if w.everSynced && batch.Era != w.era {
 		w.cfg.Logger.Warn().Str("topic", w.cfg.Topic).Int64("era", int64(batch.Era)).Int64("offset", batch.NextOffset).Msg("store restored from a backup")
 		w.cfg.OnRestored()
