--- /dev/null
+++ b/internal/driver/configuration_test.go
@@ -0,0 +1,301 @@
+package driver
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretwall/egretwall/internal/exchanger"
+	"github.com/egretwall/egretwall/internal/registrar"
+	"github.com/egretwall/egretwall/internal/watcher"
+)
+
+// Timing of the simulated fleet.
+const (
+	announcePeriod    = 250 * time.Millisecond // between messages of a process to its peers
+	clientTimeout     = 1500 * time.Millisecond
+	maxDrainDelay     = 2 * time.Second // from the announcement that an upstream drains until it gets nothing new
+	stableWindow      = 3 * time.Second // after which the loss of connections excuses no delay
+	simulatedGateways = 6
+	simulatedStewards = 9
+)
+
+var errStore = errors.New("the store can't be reached")
+
+// fleetStore is a store whose answers to a process can be held back or refused.
+type fleetStore struct {
+	*fleet
+	refuses bool // this process
+}
+
+// fleet simulates the processes that follow the configuration and tell each other its
+// version. Its fields are guarded by mu.
+type fleet struct {
+	mu        sync.Mutex
+	version   registrar.Version
+	wakes     bool // long polls answer at once with a new record
+	listed    int  // changes of the upstream list
+	silentAt  time.Time
+	processes []*syncer
+	stores    []*fleetStore
+	hangs     map[string]bool // addresses that take a connection and never answer
+	inForceAt map[registrar.Version][]time.Time
+	// listReadAt is when each gateway last learned of a change of the upstream list.
+	listReadAt [simulatedGateways]time.Time
+	changed    chan struct{}
+}
+
+// newFleet returns gateways, followed by stewards, that run until ctx ends.
+func newFleet(ctx context.Context, g *sync.WaitGroup) *fleet {
+	f := &fleet{version: 1, wakes: true, hangs: map[string]bool{}, inForceAt: map[registrar.Version][]time.Time{}, changed: make(chan struct{})}
+	for i := range simulatedGateways + simulatedStewards {
+		timing := stewardPollTiming
+		if i < simulatedGateways {
+			timing = gatewayPollTiming(maxDrainDelay, maxApplyDelay)
+		}
+		store := &fleetStore{fleet: f}
+		s := newSyncer(store, zerolog.Nop(), timing)
+		s.fetch = f.fetch
+		s.onList = func() {
+			if i < simulatedGateways {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.listReadAt[i] = time.Now()
+			}
+		}
+		s.onConfiguration = func(c *registrar.Configuration) {
+			if i < simulatedGateways {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				f.inForceAt[c.Version] = append(f.inForceAt[c.Version], time.Now())
+			}
+		}
+		f.processes, f.stores = append(f.processes, s), append(f.stores, store)
+	}
+	for i, s := range f.processes {
+		g.Go(func() { s.run(ctx) })
+		g.Go(func() { f.announce(ctx, i) })
+	}
+	return f
+}
+
+func addressOf(process int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(process)}), 7380)
+}
+
+// announce sends the version of a process to all stewards and, from a steward, to all
+// gateways.
+func (f *fleet) announce(ctx context.Context, from int) {
+	rng := rand.New(rand.NewPCG(uint64(from), 1))
+	time.Sleep(time.Duration(rng.Int64N(int64(announcePeriod))))
+	for ctx.Err() == nil {
+		s := f.processes[from]
+		s.mu.Lock()
+		v := s.version()
+		s.mu.Unlock()
+		for to, peer := range f.processes {
+			if to == from || from < simulatedGateways && to < simulatedGateways {
+				continue
+			}
+			peer.mu.Lock()
+			peer.handlePeerVersion(addressOf(from), v)
+			peer.mu.Unlock()
+		}
+		time.Sleep(announcePeriod)
+	}
+}
+
+func (f *fleet) fetch(ctx context.Context, address string) (exchanger.Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, exchanger.CallTimeout)
+	defer cancel()
+	f.mu.Lock()
+	hangs := f.hangs[address]
+	f.mu.Unlock()
+	if hangs {
+		<-ctx.Done()
+		return exchanger.Record{}, ctx.Err()
+	}
+	for i, s := range f.processes {
+		if addressOf(i).String() == address {
+			return s.current(), nil
+		}
+	}
+	return exchanger.Record{}, errStore
+}
+
+func (f *fleet) publish(v registrar.Version) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version = v
+	if f.wakes {
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+}
+
+// silence makes all connections to the store silent; new ones work.
+func (f *fleet) silence() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silentAt = time.Now()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fleetStore) latest(topic string) (watcher.Batch, <-chan struct{}, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refuses {
+		return watcher.Batch{}, f.changed, errStore
+	}
+	if topic == f.UpstreamTopic() {
+		return watcher.Batch{Records: make([]watcher.Record, f.listed), NextOffset: int64(f.listed)}, f.changed, nil
+	}
+	return watcher.Batch{Records: []watcher.Record{{Key: "configuration", Value: []byte{byte(f.version)}}}, NextOffset: int64(f.version)}, f.changed, nil
+}
+
+func (f *fleetStore) ReadLatest(_ context.Context, topic string) (watcher.Batch, error) {
+	batch, _, err := f.latest(topic)
+	return batch, err
+}
+
+func (f *fleetStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (watcher.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+clientTimeout)
+	defer cancel()
+	startedAt := time.Now()
+	batch, changed, err := f.latest(topic)
+	if err != nil || batch.NextOffset > from {
+		return batch, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-changed:
+	case <-ctx.Done():
+		return watcher.Batch{}, ctx.Err()
+	}
+	f.mu.Lock()
+	silent := f.silentAt.After(startedAt)
+	f.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return watcher.Batch{}, ctx.Err()
+	}
+	batch, _, err = f.latest(topic)
+	if err == nil && batch.NextOffset <= from {
+		return watcher.Batch{NextOffset: from}, nil
+	}
+	return batch, err
+}
+
+func (*fleetStore) Era() (watcher.Era, <-chan struct{}) { return 0, nil }
+
+func (*fleetStore) ConfigurationTopic() string { return "operator" }
+func (*fleetStore) UpstreamTopic() string      { return "list" }
+
+func (*fleetStore) DecodeConfiguration(r watcher.Record) (*registrar.Configuration, error) {
+	return &registrar.Configuration{Version: registrar.Version(r.Value[0])}, nil
+}
+
+func (*fleetStore) DecodeUpstream(watcher.Record) (*registrar.Upstream, error) { return nil, nil }
+
+// playFleet runs play on fleets that have been calm for various times, and requires that
+// the version that it publishes is in force at all gateways within the time that it
+// returns.
+func playFleet(t *testing.T, play func(f *fleet) (within time.Duration)) {
+	t.Helper()
+	for _, calm := range []time.Duration{10 * time.Second, 10900 * time.Millisecond, 12300 * time.Millisecond, 14950 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			var g sync.WaitGroup
+			f := newFleet(ctx, &g)
+			time.Sleep(calm)
+			within := play(f)
+			published := time.Now()
+			f.publish(2)
+			time.Sleep(within)
+			synctest.Wait()
+			cancel()
+			g.Wait()
+			time.Sleep(exchanger.CallTimeout) // fetches under way end
+			require.Len(t, f.inForceAt[2], simulatedGateways, "in force after %v of %v", f.inForceAt[2], published)
+		})
+	}
+}
+
+func TestConfigurationThatAllProcessesMissIsInForceInTime(t *testing.T) {
+	playFleet(t, func(f *fleet) time.Duration {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.wakes = false
+		return maxApplyDelay
+	})
+}
+
+func TestConfigurationIsInForceInTimeAfterAllConnectionsWentSilent(t *testing.T) {
+	playFleet(t, func(f *fleet) time.Duration {
+		f.silence()
+		time.Sleep(stableWindow - maxApplyDelay)
+		return maxApplyDelay
+	})
+}
+
+func TestConfigurationThatTheStoreShowsOneGatewayIsInForceInTime(t *testing.T) {
+	playFleet(t, func(f *fleet) time.Duration {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, s := range f.stores[1:] {
+			s.refuses = true
+		}
+		return maxApplyDelay
+	})
+}
+
+func TestConfigurationIsInForceInTimeWhenPeersHang(t *testing.T) {
+	playFleet(t, func(f *fleet) time.Duration {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, s := range f.stores[:simulatedGateways] {
+			s.refuses = true
+		}
+		for i := simulatedGateways; i < simulatedGateways+simulatedStewards/3; i++ {
+			f.hangs[addressOf(i).String()] = true
+		}
+		return maxApplyDelay
+	})
+}
+
+func TestUpstreamThatDrainsIsKnownInTimeAfterAllConnectionsWentSilent(t *testing.T) {
+	for _, calm := range []time.Duration{10 * time.Second, 10900 * time.Millisecond, 12300 * time.Millisecond, 14950 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			var g sync.WaitGroup
+			f := newFleet(ctx, &g)
+			time.Sleep(calm)
+			f.silence()
+			time.Sleep(stableWindow - maxDrainDelay)
+			drained := time.Now()
+			f.mu.Lock()
+			f.listed++
+			close(f.changed)
+			f.changed = make(chan struct{})
+			f.mu.Unlock()
+			time.Sleep(maxDrainDelay)
+			synctest.Wait()
+			cancel()
+			g.Wait()
+			for _, at := range f.listReadAt {
+				require.True(t, at.After(drained), "known at %v, drained at %v", f.listReadAt, drained)
+			}
+		})
+	}
+}
--- a/internal/driver/syncer.go
+++ b/internal/driver/syncer.go
@@ -42,9 +42,11 @@
 	mu        sync.Mutex
 	registrar *registrar.Registrar
 	store     Store
-	logger    zerolog.Logger
-	start     time.Time
-	timing    pollTiming
+	// fetch fetches the record of a peer's configuration from its address.
+	fetch  func(ctx context.Context, address string) (exchanger.Record, error)
+	logger zerolog.Logger
+	start  time.Time
+	timing pollTiming
 	// onConfiguration and onList run with mu held.
 	onConfiguration func(*registrar.Configuration)
 	onList          func()
@@ -65,7 +67,7 @@
 
 func newSyncer(store Store, logger zerolog.Logger, timing pollTiming) *syncer {
 	return &syncer{
-		registrar: registrar.New(registrar.Config{OutageGrace: outageGrace}), store: store, logger: logger, start: time.Now(), timing: timing,
+		registrar: registrar.New(registrar.Config{OutageGrace: outageGrace}), store: store, fetch: exchanger.Fetch, logger: logger, start: time.Now(), timing: timing,
 	}
 }
 
@@ -195,7 +197,7 @@
 // fetchFrom fetches a peer's configuration from the address of its datagrams, where it
 // also serves its configuration, and installs it.
 func (s *syncer) fetchFrom(from netip.AddrPort, v registrar.Version) {
-	r, err := exchanger.Fetch(context.Background(), from.String())
+	r, err := s.fetch(context.Background(), from.String())
 	if err != nil {
 		s.logger.Warn().Str("peer", from.String()).Int64("version", int64(v)).Err(err).Msg("configuration not fetched")
 	} else {
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -24,7 +24,7 @@
 
 const (
 	configurationPath = "/configuration"
-	callTimeout       = 2 * time.Second // the time within which the platform requires a change to be applied
+	CallTimeout       = 2 * time.Second // of a fetch, the time within which the platform requires a change to be applied
 	maxRecordBytes    = 4 << 20         // enough for many thousand routes
 )
 
@@ -64,7 +64,7 @@
 		// Encode fails only when the client has closed its connection.
 		_ = json.NewEncoder(w).Encode(r)
 	})
-	return &Server{l, &http.Server{Handler: mux, ReadHeaderTimeout: callTimeout, WriteTimeout: callTimeout, IdleTimeout: callTimeout}}, nil
+	return &Server{l, &http.Server{Handler: mux, ReadHeaderTimeout: CallTimeout, WriteTimeout: CallTimeout, IdleTimeout: CallTimeout}}, nil
 }
 
 // Address returns the address that the server listens on, as host:port.
@@ -85,7 +85,7 @@
 // Fetch fetches the record of the configuration in force at the process that serves it on
 // address, as host:port. It fails if that process has none.
 func Fetch(ctx context.Context, address string) (Record, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+configurationPath, nil)
 	if err != nil {
