Simulate the pooled connections of processes in the tests of late configurations

Cause: a call after the silence may take a pooled connection that is silent as well, which the simulated store of the failing tests of CONFIG did not play; it also answered cancelled calls. Conclusion: a fix has to leave pooled connections too.

--- a/internal/driver/configuration_test.go
+++ b/internal/driver/configuration_test.go
@@ -30,10 +30,40 @@
 
 var errStore = errors.New("the store can't be reached")
 
-// fleetStore is a store whose answers to a process can be held back or refused.
+// fleetStore is the client of a process to a store that can refuse its calls, and all
+// connections to which can go silent.
 type fleetStore struct {
 	*fleet
-	refuses bool // this process
+	refuses bool        // this process
+	idle    []time.Time // when the idle connections were opened; guarded by fleet.mu
+}
+
+// connect returns when the connection of a new call was opened.
+func (f *fleetStore) connect() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.idle) == 0 {
+		return time.Now()
+	}
+	openedAt := f.idle[len(f.idle)-1]
+	f.idle = f.idle[:len(f.idle)-1]
+	return openedAt
+}
+
+// answer waits until the answer to a call on a connection arrives.
+func (f *fleetStore) answer(ctx context.Context, openedAt time.Time) error {
+	f.mu.Lock()
+	if !f.silentAt.After(openedAt) {
+		f.idle = append(f.idle, openedAt)
+		f.mu.Unlock()
+		return nil
+	}
+	f.mu.Unlock()
+	<-ctx.Done()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.idle = nil // a client closes its idle connections after a timeout
+	return ctx.Err()
 }
 
 // fleet simulates the processes that follow the configuration and tell each other its
@@ -162,7 +192,12 @@
 	return watcher.Batch{Records: []watcher.Record{{Key: "configuration", Value: []byte{byte(f.version)}}}, NextOffset: int64(f.version)}, f.changed, nil
 }
 
-func (f *fleetStore) ReadLatest(_ context.Context, topic string) (watcher.Batch, error) {
+func (f *fleetStore) ReadLatest(ctx context.Context, topic string) (watcher.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	if err := f.answer(ctx, f.connect()); err != nil {
+		return watcher.Batch{}, err
+	}
 	batch, _, err := f.latest(topic)
 	return batch, err
 }
@@ -170,25 +205,20 @@
 func (f *fleetStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (watcher.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+clientTimeout)
 	defer cancel()
-	startedAt := time.Now()
+	openedAt := f.connect()
 	batch, changed, err := f.latest(topic)
-	if err != nil || batch.NextOffset > from {
-		return batch, err
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-changed:
-	case <-ctx.Done():
-		return watcher.Batch{}, ctx.Err()
+	if err == nil && batch.NextOffset <= from {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-changed:
+		case <-ctx.Done():
+			return watcher.Batch{}, ctx.Err()
+		}
 	}
-	f.mu.Lock()
-	silent := f.silentAt.After(startedAt)
-	f.mu.Unlock()
-	if silent {
-		<-ctx.Done()
-		return watcher.Batch{}, ctx.Err()
+	if err := f.answer(ctx, openedAt); err != nil {
+		return watcher.Batch{}, err
 	}
 	batch, _, err = f.latest(topic)
 	if err == nil && batch.NextOffset <= from {
