Hold calls for the configuration within its bound, whatever peers announce

Callers got 404 for routes that had been acknowledged more than the bound ago (CONFIG).

Cause: let gateways hold a call for the configuration 5 s while any steward sent messages, in the belief that a missed version would be announced. What keeps a version from one process can keep it from all: connections that go silent together, or calls that all began while the write was under way, as after each change all processes call again at the same moment. A call on a silent connection then ended after 6.5 s, and the next one could take another silent connection from the pool. TestLongPollsAreShortWithoutPeers asked for 5 s with peers and is replaced by TestLongPollsAreShortWhateverPeersAnnounce, which asks for half of the bound with them too. Ruled out: shorter calls of stewards, whose delay concerns loads only; a keep-alive, which the tests could not play.

--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -23,7 +23,6 @@
 const (
 	minDemandPeriod        = 250 * time.Millisecond // between demand reports to stewards; well below the time that a load takes
 	demandPeriodPerSteward = 8 * time.Millisecond   // lengthens the period with the number of stewards, to limit the rate of datagrams
-	peerPollTimeout        = 5 * time.Second        // of the configuration's long polls while stewards announce their versions
 	idleSweepPeriod        = time.Second            // between closings of idle connections to upstreams
 	drainDelay             = 3 * time.Second        // the load balancer checks health once a second and acts on two failures
 	shutdownMargin         = 300 * time.Millisecond // between the end of the drain and the end of the grace period, when the platform kills the process
@@ -32,9 +31,11 @@
 
 // gatewayPollTiming returns a timing that keeps well within the MaxDrainDelay and
 // MaxApplyDelay of GatewayConfig, even if the store misses a record that is written while
-// a long poll begins, and answers only after the poll's timeout.
+// a long poll begins, and answers only after the poll's timeout. Peers don't lengthen it:
+// what keeps a record from one process, such as connections that have gone silent, may
+// keep it from all.
 func gatewayPollTiming(maxDrainDelay, maxApplyDelay time.Duration) pollTiming {
-	return pollTiming{configurationTimeout: maxApplyDelay / 2, peerTimeout: peerPollTimeout, listDelay: maxDrainDelay / 2}
+	return pollTiming{configurationTimeout: maxApplyDelay / 2, listDelay: maxDrainDelay / 2}
 }
 
 // GatewayConfig configures a Gateway. Addresses have the form host:port.
--- a/internal/driver/syncer.go
+++ b/internal/driver/syncer.go
@@ -17,7 +17,6 @@
 const (
 	listPollTimeout = 1500 * time.Millisecond // long-poll timeout of reads of the upstream list
 	outageGrace     = 2300 * time.Millisecond // after an outage of the store; instances whose entries expired in it have registered again by then
-	peerMemory      = time.Second             // without a message for so long, peers don't announce newer configurations
 	peerFetchDelay  = 700 * time.Millisecond  // time for the store to deliver a newer configuration before it is fetched from a peer
 )
 
@@ -52,7 +51,6 @@
 	onList          func()
 
 	currentRecord exchanger.Record // of the configuration in force, zero before the first
-	peerHeardAt   time.Duration    // time of the last message from a peer
 	behindSince   time.Duration    // when a peer first announced a newer version, zero when none has
 	fetching      bool             // a fetch from a peer is under way
 }
@@ -60,7 +58,6 @@
 // pollTiming configures how often the store is polled.
 type pollTiming struct {
 	configurationTimeout time.Duration // long-poll timeout of reads of the configuration; a dead connection is noticed soon after it
-	peerTimeout          time.Duration // the same while peers announce their versions, from which a missed one is learned sooner
 	listWarmup           time.Duration // time from the start in which that pause is short
 	listDelay            time.Duration // pause between reads of the upstream list, which would otherwise return at each of the frequent heartbeats
 }
@@ -82,7 +79,7 @@
 		var w *watcher.Watcher
 		install := func(records []watcher.Record) { s.installConfigurations(records, fromStore, w.Idle()) }
 		w = watcher.New(watcher.Config{
-			Store: s.store, Topic: s.store.ConfigurationTopic(), PollTimeout: s.configurationTimeout, Logger: s.logger,
+			Store: s.store, Topic: s.store.ConfigurationTopic(), PollTimeout: s.timing.configurationTimeout, Logger: s.logger,
 			// The configuration in force stays after a restore: only a higher version replaces it.
 			OnReplace: install, OnChange: install, OnRestored: func() {}, OnReachable: func(bool) {},
 		})
@@ -90,7 +87,7 @@
 	})
 	g.Go(func() {
 		watcher.New(watcher.Config{
-			Store: s.store, Topic: s.store.UpstreamTopic(), PollTimeout: func() time.Duration { return listPollTimeout }, PollDelay: s.timing.listDelay, Warmup: s.timing.listWarmup, Logger: s.logger,
+			Store: s.store, Topic: s.store.UpstreamTopic(), PollTimeout: listPollTimeout, PollDelay: s.timing.listDelay, Warmup: s.timing.listWarmup, Logger: s.logger,
 			OnReplace: func(r []watcher.Record) { s.applyList(r, true) },
 			OnChange:  func(r []watcher.Record) { s.applyList(r, false) },
 			OnRestored: func() {
@@ -108,16 +105,6 @@
 	g.Wait()
 }
 
-// configurationTimeout returns the timeout of the next long poll of the configuration.
-func (s *syncer) configurationTimeout() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.peerHeardAt > 0 && s.now()-s.peerHeardAt < peerMemory {
-		return max(s.timing.configurationTimeout, s.timing.peerTimeout)
-	}
-	return s.timing.configurationTimeout
-}
-
 // configurationSource names the process that a configuration was read from.
 type configurationSource string
 
@@ -180,7 +167,6 @@
 // datagram. If it is newer and the store does not deliver it within peerFetchDelay, the
 // configuration is fetched from that peer. The caller holds mu.
 func (s *syncer) handlePeerVersion(from netip.AddrPort, v registrar.Version) {
-	s.peerHeardAt = s.now()
 	if v <= s.version() || s.fetching {
 		return
 	}
--- a/internal/driver/syncer_test.go
+++ b/internal/driver/syncer_test.go
@@ -23,8 +23,9 @@
 // longPollStore is a store that misses a record written during a long poll: the poll
 // returns at its timeout without the record.
 type longPollStore struct {
-	mu      sync.Mutex
-	version registrar.Version
+	mu          sync.Mutex
+	version     registrar.Version
+	longestPoll time.Duration // of the configuration
 }
 
 func (s *longPollStore) publish(v registrar.Version) {
@@ -50,6 +51,11 @@
 	if batch := s.latest(topic); batch.NextOffset > from {
 		return batch, nil
 	}
+	if topic == s.ConfigurationTopic() {
+		s.mu.Lock()
+		s.longestPoll = max(s.longestPoll, wait)
+		s.mu.Unlock()
+	}
 	time.Sleep(wait)
 	return watcher.Batch{NextOffset: from}, nil
 }
@@ -127,18 +133,23 @@
 	require.NoError(t, <-done)
 }
 
-// Long polls may last longer than a configuration may take to apply only while peers
-// announce their versions.
-func TestLongPollsAreShortWithoutPeers(t *testing.T) {
+// Peers may be as late as this process, so their announcements must not lengthen its polls.
+func TestLongPollsAreShortWhateverPeersAnnounce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSyncer(&longPollStore{}, zerolog.Nop(), gatewayPollTiming(maxApplyDelay, maxApplyDelay))
-		require.Equal(t, maxApplyDelay/2, s.configurationTimeout())
-		time.Sleep(time.Second)
-		s.mu.Lock()
-		s.handlePeerVersion(netip.MustParseAddrPort("10.0.0.2:7380"), 0)
-		s.mu.Unlock()
-		require.Equal(t, peerPollTimeout, s.configurationTimeout())
-		time.Sleep(peerMemory)
-		require.Equal(t, maxApplyDelay/2, s.configurationTimeout())
+		store := &longPollStore{}
+		s := newSyncer(store, zerolog.Nop(), gatewayPollTiming(maxDrainDelay, maxApplyDelay))
+		s.onList, s.onConfiguration = func() {}, func(*registrar.Configuration) {}
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		g.Go(func() { s.run(ctx) })
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			s.mu.Lock()
+			s.handlePeerVersion(netip.MustParseAddrPort("10.0.0.2:7380"), 0)
+			s.mu.Unlock()
+		}
+		cancel()
+		g.Wait()
+		require.Equal(t, maxApplyDelay/2, store.longestPoll)
 	})
 }
--- a/internal/watcher/era_test.go
+++ b/internal/watcher/era_test.go
@@ -16,8 +16,6 @@
 	"github.com/stretchr/testify/require"
 )
 
-func noTimeout() time.Duration { return 0 }
-
 // runScript follows a scripted store until it has no step left, and returns what the
 // watcher reported in order.
 func runScript(t *testing.T, store *scriptedStore, during func()) []string {
@@ -33,7 +31,7 @@
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		go New(Config{
-			Store: store, PollTimeout: noTimeout, OnReplace: recordWith("all "), OnChange: recordWith("new "), Logger: zerolog.Nop(),
+			Store: store, PollTimeout: time.Hour, OnReplace: recordWith("all "), OnChange: recordWith("new "), Logger: zerolog.Nop(),
 			OnRestored:  func() { seen = append(seen, "restored") },
 			OnReachable: func(up bool) { seen = append(seen, "up "+strconv.FormatBool(up)) },
 		}).Run(ctx)
@@ -176,7 +174,7 @@
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		go New(Config{
-			Store: store, PollTimeout: func() time.Duration { return time.Second }, PollDelay: 10 * time.Millisecond, Logger: zerolog.Nop(), OnChange: apply, OnRestored: func() {}, OnReachable: func(bool) {},
+			Store: store, PollTimeout: time.Second, PollDelay: 10 * time.Millisecond, Logger: zerolog.Nop(), OnChange: apply, OnRestored: func() {}, OnReachable: func(bool) {},
 			OnReplace: func(records []Record) {
 				clear(view)
 				apply(records)
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -2,7 +2,7 @@
 //
 // Usage:
 //
-//	w := watcher.New(watcher.Config{Store: store, Topic: topic, PollTimeout: func() time.Duration { return time.Second }, OnReplace: replace, OnChange: apply, ...})
+//	w := watcher.New(watcher.Config{Store: store, Topic: topic, PollTimeout: time.Second, OnReplace: replace, OnChange: apply, ...})
 //	w.Run(ctx)
 //
 // It first reads the latest record of each key and then the records written after that.
@@ -26,6 +26,10 @@
 // within which a change must be applied.
 const retryDelay = 250 * time.Millisecond
 
+// answerGrace is the time from the end of a long poll's timeout to its response, after
+// which the connection is taken for dead.
+const answerGrace = 1200 * time.Millisecond
+
 // warmupDelay is the longest pause between calls while a process starts, when many
 // records of others that start too are still to come.
 const warmupDelay = 500 * time.Millisecond
@@ -60,9 +64,9 @@
 type Config struct {
 	Store       Store
 	Topic       string
-	PollTimeout func() time.Duration // of the next long poll: how long Read waits for a record
-	PollDelay   time.Duration        // pause between calls after the first that succeeds
-	Warmup      time.Duration        // time from the start in which the pause is at most warmupDelay
+	PollTimeout time.Duration // of a long poll: how long Read waits for a record
+	PollDelay   time.Duration // pause between calls after the first that succeeds
+	Warmup      time.Duration // time from the start in which the pause is at most warmupDelay
 	// OnReplace receives the latest record of each key, which replace all earlier records.
 	// OnChange receives later records.
 	OnReplace func([]Record)
@@ -155,7 +159,7 @@
 	if !w.synced {
 		return w.readLatest(ctx)
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, w.cfg.PollTimeout+answerGrace)
 	defer cancel()
 	_, risen := w.cfg.Store.Era()
 	if w.outdated() {
@@ -168,7 +172,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	batch, err := w.cfg.Store.Read(ctx, w.cfg.Topic, w.nextOffset, w.cfg.PollTimeout())
+	batch, err := w.cfg.Store.Read(ctx, w.cfg.Topic, w.nextOffset, w.cfg.PollTimeout)
 	if err != nil {
 		return err
 	}
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -79,7 +79,7 @@
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		go New(Config{
-			Store: store, PollTimeout: noTimeout, OnReplace: recordWith("all "), OnChange: recordWith("new "), OnReachable: func(up bool) { statuses = append(statuses, up) }, Logger: zerolog.Nop(),
+			Store: store, PollTimeout: time.Hour, OnReplace: recordWith("all "), OnChange: recordWith("new "), OnReachable: func(up bool) { statuses = append(statuses, up) }, Logger: zerolog.Nop(),
 		}).Run(ctx)
 		time.Sleep(time.Minute)
 		synctest.Wait()
@@ -113,7 +113,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		const pollDelay = 2500 * time.Millisecond
 		go New(Config{
-			Store: store, PollTimeout: noTimeout, PollDelay: pollDelay, OnReplace: func([]Record) {}, OnChange: func([]Record) {}, OnReachable: func(bool) {}, Logger: zerolog.Nop(),
+			Store: store, PollTimeout: time.Hour, PollDelay: pollDelay, OnReplace: func([]Record) {}, OnChange: func([]Record) {}, OnReachable: func(bool) {}, Logger: zerolog.Nop(),
 		}).Run(ctx)
 		time.Sleep(time.Minute)
 		cancel()
