Fetch a configuration from the next peer while one does not answer

Gateways that the store refused would answer by an older configuration (CONFIG) for over 2 s.

Cause: one fetch at a time, of up to 2 s, which is the whole bound, after 0.7 s of waiting for the store; after a failure 0.7 s more. A steward in between takes the same time again. Change: a fetch begins 0.3 s after the first announcement of a newer version, and from another announcing peer each 0.3 s while no answer has come, three at most; 5 s after a record that could not be decoded. Ruled out: fetching without delay, which every process would do at each change. Conclusion: a peer that hangs costs 0.3 s.

--- a/internal/driver/syncer.go
+++ b/internal/driver/syncer.go
@@ -17,7 +17,9 @@
 const (
 	listPollTimeout = 1500 * time.Millisecond // long-poll timeout of reads of the upstream list
 	outageGrace     = 2300 * time.Millisecond // after an outage of the store; instances whose entries expired in it have registered again by then
-	peerFetchDelay  = 700 * time.Millisecond  // time for the store to deliver a newer configuration before it is fetched from a peer
+	peerFetchDelay  = 300 * time.Millisecond  // time for the store, or a peer, to deliver a newer configuration before it is fetched from the next peer
+	unusableDelay   = 5 * time.Second         // after a peer's configuration that can't be decoded, until the next fetch
+	maxFetches      = 3                       // fetches under way; more than one only while peers don't answer
 )
 
 // Store is the client of the platform's store, which gateways and stewards use. It knows
@@ -50,9 +52,10 @@
 	onConfiguration func(*registrar.Configuration)
 	onList          func()
 
-	currentRecord exchanger.Record // of the configuration in force, zero before the first
-	behindSince   time.Duration    // when a peer first announced a newer version, zero when none has
-	fetching      bool             // a fetch from a peer is under way
+	currentRecord exchanger.Record        // of the configuration in force, zero before the first
+	behindSince   time.Duration           // when a peer first announced a newer version, zero when none has
+	nextFetchAt   time.Duration           // before it, no further fetch from a peer begins
+	fetches       map[netip.AddrPort]bool // peers from which a fetch is under way
 }
 
 // pollTiming configures how often the store is polled.
@@ -65,6 +68,7 @@
 func newSyncer(store Store, logger zerolog.Logger, timing pollTiming) *syncer {
 	return &syncer{
 		registrar: registrar.New(registrar.Config{OutageGrace: outageGrace}), store: store, fetch: exchanger.Fetch, logger: logger, start: time.Now(), timing: timing,
+		fetches: map[netip.AddrPort]bool{},
 	}
 }
 
@@ -165,39 +169,42 @@
 
 // handlePeerVersion handles the configuration version that a peer announced in a
 // datagram. If it is newer and the store does not deliver it within peerFetchDelay, the
-// configuration is fetched from that peer. The caller holds mu.
+// configuration is fetched from that peer, and from the next one that announces it if the
+// fetch takes longer than that. The caller holds mu.
 func (s *syncer) handlePeerVersion(from netip.AddrPort, v registrar.Version) {
-	if v <= s.version() || s.fetching {
+	if v <= s.version() || s.fetches[from] || len(s.fetches) >= maxFetches {
 		return
 	}
+	now := s.now()
 	if s.behindSince == 0 {
-		s.behindSince = s.now()
+		s.behindSince = now
+		s.nextFetchAt = max(s.nextFetchAt, now+peerFetchDelay)
 	}
-	if s.now()-s.behindSince < peerFetchDelay {
+	if now < s.nextFetchAt {
 		return
 	}
-	s.fetching = true
-	go s.fetchFrom(from, v)
+	s.nextFetchAt = now + peerFetchDelay
+	s.fetches[from] = true
+	go s.fetchFrom(from, v, s.behindSince)
 }
 
 // fetchFrom fetches a peer's configuration from the address of its datagrams, where it
-// also serves its configuration, and installs it.
-func (s *syncer) fetchFrom(from netip.AddrPort, v registrar.Version) {
+// also serves its configuration, and installs it. Peers have announced a newer version
+// since behindSince.
+func (s *syncer) fetchFrom(from netip.AddrPort, v registrar.Version, behindSince time.Duration) {
 	r, err := s.fetch(context.Background(), from.String())
 	if err != nil {
 		s.logger.Warn().Str("peer", from.String()).Int64("version", int64(v)).Err(err).Msg("configuration not fetched")
 	} else {
 		s.logger.Info().Str("peer", from.String()).Int64("version", int64(v)).Msg("configuration fetched")
-		s.mu.Lock()
-		behind := s.now() - s.behindSince
-		s.mu.Unlock()
-		s.installConfigurations([]watcher.Record{{Key: r.Key, Value: r.Value}}, fromPeer, behind)
+		s.installConfigurations([]watcher.Record{{Key: r.Key, Value: r.Value}}, fromPeer, s.now()-behindSince)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	// After a failed fetch or an unusable record, peerFetchDelay passes before the next
-	// fetch.
-	s.fetching, s.behindSince = false, 0
+	delete(s.fetches, from)
+	if err == nil && s.version() < v {
+		s.nextFetchAt = s.now() + unusableDelay
+	}
 }
 
 // applyList applies records of the upstream list. If all is true, they replace the list;
--- a/internal/driver/syncer_test.go
+++ b/internal/driver/syncer_test.go
@@ -117,7 +117,7 @@
 	fetching := func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		return s.fetching
+		return len(s.fetches) > 0
 	}
 	s.mu.Lock()
 	s.start, s.behindSince = s.start.Add(-time.Hour), 1
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -22,10 +22,12 @@
 	"time"
 )
 
+// CallTimeout limits a fetch, and how long a Server waits for a client.
+const CallTimeout = 2 * time.Second
+
 const (
 	configurationPath = "/configuration"
-	CallTimeout       = 2 * time.Second // of a fetch, the time within which the platform requires a change to be applied
-	maxRecordBytes    = 4 << 20         // enough for many thousand routes
+	maxRecordBytes    = 4 << 20 // enough for many thousand routes
 )
 
 // Record is the store's record of a configuration, still encoded.
