Read the upstream list in time after its connection went silent

An upstream that began to drain just after all connections had gone silent would get requests for more than a second too long (DRAIN).

Change: a call lasts 0.5 s, since heartbeats mostly end it sooner; a call that timed out while the store was thought to answer is followed by the next at once, on a new connection. Ruled out: not taking such a call for an outage of the store: after a short outage in which entries expired, that would drop all upstreams at once.

--- a/internal/driver/syncer.go
+++ b/internal/driver/syncer.go
@@ -15,7 +15,7 @@
 
 // Timing of the synchronization with the store.
 const (
-	listPollTimeout = 1500 * time.Millisecond // long-poll timeout of reads of the upstream list
+	listPollTimeout = 500 * time.Millisecond  // long-poll timeout of reads of the upstream list, which heartbeats mostly end sooner
 	outageGrace     = 2300 * time.Millisecond // after an outage of the store; instances whose entries expired in it have registered again by then
 	peerFetchDelay  = 300 * time.Millisecond  // time for the store, or a peer, to deliver a newer configuration before it is fetched from the next peer
 	unusableDelay   = 5 * time.Second         // after a peer's configuration that can't be decoded, until the next fetch
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -138,7 +138,12 @@
 			w.cfg.Logger.Info().Str("topic", w.cfg.Topic).Int64("offset", w.nextOffset).Msg("records expired before they were read")
 			w.synced, err, delay = false, nil, 0
 		}
+		wasReachable := w.reachable
 		w.reportStatus(err)
+		if errors.Is(err, context.DeadlineExceeded) && wasReachable {
+			// Only the connection may be dead; the next call opens another.
+			continue
+		}
 		if err != nil && w.synced {
 			delay = max(delay, retryDelay)
 		} else if err != nil {
