Log the shared parts of the prompts of sends that were broken off

Ruled out: the last part, which is the request's own; parts of all requests, which would double the volume of the log. Conclusion: a part that stands in the lines of many crashes can be found with grep.

--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -133,11 +133,12 @@
 	Service      registrar.ServiceName
 	Model        registrar.ModelName
 	Adapter      registrar.AdapterName
-	PromptTokens registrar.Tokens // length of the prompt
-	OutputTokens registrar.Tokens // expected length of the answer
-	Deadline     time.Duration    // when the caller stops waiting, on the clock of Reduce
-	Resumed      bool             // the caller has received events of the stream
-	Resumes      string           // attempt that brought the first of them, empty if it is unknown
+	PromptTokens registrar.Tokens   // length of the prompt
+	OutputTokens registrar.Tokens   // expected length of the answer
+	Deadline     time.Duration      // when the caller stops waiting, on the clock of Reduce
+	Resumed      bool               // the caller has received events of the stream
+	Resumes      string             // attempt that brought the first of them, empty if it is unknown
+	SharedParts  []registrar.PartID // of the prompt, without its last part
 }
 
 // Report is the state of a model runner. Its steward sends it to the gateways and
@@ -257,8 +258,9 @@
 	Elapsed    time.Duration // from its arrival to now
 	Pause      time.Duration // how long the upstream wants no requests, zero if it does not say
 	Release    registrar.Release
-	Resumes    string  // attempt that began the stream that the request resumes, empty without one
-	Limit      float64 // requests per second that the upstream takes from all gateways together, zero if it does not say
+	Resumes    string             // attempt that began the stream that the request resumes, empty without one
+	Limit      float64            // requests per second that the upstream takes from all gateways together, zero if it does not say
+	Parts      []registrar.PartID // shared parts of the prompt, only of sends that were broken off
 }
 
 func (Send) effect()           {}
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -19,6 +19,9 @@
 	if ev.Outcome != Completed && ev.Outcome != CallerClosed {
 		entry := d.logEvent("send failed", r, u)
 		entry.Cause = string(ev.Outcome) + ": " + ev.Cause
+		if ev.Outcome == Unknown || ev.Outcome == Interrupted {
+			entry.Parts = r.SharedParts
+		}
 		d.emit(entry)
 	}
 	switch ev.Outcome {
--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -89,6 +89,9 @@
 	if entry.Cause != "" {
 		ev = ev.Str("cause", entry.Cause)
 	}
+	if len(entry.Parts) > 0 {
+		ev = ev.Strs("parts", names(entry.Parts))
+	}
 	if entry.Pause > 0 {
 		ev = ev.Int64("pause", entry.Pause.Milliseconds())
 	}
@@ -108,6 +111,15 @@
 	ev.Int("try", int(entry.Try)).Int("waiting", entry.Waiting).Int64("version", g.version()).Msg(entry.Event)
 }
 
+// names returns parts as strings.
+func names(parts []registrar.PartID) []string {
+	all := make([]string, 0, len(parts))
+	for _, p := range parts {
+		all = append(all, string(p))
+	}
+	return all
+}
+
 // version returns the version of the configuration in force, zero before the first.
 func (g *Gateway) version() int64 {
 	if c := g.configuration.Load(); c != nil {
--- a/internal/registrar/configuration.go
+++ b/internal/registrar/configuration.go
@@ -34,6 +34,9 @@
 	ModelName string
 	// AdapterName identifies an adapter among those of its model.
 	AdapterName string
+	// PartID identifies a part of a prompt that several requests share, such as an
+	// instruction or a document.
+	PartID string
 	// DomainName identifies a failure domain.
 	DomainName string
 	// Tokens is a number of tokens, of a text or of KV cache.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -29,10 +29,11 @@
 	Timeout      time.Duration // how long the caller waits for the response, zero if unknown
 	Model        registrar.ModelName
 	Adapter      registrar.AdapterName
-	PromptTokens registrar.Tokens // length of the prompt
-	OutputTokens registrar.Tokens // expected length of the response
-	LastEventID  int64            // id of the last event that the caller has received, negative without one
-	Resumes      string           // attempt that brought the first event of the stream that the request resumes, empty without one
+	PromptTokens registrar.Tokens   // length of the prompt
+	OutputTokens registrar.Tokens   // expected length of the response
+	LastEventID  int64              // id of the last event that the caller has received, negative without one
+	SharedParts  []registrar.PartID // of the prompt in their order, without its last part, which belongs to this request or its session
+	Resumes      string             // attempt that brought the first event of the stream that the request resumes, empty without one
 }
 
 // ResponseInfo is the content of the headers of an upstream's response.
