Isolate the parts of prompts that crash upstreams

Cause: nothing looked at the parts of a prompt, and no process could have told which part it was: each gateway sees a part of the crashes, and each crash ends many sound requests as well. Change: gateways report to stewards which parts the requests had that an upstream was about to answer when it ended, once the end is confirmed by the list, its steward or a refused connection. Stewards suspect the parts that three crashes have in common, ask all gateways whether they have seen one answered, and isolate the part that most unexplained crashes share. The verdict goes to all gateways and stewards and to the store, which each process reads when it starts. Requests with the part are refused as not run, also those that wait or are being sent; sends that have not begun to be answered are cancelled. Ruled out: deciding at one gateway, which knows too few crashes; isolating without asking, since most parts in common are sound and are being answered at other upstreams; refusing requests that were at a crashed upstream, most of which are sound.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -35,10 +35,11 @@
 	if err != nil {
 		return driver.GatewayConfig{}, err
 	}
+	store := platform.NewStore(platform.StoreConfig{Address: s.StoreAddress})
 	return driver.GatewayConfig{
 		Name: s.Name, Domain: registrar.DomainName(s.Domain), CallerAddress: s.CallerAddress, HealthAddress: s.HealthAddress, PeerAddress: s.PeerAddress, AdminAddress: s.AdminAddress,
 		GracePeriod: s.GracePeriod.Duration(), RetryBudget: dispatcher.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow.Duration()},
 		MaxDrainDelay: s.MaxDrainDelay.Duration(), MaxApplyDelay: s.MaxApplyDelay.Duration(), MemoryMB: s.MemoryMB,
-		Store: platform.NewStore(platform.StoreConfig{Address: s.StoreAddress}), HeaderCodec: platform.HeaderCodec{}, ReadinessPath: platform.ReadinessPath,
+		Store: store, Verdicts: store, HeaderCodec: platform.HeaderCodec{}, ReadinessPath: platform.ReadinessPath,
 	}, nil
 }
--- a/internal/command/steward.go
+++ b/internal/command/steward.go
@@ -38,6 +38,6 @@
 	return driver.StewardConfig{
 		Name: s.Name, Service: registrar.ServiceName(s.Service), RunnerAddress: s.RunnerAddress, PeerAddress: s.PeerAddress, AdminAddress: s.AdminAddress, LoadWindow: s.LoadWindow.Duration(),
 		MemoryMB: s.MemoryMB,
-		Store:    store, Fencer: store, Origins: store, Runner: platform.NewRunner(s.RunnerAddress),
+		Store:    store, Fencer: store, Origins: store, Verdicts: store, Runner: platform.NewRunner(s.RunnerAddress),
 	}, nil
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
 	"github.com/egretwall/egretwall/internal/tracker"
@@ -39,6 +40,9 @@
 	limits             *limiter.Table
 	streams            *tracker.Tracker
 	releases           map[registrar.ServiceName]*tracker.Releases
+	verdicts           *isolator.Verdicts
+	breakages          map[registrar.UpstreamID]*breakage
+	answeredAt         map[registrar.PartID]time.Duration // of parts that were answered lately
 	gatewayCount       int
 	refuseAt           time.Duration // of Stopping, zero before it
 
@@ -52,6 +56,7 @@
 	SentLimited  int `json:"limited"`  // of these, to upstreams that named a limit
 	Completed    int `json:"whole"`    // requests with a complete answer
 	Refused      int `json:"refused"`  // requests that no upstream ran, answered with an error
+	Isolated     int `json:"isolated"` // of these, with a part of the prompt that crashes upstreams
 	Lost         int `json:"lost"`     // requests that an upstream may have run, answered with an error
 	Retried      int `json:"repeated"` // retries after an upstream had received the request
 	Resumed      int `json:"resumed"`  // of these, after a part of a stream had reached the caller
@@ -73,6 +78,7 @@
 	sendsAtEnqueue int
 	retryPaid      bool                 // the retry budget has been charged for the next send
 	answerBegan    bool                 // a part of an answer has reached the caller
+	beganAt        time.Duration        // when that was
 	failureKept    bool                 // the relayer keeps an upstream's 5xx answer for RelayFailure
 	mayHaveRun     bool                 // an earlier send may have run
 	avoidUpstream  registrar.UpstreamID // of the last send that failed, was refused or stalled
@@ -98,6 +104,9 @@
 		limits:             limiter.NewTable(),
 		streams:            tracker.New(),
 		releases:           map[registrar.ServiceName]*tracker.Releases{},
+		verdicts:           isolator.NewVerdicts(),
+		breakages:          map[registrar.UpstreamID]*breakage{},
+		answeredAt:         map[registrar.PartID]time.Duration{},
 		gatewayCount:       defaultGatewayCount,
 	}
 }
@@ -144,6 +153,8 @@
 		d.handleStreamFound(ev.Origin)
 	case StreamUnknown:
 		d.handleStreamUnknown(ev.Absence)
+	case VerdictsReported:
+		d.handleVerdicts(ev.Verdicts)
 	}
 	return d.effects
 }
@@ -185,6 +196,10 @@
 	r := &request{Request: req, arrivedAt: d.now}
 	r.stats = d.statsOf(r)
 	d.requests[r.ID] = r
+	if d.isolates(r) {
+		d.refuseIsolated(r)
+		return
+	}
 	d.recordDemand(r)
 	if d.waitingCount >= maxWaiting {
 		d.refuse(r, classifier.Busy, d.retryDelay(r))
@@ -253,6 +268,7 @@
 	}
 	if !r.answerBegan {
 		d.recordOrigin(r)
+		r.beganAt = d.now
 	}
 	r.answerBegan = true
 	d.recordStart(r)
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
 	"github.com/egretwall/egretwall/internal/tracker"
@@ -107,6 +108,10 @@
 // StreamUnknown says that a steward does not know a stream, in answer to FindStream.
 type StreamUnknown struct{ Absence tracker.Absence }
 
+// VerdictsReported carries verdicts on parts of prompts that crash upstreams, as a steward or
+// the platform's store knows them.
+type VerdictsReported struct{ Verdicts []isolator.Verdict }
+
 // Outcome is how a send to an upstream ended.
 type Outcome string
 
@@ -179,6 +184,7 @@
 func (PermitsIssued) event()      {}
 func (StreamFound) event()        {}
 func (StreamUnknown) event()      {}
+func (VerdictsReported) event()   {}
 
 // Effect is an output of the dispatcher, which the driver carries out.
 type Effect interface{ effect() }
@@ -243,6 +249,12 @@
 	Stream    tracker.StreamID
 }
 
+// ReportCrash tells stewards what this gateway saw of the crash of an upstream.
+type ReportCrash struct {
+	Addresses []string // of the stewards' runners
+	Crash     isolator.Crash
+}
+
 // Log writes a line to the log.
 type Log struct {
 	Event      string
@@ -260,7 +272,7 @@
 	Release    registrar.Release
 	Resumes    string             // attempt that began the stream that the request resumes, empty without one
 	Limit      float64            // requests per second that the upstream takes from all gateways together, zero if it does not say
-	Parts      []registrar.PartID // shared parts of the prompt, only of sends that were broken off
+	Parts      []registrar.PartID // shared parts of the prompt of a send that was broken off, or the part that is isolated
 }
 
 func (Send) effect()           {}
@@ -272,4 +284,5 @@
 func (RequestPermits) effect() {}
 func (RecordStream) effect()   {}
 func (FindStream) effect()     {}
+func (ReportCrash) effect()    {}
 func (Log) effect()            {}
--- a/internal/dispatcher/notice.go
+++ b/internal/dispatcher/notice.go
@@ -89,5 +89,8 @@
 	if r == nil || r.try != try || r.upstream == nil || !r.upstream.accepting() || now < r.upstream.pausedUntil {
 		return false
 	}
+	if d.isolates(r) {
+		return false
+	}
 	return r.permitted || d.limitOf(r.upstream) == 0
 }
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -64,14 +64,20 @@
 // request's stream: the first n in rendezvous order for the stream among a pool, the first
 // in rendezvous order for all streams among the service's runners whose stewards report.
 func (d *Dispatcher) recordersOf(r *request, n int) []string {
+	addresses := d.reportingAddresses(r.Service)
+	pool := firstInRendezvousOrder("recorders", addresses, max(minRecorderPool, len(addresses)/stewardsPerPool))
+	return firstInRendezvousOrder(string(r.stream()), pool, n)
+}
+
+// reportingAddresses returns the addresses of a service's runners whose stewards report.
+func (d *Dispatcher) reportingAddresses(service registrar.ServiceName) []string {
 	var addresses []string
-	for _, u := range d.upstreamsByService[r.Service] {
+	for _, u := range d.upstreamsByService[service] {
 		if u.reported && d.now-u.reportedAt < reportTimeout {
 			addresses = append(addresses, u.info.Address)
 		}
 	}
-	pool := firstInRendezvousOrder("recorders", addresses, max(minRecorderPool, len(addresses)/stewardsPerPool))
-	return firstInRendezvousOrder(string(r.stream()), pool, n)
+	return addresses
 }
 
 // firstInRendezvousOrder returns the n addresses with the highest scores for a key.
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -16,6 +16,7 @@
 	u := r.upstream
 	r.lastCause = ev.Cause
 	d.endSend(r)
+	d.recordAnswered(r, ev.Outcome == Completed)
 	if ev.Outcome != Completed && ev.Outcome != CallerClosed {
 		entry := d.logEvent("send failed", r, u)
 		entry.Cause = string(ev.Outcome) + ": " + ev.Cause
@@ -60,11 +61,13 @@
 		r.runs++
 		d.retryAfterRun(r, u, classifier.Lost)
 	case Unknown:
+		d.recordBreakage(r, u)
 		u.recordFailure(d.now)
 		r.mayHaveRun = true
 		r.runs++
 		d.retryAfterRun(r, u, classifier.Lost)
 	case Interrupted:
+		d.recordBreakage(r, u)
 		u.recordFailure(d.now)
 		r.mayHaveRun = true
 		r.runs++
@@ -76,6 +79,10 @@
 // another upstream. It refuses the request with kind if it was refused too often,
 // its deadline is near or the retry budget is spent.
 func (d *Dispatcher) retryRefused(r *request, u *upstream, kind classifier.Kind) {
+	if d.isolates(r) {
+		d.refuseIsolated(r)
+		return
+	}
 	r.avoidUpstream = u.info.ID
 	r.refusals++
 	b := d.retryBucket(r.Service)
@@ -95,6 +102,10 @@
 // retryUnsent queues a request that did not reach its upstream for another one. The
 // retry budget does not apply since no upstream has received the request.
 func (d *Dispatcher) retryUnsent(r *request, u *upstream) {
+	if d.isolates(r) {
+		d.refuseIsolated(r)
+		return
+	}
 	r.avoidUpstream = u.info.ID
 	r.unsent++
 	if r.unsent >= maxUnsent || d.now >= r.Deadline-answerMargin {
@@ -116,7 +127,7 @@
 	b := d.retryBucket(r.Service)
 	b.refill(d.now, d.cfg.RetryBudget, d.gatewayCount, 0)
 	timeLeft := r.Deadline - d.now
-	if !r.Route.Repeatable() || r.runs >= max(1, r.Route.AttemptLimit) || timeLeft < minRunTime(r) || !r.retryPaid && !b.take() {
+	if !r.Route.Repeatable() || r.runs >= max(1, r.Route.AttemptLimit) || timeLeft < minRunTime(r) || d.isolates(r) || !r.retryPaid && !b.take() {
 		d.failAfterRun(r, kind)
 		return
 	}
@@ -177,6 +188,7 @@
 // handleTick answers requests whose time is over, refuses waiting requests that
 // can't be served and sends those that upstreams can take.
 func (d *Dispatcher) handleTick() {
+	d.reportCrashes()
 	d.recordQueueLengths()
 	d.sortQueues()
 	for _, r := range d.requestsByID() {
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -51,6 +51,7 @@
 	MemoryMB      float64              // MiB that the process may use
 	RetryBudget   dispatcher.RetryBudget
 	Store         Store
+	Verdicts      VerdictStore
 	HeaderCodec   relayer.HeaderCodec
 	ReadinessPath string // URL path of health checks
 	AdminAddress  string // of the admin server
@@ -67,6 +68,7 @@
 	mailboxes        map[dispatcher.RequestID]*relayer.Mailbox
 	lastID           dispatcher.RequestID
 	listReceived     bool            // the upstream list has been received once
+	verdictsRead     bool            // the verdicts in the store have been read
 	liveAddresses    map[string]bool // of the live upstreams of configured services
 	stewardAddresses []netip.AddrPort
 
@@ -163,6 +165,7 @@
 	go func() { errc <- g.exchanger.Run(ctx) }()
 	go g.syncer.run(ctx)
 	go g.messenger.Run(ctx)
+	go g.loadVerdicts(ctx)
 	go g.runTicks(ctx)
 	select {
 	case err := <-errc:
@@ -194,14 +197,15 @@
 }
 
 // serveHealth answers requests for ReadinessPath: 200 if the gateway has a configuration
-// and the upstream list and is not draining, otherwise 503.
+// and the upstream list, has tried to read the verdicts and is not draining, otherwise 503.
 func (g *Gateway) serveHealth(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != g.cfg.ReadinessPath {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
 	g.syncer.mu.Lock()
-	ready := g.listReceived && g.configuration.Load() != nil && !g.relayer.Draining()
+	verdictsDue := g.verdictsRead || g.syncer.now() >= verdictsGrace
+	ready := verdictsDue && g.listReceived && g.configuration.Load() != nil && !g.relayer.Draining()
 	g.syncer.mu.Unlock()
 	if !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -276,6 +280,12 @@
 	if m.Report != nil {
 		g.Reduce(dispatcher.Reported{Report: *m.Report})
 	}
+	if len(m.Verdicts) > 0 {
+		g.Reduce(dispatcher.VerdictsReported{Verdicts: m.Verdicts})
+	}
+	if len(m.Suspects) > 0 {
+		g.answerSuspects(from, m.Suspects)
+	}
 	if m.Origin != nil {
 		g.Reduce(dispatcher.StreamFound{Origin: *m.Origin})
 	}
@@ -410,6 +420,8 @@
 			g.send(g.stewardsAt(ef.Addresses), messenger.Message{Origin: &ef.Origin, Version: g.syncer.version()})
 		case dispatcher.FindStream:
 			g.send(g.stewardsAt(ef.Addresses), messenger.Message{Stream: ef.Stream, Version: g.syncer.version()})
+		case dispatcher.ReportCrash:
+			g.send(g.stewardsAt(ef.Addresses), messenger.Message{Crash: &ef.Crash, Version: g.syncer.version()})
 		case dispatcher.Log:
 			g.logRequest(ef)
 		}
--- /dev/null
+++ b/internal/driver/isolation.go
@@ -0,0 +1,198 @@
+package driver
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/egretwall/egretwall/internal/dispatcher"
+	"github.com/egretwall/egretwall/internal/isolator"
+	"github.com/egretwall/egretwall/internal/messenger"
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+// Timing of verdicts on parts of prompts.
+const (
+	suspectPeriod      = 100 * time.Millisecond // between questions to gateways about suspects
+	verdictsPeriod     = time.Second            // between messages with unchanged verdicts
+	verdictRetryPeriod = 500 * time.Millisecond // after a call to the store that failed
+	verdictsGrace      = 2 * time.Second        // from the start until a gateway is ready though it could not read them
+)
+
+// VerdictStore keeps verdicts in the platform's store, so that they outlive all processes.
+type VerdictStore interface {
+	// AppendVerdict writes a verdict that was reached now.
+	AppendVerdict(ctx context.Context, part registrar.PartID) error
+	// ReadVerdicts returns all verdicts with their ages.
+	ReadVerdicts(ctx context.Context) ([]isolator.Verdict, error)
+}
+
+// readVerdicts reads the verdicts in the store, and tries until that succeeds or ctx ends.
+func readVerdicts(ctx context.Context, store VerdictStore, logger zerolog.Logger) []isolator.Verdict {
+	for ctx.Err() == nil {
+		verdicts, err := store.ReadVerdicts(ctx)
+		if err == nil {
+			return verdicts
+		}
+		logger.Warn().Err(err).Msg("verdicts on prompt parts not read")
+		pause(ctx, verdictRetryPeriod)
+	}
+	return nil
+}
+
+// verdictKeeper is a steward's part in finding the parts of prompts that crash upstreams.
+// Its fields but store and wake are guarded by the steward's syncer.mu.
+type verdictKeeper struct {
+	store    VerdictStore
+	verdicts *isolator.Verdicts
+	analyst  *isolator.Analyst
+	changed  bool               // verdicts, since they were last sent
+	sentAt   time.Duration      // when they were
+	unsaved  []registrar.PartID // own verdicts that are not in the store yet
+	wake     chan struct{}      // tells that there is something to judge
+}
+
+func newVerdictKeeper(store VerdictStore) *verdictKeeper {
+	verdicts := isolator.NewVerdicts()
+	return &verdictKeeper{store: store, verdicts: verdicts, analyst: isolator.NewAnalyst(verdicts), wake: make(chan struct{}, 1)}
+}
+
+// toSend returns the verdicts to send with a report, which are none unless they have
+// changed or verdictsPeriod has passed.
+func (k *verdictKeeper) toSend(now time.Duration) []isolator.Verdict {
+	if !k.changed && now < k.sentAt+verdictsPeriod {
+		return nil
+	}
+	k.changed, k.sentAt = false, now
+	return k.verdicts.All(now)
+}
+
+// learnVerdicts records verdicts and logs new ones. The caller holds syncer.mu.
+func (s *Steward) learnVerdicts(verdicts []isolator.Verdict, source string) {
+	for _, p := range s.verdicts.verdicts.Learn(s.syncer.now(), verdicts) {
+		s.verdicts.changed = true
+		s.cfg.Log.Logger.Info().Str("part", string(p)).Str("source", source).Msg("prompt part isolated")
+	}
+}
+
+// recordCrash records what a gateway saw of a crash. The caller holds syncer.mu.
+func (s *Steward) recordCrash(c isolator.Crash) {
+	s.verdicts.analyst.Record(s.syncer.now(), c)
+	select {
+	case s.verdicts.wake <- struct{}{}:
+	default:
+	}
+}
+
+// judge reads the verdicts in the store, and then asks gateways about suspects and reaches
+// verdicts whenever crashes are reported, until ctx ends.
+func (s *Steward) judge(ctx context.Context) {
+	stored := readVerdicts(ctx, s.verdicts.store, s.cfg.Log.Logger)
+	s.syncer.mu.Lock()
+	s.learnVerdicts(stored, "store")
+	s.syncer.mu.Unlock()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.verdicts.wake:
+		}
+		for s.judgeOnce() {
+			pause(ctx, suspectPeriod)
+			if ctx.Err() != nil {
+				return
+			}
+		}
+		s.saveVerdicts(ctx)
+	}
+}
+
+// judgeOnce asks gateways about suspects, spreads the verdicts that are due, and reports
+// whether suspects are left.
+func (s *Steward) judgeOnce() bool {
+	s.syncer.mu.Lock()
+	defer s.syncer.mu.Unlock()
+	now := s.syncer.now()
+	suspects := s.verdicts.analyst.Suspects(now)
+	decided := s.verdicts.analyst.Decide(now)
+	for _, v := range decided {
+		s.verdicts.unsaved = append(s.verdicts.unsaved, v.Part)
+		s.cfg.Log.Logger.Warn().Str("part", string(v.Part)).Str("source", "crashes").Msg("prompt part isolated")
+	}
+	if len(suspects) > 0 || len(decided) > 0 {
+		s.tellGateways(messenger.Message{Suspects: suspects, Verdicts: s.verdicts.verdicts.All(now)}, len(decided) > 0)
+	}
+	return s.verdicts.analyst.Busy()
+}
+
+// tellGateways sends a message to the gateways seen within gatewayTTL, and to the other
+// stewards if peers is true. The caller holds syncer.mu.
+func (s *Steward) tellGateways(m messenger.Message, peers bool) {
+	m.Sender, m.Version = s.cfg.Name, s.syncer.version()
+	data, err := messenger.Encode(m)
+	if err != nil {
+		s.cfg.Log.Logger.Error().Err(err).Msg("cannot encode verdicts")
+		return
+	}
+	for gateway, seenAt := range s.gatewaySeenAt {
+		if s.syncer.now()-seenAt <= gatewayTTL {
+			s.messenger.Send(gateway, data)
+		}
+	}
+	if !peers {
+		return
+	}
+	for _, p := range s.peerStewards {
+		s.messenger.Send(p, data)
+	}
+}
+
+// saveVerdicts writes the verdicts of this steward to the store, and tries until that
+// succeeds or ctx ends.
+func (s *Steward) saveVerdicts(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.syncer.mu.Lock()
+		unsaved := s.verdicts.unsaved
+		s.syncer.mu.Unlock()
+		if len(unsaved) == 0 {
+			return
+		}
+		if err := s.verdicts.store.AppendVerdict(ctx, unsaved[0]); err != nil {
+			s.cfg.Log.Logger.Warn().Str("part", string(unsaved[0])).Err(err).Msg("verdict on a prompt part not written")
+			pause(ctx, verdictRetryPeriod)
+			continue
+		}
+		s.syncer.mu.Lock()
+		s.verdicts.unsaved = s.verdicts.unsaved[1:]
+		s.syncer.mu.Unlock()
+	}
+}
+
+// loadVerdicts reads the verdicts in the store, after which the gateway may be ready.
+func (g *Gateway) loadVerdicts(ctx context.Context) {
+	verdicts := readVerdicts(ctx, g.cfg.Verdicts, g.cfg.Log.Logger)
+	g.syncer.mu.Lock()
+	defer g.syncer.mu.Unlock()
+	g.verdictsRead = true
+	g.learnVerdicts(verdicts)
+}
+
+// learnVerdicts passes verdicts to the dispatcher. The caller holds syncer.mu.
+func (g *Gateway) learnVerdicts(verdicts []isolator.Verdict) {
+	if len(verdicts) > 0 {
+		g.apply(dispatcher.VerdictsReported{Verdicts: verdicts})
+	}
+}
+
+// answerSuspects tells a steward which of the parts that it suspects have been answered.
+func (g *Gateway) answerSuspects(to netip.AddrPort, suspects []registrar.PartID) {
+	g.syncer.mu.Lock()
+	answered := g.dispatcher.Answered(g.syncer.now(), suspects)
+	version := g.syncer.version()
+	g.syncer.mu.Unlock()
+	if len(answered) > 0 {
+		g.send([]netip.AddrPort{to}, messenger.Message{Answered: answered, Version: version})
+	}
+}
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -45,6 +45,7 @@
 	Store         Store
 	Fencer        Fencer
 	Origins       OriginStore
+	Verdicts      VerdictStore
 	Runner        reconciler.Runner
 	AdminAddress  string // of the admin server
 	Log           *observer.BoundedLogger
@@ -59,7 +60,7 @@
 
 // Steward is the process beside a model runner that orders it to load and unload models,
 // as its reconciler decides, and reports the runner's state to gateways and other
-// stewards. The fields from reconciler to origins are guarded by syncer.mu.
+// stewards. The fields from reconciler to verdicts are guarded by syncer.mu.
 type Steward struct {
 	cfg           StewardConfig
 	syncer        *syncer
@@ -75,6 +76,7 @@
 	limitsSentAt  time.Duration   // when limits were last sent to gateways and peers
 	limitsChanged bool            // since then
 	origins       *originKeeper
+	verdicts      *verdictKeeper
 	orders        chan reconciler.Order
 	pollNow       chan struct{} // makes pollRunner poll without delay
 	stopRequested chan struct{}
@@ -93,6 +95,7 @@
 	setMemoryLimit(cfg.MemoryMB)
 	s.issuer = limiter.NewIssuer(s.limits)
 	s.origins = newOriginKeeper(cfg.Origins, cfg.Log.Logger)
+	s.verdicts = newVerdictKeeper(cfg.Verdicts)
 	s.reconciler = reconciler.New(reconciler.Config{Address: cfg.RunnerAddress, Holder: cfg.Name, Window: cfg.LoadWindow})
 	s.syncer.onConfiguration = func(c *registrar.Configuration) { s.apply(reconciler.ConfigurationChanged{Configuration: c}) }
 	s.syncer.onList = s.refreshRunners
@@ -142,7 +145,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var g sync.WaitGroup
-	for _, run := range []func(context.Context){s.syncer.run, s.messenger.Run, s.acquireFence, s.pollRunner, s.sendOrders, s.keepOrigins} {
+	for _, run := range []func(context.Context){s.syncer.run, s.messenger.Run, s.acquireFence, s.pollRunner, s.sendOrders, s.keepOrigins, s.judge} {
 		g.Go(func() { run(ctx) })
 	}
 	errc := make(chan error, 2)
@@ -294,10 +297,17 @@
 	defer s.syncer.mu.Unlock()
 	s.syncer.handlePeerVersion(from, m.Version)
 	s.learnLimits(m.Limits)
+	s.learnVerdicts(m.Verdicts, m.Sender)
 	if m.Report != nil {
 		s.apply(reconciler.PeerReported{Report: *m.Report})
-		return
 	}
+	if m.Report != nil || len(m.Verdicts) > 0 {
+		return // of another steward
+	}
+	if m.Crash != nil {
+		s.recordCrash(*m.Crash)
+	}
+	s.verdicts.analyst.Clear(s.syncer.now(), m.Answered)
 	if m.PermitRequest != nil {
 		s.issuePermits(from, *m.PermitRequest)
 	}
@@ -345,7 +355,7 @@
 // broadcastReport sends a report to the gateways seen within gatewayTTL and, unless it is
 // partial, to the other stewards. The caller holds syncer.mu.
 func (s *Steward) broadcastReport(r reconciler.BroadcastReport) {
-	data, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, Report: &r.Report, Version: s.syncer.version(), Limits: s.limitsToSend()})
+	data, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, Report: &r.Report, Version: s.syncer.version(), Limits: s.limitsToSend(), Verdicts: s.verdicts.toSend(s.syncer.now())})
 	if err != nil {
 		s.cfg.Log.Logger.Error().Err(err).Msg("cannot encode report")
 		return
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -25,6 +25,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/egretwall/egretwall/internal/dispatcher"
+	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
 	"github.com/egretwall/egretwall/internal/tracker"
@@ -38,19 +39,24 @@
 )
 
 // Message is the content of a datagram. Exactly one of Demands, RequestedAdapter, Report,
-// PermitRequest, Permits, Origin, Stream and Absence is set.
+// PermitRequest, Permits, Origin, Stream, Absence, Crash, Answered and Suspects is set;
+// Verdicts may come alone too.
 type Message struct {
-	Sender           string               `json:"name" cbor:"1,keyasint"`                         // name of the sending process
-	Demands          *PackedDemands       `json:"demands,omitempty" cbor:"2,keyasint,omitempty"`  // from a gateway, periodically
-	RequestedAdapter *registrar.AdapterID `json:"wanted,omitempty" cbor:"3,keyasint,omitempty"`   // from a gateway; adapter that a request waits for
-	Report           *dispatcher.Report   `json:"report,omitempty" cbor:"4,keyasint,omitempty"`   // from a steward
-	Version          registrar.Version    `json:"version,omitempty" cbor:"5,keyasint,omitempty"`  // of the sender's configuration in force
-	PermitRequest    *limiter.Request     `json:"ask,omitempty" cbor:"6,keyasint,omitempty"`      // from a gateway
-	Permits          *limiter.Permits     `json:"permits,omitempty" cbor:"7,keyasint,omitempty"`  // from a steward, the answer to PermitRequest
-	Limits           []limiter.Limit      `json:"limits,omitempty" cbor:"8,keyasint,omitempty"`   // from a steward, with some reports
-	Origin           *tracker.Origin      `json:"origin,omitempty" cbor:"9,keyasint,omitempty"`   // from a gateway, and from a steward that knows Stream
-	Stream           tracker.StreamID     `json:"stream,omitempty" cbor:"10,keyasint,omitempty"`  // from a gateway that asks for its origin
-	Absence          *tracker.Absence     `json:"absence,omitempty" cbor:"11,keyasint,omitempty"` // from a steward that does not know Stream
+	Sender           string               `json:"name" cbor:"1,keyasint"`                          // name of the sending process
+	Demands          *PackedDemands       `json:"demands,omitempty" cbor:"2,keyasint,omitempty"`   // from a gateway, periodically
+	RequestedAdapter *registrar.AdapterID `json:"wanted,omitempty" cbor:"3,keyasint,omitempty"`    // from a gateway; adapter that a request waits for
+	Report           *dispatcher.Report   `json:"report,omitempty" cbor:"4,keyasint,omitempty"`    // from a steward
+	Version          registrar.Version    `json:"version,omitempty" cbor:"5,keyasint,omitempty"`   // of the sender's configuration in force
+	PermitRequest    *limiter.Request     `json:"ask,omitempty" cbor:"6,keyasint,omitempty"`       // from a gateway
+	Permits          *limiter.Permits     `json:"permits,omitempty" cbor:"7,keyasint,omitempty"`   // from a steward, the answer to PermitRequest
+	Limits           []limiter.Limit      `json:"limits,omitempty" cbor:"8,keyasint,omitempty"`    // from a steward, with some reports
+	Origin           *tracker.Origin      `json:"origin,omitempty" cbor:"9,keyasint,omitempty"`    // from a gateway, and from a steward that knows Stream
+	Stream           tracker.StreamID     `json:"stream,omitempty" cbor:"10,keyasint,omitempty"`   // from a gateway that asks for its origin
+	Absence          *tracker.Absence     `json:"absence,omitempty" cbor:"11,keyasint,omitempty"`  // from a steward that does not know Stream
+	Crash            *isolator.Crash      `json:"crash,omitempty" cbor:"12,keyasint,omitempty"`    // from a gateway
+	Suspects         []registrar.PartID   `json:"suspects,omitempty" cbor:"13,keyasint,omitempty"` // from a steward that asks whether they have been answered
+	Answered         []registrar.PartID   `json:"answered,omitempty" cbor:"14,keyasint,omitempty"` // from a gateway, of Suspects
+	Verdicts         []isolator.Verdict   `json:"verdicts,omitempty" cbor:"15,keyasint,omitempty"` // from a steward, with some reports and with Suspects
 }
 
 // Config configures a Messenger. Run calls Handle for each message that it receives.
