Bound what an upstream may send without end

A caller could get the first 16 MiB of an endless body as a complete answer, and headers without end filled the memory of a gateway until the deadline of the send.

Cause: the limit of a body ended it without an error; headers had no limit; a body that is skipped ended at the limit, after which its bytes could be read as another answer; many large bodies had no common limit. Change: a body beyond 16 MiB, headers beyond 64 KiB, a skipped body beyond 1 MiB and more than 32 MiB of bodies at a time end the send and its connection. Ruled out: a limit per upstream, which several faulty ones exceed together. Streams were bounded already, an event by 1 MiB. Conclusion: in a head as in a body, bytes without end are no answer.

--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -46,6 +46,8 @@
 	draining     atomic.Bool
 	openRequests atomic.Int64 // requests without a complete response
 
+	responseMemory memoryBudget
+
 	mu          sync.Mutex
 	conns       map[*callerConn]struct{}
 	closingIdle bool // connections are closed as soon as they are idle
--- a/internal/relayer/pool.go
+++ b/internal/relayer/pool.go
@@ -36,6 +36,7 @@
 type upstreamConn struct {
 	net.Conn
 	address   string
+	source    *headerLimiter // of reader
 	reader    *bufio.Reader
 	expires   time.Time     // from when the idle connection must not be used any more
 	keepAlive time.Duration // how long the connection may be idle
@@ -71,7 +72,8 @@
 		return nil, err
 	}
 	p.OnConnect()
-	return &upstreamConn{Conn: conn, address: address, reader: bufio.NewReaderSize(conn, readBufferSize), keepAlive: defaultKeepAlive}, nil
+	source := &headerLimiter{conn: conn}
+	return &upstreamConn{Conn: conn, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferSize), keepAlive: defaultKeepAlive}, nil
 }
 
 // pop removes and returns the most recently used idle connection to the address, nil
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,7 +15,6 @@
 
 // Limits of sends.
 const (
-	maxResponseSize   = 16 << 20               // bytes of a response body that is buffered until it is complete
 	maxOtherResponses = 2                      // responses to other requests that are skipped on one connection
 	maxSyncWrite      = 4 << 10                // bytes of a request that is written without a goroutine, as it fits into the socket buffer
 	responseGrace     = 150 * time.Millisecond // after Send.Timeout, so that a response that the upstream sends at the deadline can arrive
@@ -118,7 +116,7 @@
 		if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, ResponseInfo{}, errOtherResponses
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseSize)); err != nil {
+		if err := discardBody(resp.Body); err != nil {
 			return nil, ResponseInfo{}, err
 		}
 	}
@@ -148,6 +146,8 @@
 // readResponseHeader reads the headers of the next response that is not
 // informational (1xx).
 func readResponseHeader(c *upstreamConn, method string) (*http.Response, error) {
+	c.source.limit(maxResponseHeader)
+	defer c.source.unlimit()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil || resp.StatusCode >= http.StatusOK {
@@ -232,7 +232,8 @@
 	if status < 300 && isEventStream(resp.Header) {
 		return g.relayEvents(ctx, up, out, e, stall)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseSize))
+	body, err := g.responseMemory.readBody(resp.Body)
+	defer g.responseMemory.release(len(body))
 	if err != nil {
 		up.conn.abort()
 		return connFailureOutcome(ctx, out), err.Error()
@@ -254,7 +255,7 @@
 // handleNotRun handles a response that says that the request did not run.
 func (g *Gateway) handleNotRun(up *upstreamResponse, e dispatcher.Send) (dispatcher.Outcome, string) {
 	cause := "status " + strconv.Itoa(up.response.StatusCode)
-	if _, err := io.Copy(io.Discard, io.LimitReader(up.response.Body, maxResponseSize)); err != nil {
+	if err := discardBody(up.response.Body); err != nil {
 		up.conn.abort()
 	} else {
 		up.release(g.pool)
