Catch mutants of the isolation of prompt parts

Cause: a mistake in objections, in the spread of verdicts or in reading them at the start would be silent in most runs. Change: three mutants of the simulated fleet, each of which its checks must catch. Ruled out: nothing. Figures: the three are caught, the fleet without one passes.

--- a/internal/dispatcher/isolation_test.go
+++ b/internal/dispatcher/isolation_test.go
@@ -44,8 +44,21 @@
 	arrivals     int           // of requests with crashingPart since learnBy
 	begun, sound int           // of sound requests, since the last call of share
 	refusedSound int
+
+	mutant crashMutant
 }
 
+// crashMutant is a fault of the fleet that its checks must catch.
+type crashMutant string
+
+// The mutants of a crashFleet.
+const (
+	noMutant            crashMutant = ""
+	gatewaysNeverObject crashMutant = "gateways never say that a suspect was answered"
+	verdictsStay        crashMutant = "verdicts stay with the steward that reached them"
+	restartsForget      crashMutant = "verdicts are not read from the store"
+)
+
 // crashingRunner is a runner with its steward.
 type crashingRunner struct {
 	info     registrar.Upstream
@@ -97,7 +110,9 @@
 		}
 	}
 	f.list(g)
-	f.reduce(g, VerdictsReported{f.stored})
+	if f.mutant != restartsForget {
+		f.reduce(g, VerdictsReported{f.stored})
+	}
 }
 
 func (f *crashFleet) list(g int) {
@@ -145,7 +160,9 @@
 		for g := range f.gateways {
 			f.deliver(func() {
 				f.reduce(g, Reported{r})
-				f.reduce(g, VerdictsReported{u.verdicts.All(f.now)})
+				if f.mutant != verdictsStay {
+					f.reduce(g, VerdictsReported{u.verdicts.All(f.now)})
+				}
 			})
 		}
 	}
@@ -167,6 +184,9 @@
 				break
 			}
 			f.deliver(func() {
+				if f.mutant == gatewaysNeverObject {
+					return
+				}
 				answered := f.gateways[g].Answered(f.now, suspects)
 				f.deliver(func() { u.analyst.Clear(f.now, answered) })
 			})
@@ -394,3 +414,27 @@
 		require.Empty(t, f.stored, "seed %d", seed)
 	}
 }
+
+// loseStewards makes all stewards forget what they know.
+func (f *crashFleet) loseStewards() {
+	for _, u := range f.runners {
+		u.verdicts = isolator.NewVerdicts()
+		u.analyst = isolator.NewAnalyst(u.verdicts)
+	}
+}
+
+func TestMutantsOfIsolationAreCaught(t *testing.T) {
+	for _, mutant := range []crashMutant{noMutant, gatewaysNeverObject, verdictsStay, restartsForget} {
+		f := newCrashFleet(t, 6, 12, 1)
+		f.mutant = mutant
+		f.load(100, 3)
+		f.run(12 * time.Second)
+		f.loseStewards()
+		for g := range f.gateways {
+			f.startGateway(g)
+		}
+		f.run(5 * time.Second)
+		caught := f.arrivals > maxCrashArrivals || f.refusedSound > 0
+		require.Equal(t, mutant != noMutant, caught, "mutant %q: %d arrivals, %d sound requests refused", mutant, f.arrivals, f.refusedSound)
+	}
+}
