Count the earliest of the verdicts on a part

Cause: read in the code: processes tell each other verdicts with their ages each second, and the latest time counted, so that each datagram's delay renewed a verdict a little, and it would not have ended. Change: the earliest time counts while the verdict is in force. Ruled out: wall clocks, which jump.

--- a/internal/isolator/analyst_test.go
+++ b/internal/isolator/analyst_test.go
@@ -20,3 +20,78 @@
 	a.Clear(time.Millisecond, []registrar.PartID{"base"})
 	require.Equal(t, []Verdict{{Part: "dead"}}, a.Decide(time.Second))
 }
+
+func crash(upstream int, suspects ...registrar.PartID) Crash {
+	return Crash{Upstream: registrar.UpstreamID(fmt.Sprint("u", upstream)), Suspects: suspects}
+}
+
+// decide asks about suspects and decides when the time for objections is over.
+func decide(a *Analyst, now time.Duration) []Verdict {
+	a.Suspects(now)
+	return a.Decide(now + objectionTime)
+}
+
+func TestReportsOfOneCrashCountOnce(t *testing.T) {
+	a := NewAnalyst(NewVerdicts())
+	for range 10 {
+		a.Record(0, crash(1, "p"))
+	}
+	require.Empty(t, a.Suspects(0))
+	require.False(t, a.Busy())
+}
+
+func TestCrashesThatAreFarApartHaveNoCommonCause(t *testing.T) {
+	a := NewAnalyst(NewVerdicts())
+	for i := range 10 {
+		a.Record(time.Duration(i)*crashMemory/2, crash(i, "p"))
+		require.Empty(t, decide(a, time.Duration(i)*crashMemory/2))
+	}
+}
+
+// Requests that were at the same upstreams must not be blamed for a crash that is explained.
+func TestExplainedCrashesSayNothingOfOtherParts(t *testing.T) {
+	v := NewVerdicts()
+	a := NewAnalyst(v)
+	v.Learn(0, []Verdict{{Part: "dead"}})
+	for i := range 10 {
+		a.Record(0, crash(i, "rare"))
+		a.Record(0, crash(i, "dead"))
+	}
+	require.Empty(t, a.Suspects(0))
+}
+
+func TestPartsAlwaysSeenTogetherAreIsolatedTogether(t *testing.T) {
+	a := NewAnalyst(NewVerdicts())
+	for i := range maxCrashes - 1 {
+		a.Record(0, crash(i, "x", "y"))
+		require.Empty(t, decide(a, 0), "further crashes may tell them apart")
+	}
+	a.Record(0, crash(maxCrashes, "x", "y"))
+	require.Equal(t, []Verdict{{Part: "x"}, {Part: "y"}}, decide(a, 0))
+}
+
+func TestPartThatIsAnsweredAfterItsFirstCrashesIsNoSuspect(t *testing.T) {
+	a := NewAnalyst(NewVerdicts())
+	for i := range 5 {
+		a.Record(0, crash(i, "p"))
+	}
+	a.Suspects(0)
+	a.Clear(0, []registrar.PartID{"p"})
+	require.Empty(t, decide(a, 0))
+	require.Empty(t, decide(a, answerMemory-1))
+	require.Equal(t, []Verdict{{Part: "p"}}, decide(a, answerMemory))
+}
+
+func TestAnalystIsBounded(t *testing.T) {
+	a := NewAnalyst(NewVerdicts())
+	for i := range 2 * maxRecorded {
+		a.Record(0, crash(i, registrar.PartID(fmt.Sprint(i))))
+	}
+	require.Len(t, a.crashes, maxRecorded)
+	for i := range 2 * maxCleared {
+		a.Clear(0, []registrar.PartID{registrar.PartID(fmt.Sprint(i))})
+	}
+	require.Len(t, a.clearedAt, maxCleared)
+	a.Record(crashMemory, crash(1, "p"))
+	require.Len(t, a.crashes, 1)
+}
--- a/internal/isolator/verdict.go
+++ b/internal/isolator/verdict.go
@@ -50,7 +50,8 @@
 	return &Verdicts{reachedAt: map[registrar.PartID]time.Duration{}}
 }
 
-// Learn stores verdicts and returns the parts that were not isolated before.
+// Learn stores verdicts and returns the parts that were not isolated before. Of several on a
+// part the earliest counts, since the ages that processes tell each other only grow.
 func (v *Verdicts) Learn(now time.Duration, verdicts []Verdict) []registrar.PartID {
 	var added []registrar.PartID
 	for _, verdict := range verdicts {
@@ -58,15 +59,13 @@
 		if verdict.Part == "" || verdict.Age >= verdictLifetime {
 			continue
 		}
-		known, ok := v.reachedAt[verdict.Part]
-		if ok && known >= reachedAt {
+		if known, ok := v.reachedAt[verdict.Part]; ok && now-known < verdictLifetime {
+			v.reachedAt[verdict.Part] = min(known, reachedAt)
 			continue
 		}
-		if !ok || now-known >= verdictLifetime {
-			v.makeRoom(now)
-			added = append(added, verdict.Part)
-		}
+		v.makeRoom(now)
 		v.reachedAt[verdict.Part] = reachedAt
+		added = append(added, verdict.Part)
 	}
 	return added
 }
