Reach verdicts on prompt parts while the store is away

Cause: read in the code: a steward judged only after it had read the verdicts in the store, and not while it tried to write one, so that an outage of the store would have let a part crash upstreams to its end. Change: one goroutine judges, another reads and writes. Ruled out: dropping verdicts that can't be written; they are kept for the store's return. Conclusion: judging needs no store.

--- a/internal/driver/isolation.go
+++ b/internal/driver/isolation.go
@@ -43,7 +43,7 @@
 }
 
 // verdictKeeper is a steward's part in finding the parts of prompts that crash upstreams.
-// Its fields but store and wake are guarded by the steward's syncer.mu.
+// Its fields but store and the channels are guarded by the steward's syncer.mu.
 type verdictKeeper struct {
 	store    VerdictStore
 	verdicts *isolator.Verdicts
@@ -51,12 +51,13 @@
 	changed  bool               // verdicts, since they were last sent
 	sentAt   time.Duration      // when they were
 	unsaved  []registrar.PartID // own verdicts that are not in the store yet
-	wake     chan struct{}      // tells that there is something to judge
+	crashed  chan struct{}      // wakes judge
+	save     chan struct{}      // wakes keepVerdicts
 }
 
 func newVerdictKeeper(store VerdictStore) *verdictKeeper {
 	verdicts := isolator.NewVerdicts()
-	return &verdictKeeper{store: store, verdicts: verdicts, analyst: isolator.NewAnalyst(verdicts), wake: make(chan struct{}, 1)}
+	return &verdictKeeper{store: store, verdicts: verdicts, analyst: isolator.NewAnalyst(verdicts), crashed: make(chan struct{}, 1), save: make(chan struct{}, 1)}
 }
 
 // toSend returns the verdicts to send with a report, which are none unless they have
@@ -80,32 +81,29 @@
 // recordCrash records what a gateway saw of a crash. The caller holds syncer.mu.
 func (s *Steward) recordCrash(c isolator.Crash) {
 	s.verdicts.analyst.Record(s.syncer.now(), c)
+	wake(s.verdicts.crashed)
+}
+
+// wake makes the receiver of c run once more.
+func wake(c chan struct{}) {
 	select {
-	case s.verdicts.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
-// judge reads the verdicts in the store, and then asks gateways about suspects and reaches
-// verdicts whenever crashes are reported, until ctx ends.
+// judge asks gateways about suspects and reaches verdicts whenever crashes are reported,
+// until ctx ends.
 func (s *Steward) judge(ctx context.Context) {
-	stored := readVerdicts(ctx, s.verdicts.store, s.cfg.Log.Logger)
-	s.syncer.mu.Lock()
-	s.learnVerdicts(stored, "store")
-	s.syncer.mu.Unlock()
-	for ctx.Err() == nil {
+	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.verdicts.wake:
+		case <-s.verdicts.crashed:
 		}
-		for s.judgeOnce() {
+		for ctx.Err() == nil && s.judgeOnce() {
 			pause(ctx, suspectPeriod)
-			if ctx.Err() != nil {
-				return
-			}
 		}
-		s.saveVerdicts(ctx)
 	}
 }
 
@@ -119,6 +117,7 @@
 	decided := s.verdicts.analyst.Decide(now)
 	for _, v := range decided {
 		s.verdicts.unsaved = append(s.verdicts.unsaved, v.Part)
+		wake(s.verdicts.save)
 		s.cfg.Log.Logger.Warn().Str("part", string(v.Part)).Str("source", "crashes").Msg("prompt part isolated")
 	}
 	if len(suspects) > 0 || len(decided) > 0 {
@@ -149,6 +148,23 @@
 	}
 }
 
+// keepVerdicts reads the verdicts in the store and then writes those of this steward to it,
+// until ctx ends.
+func (s *Steward) keepVerdicts(ctx context.Context) {
+	stored := readVerdicts(ctx, s.verdicts.store, s.cfg.Log.Logger)
+	s.syncer.mu.Lock()
+	s.learnVerdicts(stored, "store")
+	s.syncer.mu.Unlock()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.verdicts.save:
+			s.saveVerdicts(ctx)
+		}
+	}
+}
+
 // saveVerdicts writes the verdicts of this steward to the store, and tries until that
 // succeeds or ctx ends.
 func (s *Steward) saveVerdicts(ctx context.Context) {
--- /dev/null
+++ b/internal/driver/isolation_test.go
@@ -0,0 +1,81 @@
+package driver
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretwall/egretwall/internal/isolator"
+	"github.com/egretwall/egretwall/internal/observer"
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+// verdictStore is a store that can be away.
+type verdictStore struct {
+	mu     sync.Mutex
+	away   bool
+	stored []isolator.Verdict
+}
+
+func (s *verdictStore) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+func (s *verdictStore) AppendVerdict(_ context.Context, part registrar.PartID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return errors.New("the store is away")
+	}
+	s.stored = append(s.stored, isolator.Verdict{Part: part})
+	return nil
+}
+
+func (s *verdictStore) ReadVerdicts(context.Context) ([]isolator.Verdict, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return nil, errors.New("the store is away")
+	}
+	return s.stored, nil
+}
+
+func TestPartIsIsolatedWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, err := observer.NewBoundedLogger(io.Discard, "info")
+		require.NoError(t, err)
+		store := &verdictStore{away: true}
+		s := &Steward{
+			cfg: StewardConfig{Log: log}, syncer: newSyncer(&longPollStore{}, log.Logger, stewardPollTiming), verdicts: newVerdictKeeper(store),
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		g.Go(func() { s.judge(ctx) })
+		g.Go(func() { s.keepVerdicts(ctx) })
+		for _, part := range []registrar.PartID{"dead1", "dead2"} {
+			s.syncer.mu.Lock()
+			for _, u := range []registrar.UpstreamID{"u1", "u2", "u3"} {
+				s.recordCrash(isolator.Crash{Upstream: u + registrar.UpstreamID(part), Suspects: []registrar.PartID{part}})
+			}
+			s.syncer.mu.Unlock()
+			time.Sleep(time.Second)
+			s.syncer.mu.Lock()
+			_, isolated := s.verdicts.verdicts.Isolated(s.syncer.now(), []registrar.PartID{part})
+			s.syncer.mu.Unlock()
+			require.True(t, isolated, part)
+		}
+		store.setAway(false)
+		time.Sleep(2 * time.Second)
+		cancel()
+		g.Wait()
+		require.Equal(t, []isolator.Verdict{{Part: "dead1"}, {Part: "dead2"}}, store.stored)
+	})
+}
