--- a/internal/driver/isolation_test.go
+++ b/internal/driver/isolation_test.go
@@ -77,5 +77,6 @@
 		cancel()
 		g.Wait()
 		require.Equal(t, []isolator.Verdict{{Part: "dead1"}, {Part: "dead2"}}, store.stored)
+		require.NoError(t, log.Close())
 	})
 }
