Ask about suspects only while gateways may object, and keep verdicts over a restore

Cause: read in the code: suspects that only a further crash can tell apart were asked about ten times a second for up to a minute, by each of eight stewards to all gateways; and a verdict that the store lost with a restore was in no store any more. Change: a steward asks for 0.3 s after a crash and then waits for the next one, when gateways are asked anew; it writes its verdicts again when the store's era rises. Ruled out: deciding on ties sooner, which would isolate sound parts. Conclusion: no messages without crashes.

--- a/internal/dispatcher/isolation_test.go
+++ b/internal/dispatcher/isolation_test.go
@@ -66,6 +66,7 @@
 	sends    map[RequestID]crashFleetSend
 	verdicts *isolator.Verdicts
 	analyst  *isolator.Analyst
+	judging  bool // since the last crash that was reported
 }
 
 type crashFleetSend struct {
@@ -171,8 +172,12 @@
 // judge lets all analysts ask about suspects and decide.
 func (f *crashFleet) judge() {
 	for _, u := range f.runners {
+		if !u.judging {
+			continue
+		}
 		suspects := u.analyst.Suspects(f.now)
 		decided := u.analyst.Decide(f.now)
+		u.judging = u.analyst.Busy(f.now)
 		f.stored = append(f.stored, decided...)
 		if len(decided) > 0 {
 			for _, other := range f.runners {
@@ -203,7 +208,10 @@
 			for _, address := range ef.Addresses {
 				for _, u := range f.runners {
 					if u.info.Address == address {
-						f.deliver(func() { u.analyst.Record(f.now, ef.Crash) })
+						f.deliver(func() {
+							u.analyst.Record(f.now, ef.Crash)
+							u.judging = true
+						})
 					}
 				}
 			}
--- a/internal/driver/isolation.go
+++ b/internal/driver/isolation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -50,7 +51,8 @@
 	analyst  *isolator.Analyst
 	changed  bool               // verdicts, since they were last sent
 	sentAt   time.Duration      // when they were
-	unsaved  []registrar.PartID // own verdicts that are not in the store yet
+	own      []registrar.PartID // verdicts of this steward
+	unsaved  []registrar.PartID // of these, those that are not in the store yet
 	crashed  chan struct{}      // wakes judge
 	save     chan struct{}      // wakes keepVerdicts
 }
@@ -108,7 +110,7 @@
 }
 
 // judgeOnce asks gateways about suspects, spreads the verdicts that are due, and reports
-// whether suspects are left.
+// whether to go on.
 func (s *Steward) judgeOnce() bool {
 	s.syncer.mu.Lock()
 	defer s.syncer.mu.Unlock()
@@ -116,6 +118,7 @@
 	suspects := s.verdicts.analyst.Suspects(now)
 	decided := s.verdicts.analyst.Decide(now)
 	for _, v := range decided {
+		s.verdicts.own = append(s.verdicts.own, v.Part)
 		s.verdicts.unsaved = append(s.verdicts.unsaved, v.Part)
 		wake(s.verdicts.save)
 		s.cfg.Log.Logger.Warn().Str("part", string(v.Part)).Str("source", "crashes").Msg("prompt part isolated")
@@ -123,7 +126,7 @@
 	if len(suspects) > 0 || len(decided) > 0 {
 		s.tellGateways(messenger.Message{Suspects: suspects, Verdicts: s.verdicts.verdicts.All(now)}, len(decided) > 0)
 	}
-	return s.verdicts.analyst.Busy()
+	return s.verdicts.analyst.Busy(now)
 }
 
 // tellGateways sends a message to the gateways seen within gatewayTTL, and to the other
@@ -149,19 +152,25 @@
 }
 
 // keepVerdicts reads the verdicts in the store and then writes those of this steward to it,
-// until ctx ends.
+// once more when the store is restored from a backup, until ctx ends.
 func (s *Steward) keepVerdicts(ctx context.Context) {
 	stored := readVerdicts(ctx, s.verdicts.store, s.cfg.Log.Logger)
 	s.syncer.mu.Lock()
 	s.learnVerdicts(stored, "store")
 	s.syncer.mu.Unlock()
+	_, restored := s.cfg.Store.Era()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-restored:
+			_, restored = s.cfg.Store.Era()
+			s.syncer.mu.Lock()
+			s.verdicts.unsaved = slices.Clone(s.verdicts.own)
+			s.syncer.mu.Unlock()
 		case <-s.verdicts.save:
-			s.saveVerdicts(ctx)
 		}
+		s.saveVerdicts(ctx)
 	}
 }
 
@@ -175,13 +184,14 @@
 		if len(unsaved) == 0 {
 			return
 		}
-		if err := s.verdicts.store.AppendVerdict(ctx, unsaved[0]); err != nil {
-			s.cfg.Log.Logger.Warn().Str("part", string(unsaved[0])).Err(err).Msg("verdict on a prompt part not written")
+		part := unsaved[0]
+		if err := s.verdicts.store.AppendVerdict(ctx, part); err != nil {
+			s.cfg.Log.Logger.Warn().Str("part", string(part)).Err(err).Msg("verdict on a prompt part not written")
 			pause(ctx, verdictRetryPeriod)
 			continue
 		}
 		s.syncer.mu.Lock()
-		s.verdicts.unsaved = s.verdicts.unsaved[1:]
+		s.verdicts.unsaved = slices.DeleteFunc(s.verdicts.unsaved, func(p registrar.PartID) bool { return p == part })
 		s.syncer.mu.Unlock()
 	}
 }
--- a/internal/driver/isolation_test.go
+++ b/internal/driver/isolation_test.go
@@ -14,6 +14,7 @@
 	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/observer"
 	"github.com/egretwall/egretwall/internal/registrar"
+	"github.com/egretwall/egretwall/internal/watcher"
 )
 
 // verdictStore is a store that can be away.
@@ -54,7 +55,7 @@
 		require.NoError(t, err)
 		store := &verdictStore{away: true}
 		s := &Steward{
-			cfg: StewardConfig{Log: log}, syncer: newSyncer(&longPollStore{}, log.Logger, stewardPollTiming), verdicts: newVerdictKeeper(store),
+			cfg: StewardConfig{Log: log, Store: &longPollStore{}}, syncer: newSyncer(&longPollStore{}, log.Logger, stewardPollTiming), verdicts: newVerdictKeeper(store),
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		var g sync.WaitGroup
@@ -80,3 +81,38 @@
 		require.NoError(t, log.Close())
 	})
 }
+
+// restorableStore is a store that can be restored from a backup.
+type restorableStore struct {
+	longPollStore
+	eras *watcher.EraTracker
+}
+
+func (s *restorableStore) Era() (watcher.Era, <-chan struct{}) { return s.eras.Current() }
+
+func TestVerdictsAreWrittenAgainAfterTheStoreWasRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log, err := observer.NewBoundedLogger(io.Discard, "info")
+		require.NoError(t, err)
+		store, eras := &verdictStore{}, watcher.NewEraTracker()
+		s := &Steward{
+			cfg: StewardConfig{Log: log, Store: &restorableStore{eras: eras}}, syncer: newSyncer(&longPollStore{}, log.Logger, stewardPollTiming), verdicts: newVerdictKeeper(store),
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		g.Go(func() { s.keepVerdicts(ctx) })
+		s.syncer.mu.Lock()
+		s.verdicts.own, s.verdicts.unsaved = []registrar.PartID{"dead"}, []registrar.PartID{"dead"}
+		s.syncer.mu.Unlock()
+		wake(s.verdicts.save)
+		for era := range watcher.Era(2) {
+			time.Sleep(time.Second)
+			require.NoError(t, eras.Observe(era+1))
+		}
+		time.Sleep(time.Second)
+		cancel()
+		g.Wait()
+		require.Equal(t, []isolator.Verdict{{Part: "dead"}, {Part: "dead"}, {Part: "dead"}}, store.stored)
+		require.NoError(t, log.Close())
+	})
+}
--- a/internal/isolator/analyst.go
+++ b/internal/isolator/analyst.go
@@ -47,6 +47,7 @@
 	crashes     map[crashKey]*recordedCrash
 	clearedAt   map[registrar.PartID]time.Duration // when the last answer to the part was known
 	suspectedAt map[registrar.PartID]time.Duration // since when Suspects has named the part
+	askedAt     time.Duration                      // of the last call of Suspects
 }
 
 // NewAnalyst returns an analyst that knows of no crash and adds its verdicts to those given.
@@ -118,8 +119,12 @@
 }
 
 // Suspects returns the parts that have enough crashes in common, in their order. Gateways
-// are to be asked whether they have seen an answer to them.
+// are to be asked whether they have seen an answer to them, and are asked anew after a pause.
 func (a *Analyst) Suspects(now time.Duration) []registrar.PartID {
+	if now-a.askedAt > objectionTime {
+		clear(a.suspectedAt)
+	}
+	a.askedAt = now
 	counts := a.counts(now)
 	var suspects []registrar.PartID
 	for p, n := range counts {
@@ -171,7 +176,13 @@
 	return verdicts
 }
 
-// Busy reports whether there are suspects to ask about or to decide on.
-func (a *Analyst) Busy() bool {
-	return len(a.suspectedAt) > 0
+// Busy reports whether gateways may still object to a suspect. Otherwise only a further
+// crash can tell the suspects apart.
+func (a *Analyst) Busy(now time.Duration) bool {
+	for _, at := range a.suspectedAt {
+		if now-at <= objectionTime {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/isolator/analyst_test.go
+++ b/internal/isolator/analyst_test.go
@@ -28,7 +28,14 @@
 // decide asks about suspects and decides when the time for objections is over.
 func decide(a *Analyst, now time.Duration) []Verdict {
 	a.Suspects(now)
-	return a.Decide(now + objectionTime)
+	for a.Busy(now) {
+		now += objectionTime / 3
+		a.Suspects(now)
+		if verdicts := a.Decide(now); len(verdicts) > 0 {
+			return verdicts
+		}
+	}
+	return nil
 }
 
 func TestReportsOfOneCrashCountOnce(t *testing.T) {
@@ -37,7 +44,7 @@
 		a.Record(0, crash(1, "p"))
 	}
 	require.Empty(t, a.Suspects(0))
-	require.False(t, a.Busy())
+	require.False(t, a.Busy(0))
 }
 
 func TestCrashesThatAreFarApartHaveNoCommonCause(t *testing.T) {
@@ -61,13 +68,28 @@
 }
 
 func TestPartsAlwaysSeenTogetherAreIsolatedTogether(t *testing.T) {
+	a := NewAnalyst(NewVerdicts())
+	now := time.Duration(0)
+	for i := range maxCrashes - 1 {
+		a.Record(now, crash(i, "x", "y"))
+		require.Empty(t, decide(a, now), "further crashes may tell them apart")
+		now += time.Second
+	}
+	a.Record(now, crash(maxCrashes, "x", "y"))
+	require.Equal(t, []Verdict{{Part: "x"}, {Part: "y"}}, decide(a, now))
+}
+
+// Gateways may have seen an answer since they were asked last.
+func TestGatewaysAreAskedAnewAfterAPause(t *testing.T) {
 	a := NewAnalyst(NewVerdicts())
 	for i := range maxCrashes - 1 {
 		a.Record(0, crash(i, "x", "y"))
-		require.Empty(t, decide(a, 0), "further crashes may tell them apart")
 	}
-	a.Record(0, crash(maxCrashes, "x", "y"))
-	require.Equal(t, []Verdict{{Part: "x"}, {Part: "y"}}, decide(a, 0))
+	require.Empty(t, decide(a, 0))
+	a.Record(10*time.Second, crash(maxCrashes, "x"))
+	a.Record(10*time.Second, crash(maxCrashes+1, "x"))
+	require.Equal(t, []registrar.PartID{"x", "y"}, a.Suspects(10*time.Second))
+	require.Empty(t, a.Decide(10*time.Second), "no time to object")
 }
 
 func TestPartThatIsAnsweredAfterItsFirstCrashesIsNoSuspect(t *testing.T) {
@@ -78,7 +100,7 @@
 	a.Suspects(0)
 	a.Clear(0, []registrar.PartID{"p"})
 	require.Empty(t, decide(a, 0))
-	require.Empty(t, decide(a, answerMemory-1))
+	require.Empty(t, decide(a, answerMemory-time.Second))
 	require.Equal(t, []Verdict{{Part: "p"}}, decide(a, answerMemory))
 }
 
