Ask another peer when one brings an older configuration

Change: only a record that can't be decoded delays fetches; the peer that was asked last lets another one go first. Ruled out: trusting one announcement over another; versions decide.

--- a/internal/driver/syncer.go
+++ b/internal/driver/syncer.go
@@ -56,6 +56,7 @@
 	behindSince   time.Duration           // when a peer first announced a newer version, zero when none has
 	nextFetchAt   time.Duration           // before it, no further fetch from a peer begins
 	fetches       map[netip.AddrPort]bool // peers from which a fetch is under way
+	fetchedFrom   netip.AddrPort          // the last one; another peer is asked next
 }
 
 // pollTiming configures how often the store is polled.
@@ -119,13 +120,15 @@
 )
 
 // installConfigurations puts the newest of the configurations in force if it is newer
-// than the present one. Other records are ignored. The source had not answered for idle
-// before.
-func (s *syncer) installConfigurations(records []watcher.Record, source configurationSource, idle time.Duration) {
+// than the present one, and reports whether all could be decoded. Other records are ignored.
+// The source had not answered for idle before.
+func (s *syncer) installConfigurations(records []watcher.Record, source configurationSource, idle time.Duration) bool {
+	decoded := true
 	for _, r := range records {
 		c, err := s.store.DecodeConfiguration(r)
 		if err != nil {
 			s.logger.Warn().Str("key", r.Key).Err(err).Msg("cannot decode configuration")
+			decoded = false
 			continue
 		}
 		if c == nil {
@@ -140,6 +143,7 @@
 		}
 		s.mu.Unlock()
 	}
+	return decoded
 }
 
 // version returns the version of the configuration in force, zero before the first. The
@@ -175,6 +179,9 @@
 	if v <= s.version() || s.fetches[from] || len(s.fetches) >= maxFetches {
 		return
 	}
+	if from == s.fetchedFrom && s.now() < s.nextFetchAt+peerFetchDelay {
+		return // it did not bring the version that it announced
+	}
 	now := s.now()
 	if s.behindSince == 0 {
 		s.behindSince = now
@@ -184,7 +191,7 @@
 		return
 	}
 	s.nextFetchAt = now + peerFetchDelay
-	s.fetches[from] = true
+	s.fetches[from], s.fetchedFrom = true, from
 	go s.fetchFrom(from, v, s.behindSince)
 }
 
@@ -193,16 +200,17 @@
 // since behindSince.
 func (s *syncer) fetchFrom(from netip.AddrPort, v registrar.Version, behindSince time.Duration) {
 	r, err := s.fetch(context.Background(), from.String())
+	decoded := true
 	if err != nil {
 		s.logger.Warn().Str("peer", from.String()).Int64("version", int64(v)).Err(err).Msg("configuration not fetched")
 	} else {
 		s.logger.Info().Str("peer", from.String()).Int64("version", int64(v)).Msg("configuration fetched")
-		s.installConfigurations([]watcher.Record{{Key: r.Key, Value: r.Value}}, fromPeer, s.now()-behindSince)
+		decoded = s.installConfigurations([]watcher.Record{{Key: r.Key, Value: r.Value}}, fromPeer, s.now()-behindSince)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.fetches, from)
-	if err == nil && s.version() < v {
+	if !decoded {
 		s.nextFetchAt = s.now() + unusableDelay
 	}
 }
--- a/internal/driver/syncer_test.go
+++ b/internal/driver/syncer_test.go
@@ -153,3 +153,23 @@
 		require.Equal(t, maxApplyDelay/2, store.longestPoll)
 	})
 }
+
+// A peer may have started again, without the version that it announced before.
+func TestOlderConfigurationOfOnePeerDoesNotDelayTheFetchFromAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSyncer(&fleetStore{fleet: &fleet{}}, zerolog.Nop(), gatewayPollTiming(maxDrainDelay, maxApplyDelay))
+		s.onConfiguration = func(*registrar.Configuration) {}
+		records := map[string]exchanger.Record{addressOf(1).String(): {Key: "k", Value: []byte{6}}, addressOf(2).String(): {Key: "k", Value: []byte{7}}}
+		s.fetch = func(_ context.Context, address string) (exchanger.Record, error) { return records[address], nil }
+		for range 10 {
+			for peer := 1; peer <= 2; peer++ {
+				s.mu.Lock()
+				s.handlePeerVersion(addressOf(peer), 7)
+				s.mu.Unlock()
+			}
+			time.Sleep(announcePeriod)
+		}
+		synctest.Wait()
+		require.EqualValues(t, 7, s.version())
+	})
+}
