Use the field's words in the comments of the isolator

Cause: read as a newcomer would: a part is isolated, not convicted. Change: comments only. Ruled out: renaming verdicts, which messages and the store know. Conclusion: none needed.

--- a/internal/isolator/analyst.go
+++ b/internal/isolator/analyst.go
@@ -15,8 +15,8 @@
 	objectionTime = 300 * time.Millisecond // for gateways to say that a suspected part has been answered; three periods of being asked
 	answerMemory  = 30 * time.Second       // how long such an answer clears the part
 	minCrashes    = 3                      // that have a part in common before it is suspected
-	clearMajority = 2                      // crashes that a part must have beyond other suspects to be convicted at once
-	maxCrashes    = 2 * minCrashes         // from which on all suspects with the most crashes are convicted
+	clearMajority = 2                      // crashes that a part must have beyond other suspects to be isolated at once
+	maxCrashes    = 2 * minCrashes         // from which on all suspects with the most crashes are isolated
 	maxRecorded   = 500                    // crashes that are remembered
 	maxCleared    = 20_000                 // parts whose answers are remembered
 )
@@ -35,6 +35,7 @@
 	incarnation int64
 }
 
+// recordedCrash is a crash with the parts that any gateway reported.
 type recordedCrash struct {
 	at    time.Duration
 	parts map[registrar.PartID]bool
@@ -141,7 +142,7 @@
 	return suspects
 }
 
-// Decide convicts the suspect with the most crashes when no gateway has objected within
+// Decide isolates the suspect with the most crashes when no gateway has objected within
 // objectionTime. Suspects with about as many crashes are told apart by further ones, up to
 // maxCrashes.
 func (a *Analyst) Decide(now time.Duration) []Verdict {
--- a/internal/isolator/verdict.go
+++ b/internal/isolator/verdict.go
@@ -14,7 +14,7 @@
 // Such a part crashes each upstream that begins to write an answer to it. Gateways report
 // the parts of the requests that an upstream was about to answer when it crashed, and which
 // of the suspected parts they have seen answered; analysts, which run in several stewards,
-// convict the part that several crashes have in common and that was never answered. All
+// isolate the part that several crashes have in common and that was never answered. All
 // processes tell each other the verdicts, and the platform's store keeps them.
 package isolator
 
