Tell attempts of a request apart in the logs, and log crashes of upstreams

Change: requests have traits: digests of their content with and without the caller, beside the parts of their prompts. `send failed` lines of sends that were broken off name them; `upstream crashed` names the stewards that are told, none today for a plain service. What is reported and isolated stays as it was.

--- a/internal/dispatcher/crashfleet_test.go
+++ b/internal/dispatcher/crashfleet_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,7 +23,7 @@
 	crashLearnTime   = 3 * time.Second
 	maxCrashArrivals = 3
 	crashDowntime    = 3 * time.Second
-	crashingPart     = registrar.PartID("dead")
+	crashingPart     = isolator.Trait("dead")
 )
 
 // crashFleet is a fleet of gateways before runners that crash when they begin to answer a
@@ -37,7 +39,7 @@
 	gateways []*Dispatcher
 	runners  []*crashingRunner
 	stored   []isolator.Verdict
-	requests map[int]map[RequestID][]registrar.PartID // by gateway
+	requests map[int]map[RequestID][]isolator.Trait // by gateway
 
 	crashes      int
 	learnBy      time.Duration // zero before crashesToLearn
@@ -75,7 +77,7 @@
 }
 
 func newCrashFleet(t *testing.T, gateways, runners int, seed uint64) *crashFleet {
-	f := &crashFleet{t: t, rng: rand.New(rand.NewPCG(seed, 1)), requests: map[int]map[RequestID][]registrar.PartID{}}
+	f := &crashFleet{t: t, rng: rand.New(rand.NewPCG(seed, 1)), requests: map[int]map[RequestID][]isolator.Trait{}}
 	for i := range runners {
 		verdicts := isolator.NewVerdicts()
 		f.runners = append(f.runners, &crashingRunner{
@@ -102,7 +104,7 @@
 
 func (f *crashFleet) startGateway(g int) {
 	f.gateways[g] = newHarness(f.t).d
-	f.requests[g] = map[RequestID][]registrar.PartID{}
+	f.requests[g] = map[RequestID][]isolator.Trait{}
 	for _, u := range f.runners {
 		for id, s := range u.sends {
 			if s.gateway == g {
@@ -227,7 +229,7 @@
 	}
 }
 
-func (f *crashFleet) isCrashing(parts []registrar.PartID) bool {
+func (f *crashFleet) isCrashing(parts []isolator.Trait) bool {
 	for _, p := range parts {
 		if p == crashingPart {
 			return true
@@ -275,7 +277,8 @@
 
 // breakOff ends all sends to a runner with a reset of their connections.
 func (f *crashFleet) breakOff(u *crashingRunner) {
-	for _, s := range u.sends {
+	for _, id := range slices.Sorted(maps.Keys(u.sends)) {
+		s := u.sends[id]
 		f.after(time.Millisecond, func() { f.reduce(s.gateway, SendEnded{ID: s.send.ID, Try: s.send.Try, Outcome: Unknown}) })
 	}
 	u.sends = map[RequestID]crashFleetSend{}
@@ -298,7 +301,7 @@
 }
 
 // submit lets a request with the given shared parts arrive at a random gateway.
-func (f *crashFleet) submit(parts []registrar.PartID) {
+func (f *crashFleet) submit(parts []isolator.Trait) {
 	g := f.rng.IntN(len(f.gateways))
 	f.lastID++
 	id := f.lastID
@@ -308,17 +311,17 @@
 	}
 	f.reduce(g, Arrived{Request{
 		ID: id, Route: route(registrar.Streaming, 2), Service: runnerService, Model: "m", PromptTokens: 800, OutputTokens: 300,
-		Deadline: f.now + 4*time.Second, SharedParts: parts,
+		Deadline: f.now + 4*time.Second, Traits: parts,
 	}})
 }
 
 // soundParts draws an instruction that all requests share, one of many callers, some of
 // which are rare, and sometimes a document.
-func (f *crashFleet) soundParts() []registrar.PartID {
+func (f *crashFleet) soundParts() []isolator.Trait {
 	caller := int(f.rng.ExpFloat64() * 12)
-	parts := []registrar.PartID{"base", registrar.PartID(fmt.Sprint("caller", caller))}
+	parts := []isolator.Trait{"base", isolator.Trait(fmt.Sprint("caller", caller))}
 	if f.rng.IntN(2) == 0 {
-		parts = append(parts, registrar.PartID(fmt.Sprint("doc", caller, "-", f.rng.IntN(5))))
+		parts = append(parts, isolator.Trait(fmt.Sprint("doc", caller, "-", f.rng.IntN(5))))
 	}
 	return parts
 }
@@ -337,7 +340,7 @@
 	arrivals(soundPerSecond, func() { f.submit(f.soundParts()) })
 	arrivals(crashingPerSecond, func() {
 		parts := f.soundParts()
-		f.submit([]registrar.PartID{parts[0], parts[1], crashingPart})
+		f.submit([]isolator.Trait{parts[0], parts[1], crashingPart})
 	})
 }
 
@@ -354,7 +357,7 @@
 	f.t.Helper()
 	require.Zero(f.t, f.refusedSound, "sound requests refused; verdicts: %v", f.stored)
 	for _, v := range f.stored {
-		require.Equal(f.t, crashingPart, v.Part)
+		require.Equal(f.t, crashingPart, v.Trait)
 	}
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -42,7 +42,7 @@
 	releases           map[registrar.ServiceName]*tracker.Releases
 	verdicts           *isolator.Verdicts
 	breakages          map[registrar.UpstreamID]*breakage
-	answeredAt         map[registrar.PartID]time.Duration // of parts that were answered lately
+	answeredAt         map[isolator.Trait]time.Duration // of parts that were answered lately
 	gatewayCount       int
 	refuseAt           time.Duration // of Stopping, zero before it
 
@@ -106,7 +106,7 @@
 		releases:           map[registrar.ServiceName]*tracker.Releases{},
 		verdicts:           isolator.NewVerdicts(),
 		breakages:          map[registrar.UpstreamID]*breakage{},
-		answeredAt:         map[registrar.PartID]time.Duration{},
+		answeredAt:         map[isolator.Trait]time.Duration{},
 		gatewayCount:       defaultGatewayCount,
 	}
 }
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -138,12 +138,12 @@
 	Service      registrar.ServiceName
 	Model        registrar.ModelName
 	Adapter      registrar.AdapterName
-	PromptTokens registrar.Tokens   // length of the prompt
-	OutputTokens registrar.Tokens   // expected length of the answer
-	Deadline     time.Duration      // when the caller stops waiting, on the clock of Reduce
-	Resumed      bool               // the caller has received events of the stream
-	Resumes      string             // attempt that brought the first of them, empty if it is unknown
-	SharedParts  []registrar.PartID // of the prompt, without its last part
+	PromptTokens registrar.Tokens // length of the prompt
+	OutputTokens registrar.Tokens // expected length of the answer
+	Deadline     time.Duration    // when the caller stops waiting, on the clock of Reduce
+	Resumed      bool             // the caller has received events of the stream
+	Resumes      string           // attempt that brought the first of them, empty if it is unknown
+	Traits       []isolator.Trait // the most specific first
 }
 
 // Report is the state of a model runner. Its steward sends it to the gateways and
@@ -255,6 +255,9 @@
 	Crash     isolator.Crash
 }
 
+// UpstreamCrashed is the Event of a Log that has Analysts.
+const UpstreamCrashed = "upstream crashed"
+
 // Log writes a line to the log.
 type Log struct {
 	Event      string
@@ -270,9 +273,10 @@
 	Elapsed    time.Duration // from its arrival to now
 	Pause      time.Duration // how long the upstream wants no requests, zero if it does not say
 	Release    registrar.Release
-	Resumes    string             // attempt that began the stream that the request resumes, empty without one
-	Limit      float64            // requests per second that the upstream takes from all gateways together, zero if it does not say
-	Parts      []registrar.PartID // shared parts of the prompt of a send that was broken off, or the part that is isolated
+	Resumes    string           // attempt that began the stream that the request resumes, empty without one
+	Limit      float64          // requests per second that the upstream takes from all gateways together, zero if it does not say
+	Analysts   int              // stewards that a crash is reported to
+	Traits     []isolator.Trait // of a request whose send was broken off, or the one that is isolated
 }
 
 func (Send) effect()           {}
--- a/internal/dispatcher/isolation.go
+++ b/internal/dispatcher/isolation.go
@@ -28,7 +28,7 @@
 	incarnation int64
 	service     registrar.ServiceName
 	since       time.Duration
-	suspects    map[registrar.PartID]bool
+	suspects    map[isolator.Trait]bool
 	reports     int // since suspects last grew
 	reportedAt  time.Duration
 }
@@ -36,30 +36,42 @@
 // recordBreakage notes a send that its upstream broke off. Unless the answer had been
 // written for a while, the parts of the request are suspects if the upstream has crashed.
 func (d *Dispatcher) recordBreakage(r *request, u *upstream) {
-	if r.Model == "" || len(r.SharedParts) == 0 || r.answerBegan && d.now-r.beganAt >= crashLatency {
+	if r.answerBegan && d.now-r.beganAt >= crashLatency {
 		return
 	}
 	b := d.breakages[u.info.ID]
 	if b == nil || b.incarnation != u.info.Incarnation {
-		b = &breakage{incarnation: u.info.Incarnation, service: r.Service, since: d.now, suspects: map[registrar.PartID]bool{}}
+		b = &breakage{incarnation: u.info.Incarnation, service: r.Service, since: d.now, suspects: map[isolator.Trait]bool{}}
 		d.breakages[u.info.ID] = b
 	}
-	for _, p := range r.SharedParts {
+	for _, p := range r.Traits {
 		if !b.suspects[p] {
 			b.suspects[p], b.reports = true, 0
 		}
 	}
 }
 
+// partsOf returns those of the traits that are parts of prompts.
+func partsOf(traits []isolator.Trait) []isolator.Trait {
+	var parts []isolator.Trait
+	for _, t := range traits {
+		if t.Kind() == isolator.PartTrait {
+			parts = append(parts, t)
+		}
+	}
+	return parts
+}
+
 // recordAnswered notes that prompts with the parts of a request are answered.
 func (d *Dispatcher) recordAnswered(r *request, completed bool) {
-	if len(r.SharedParts) == 0 || !r.answerBegan && !completed || !completed && d.now-r.beganAt < crashLatency {
+	parts := partsOf(r.Traits)
+	if len(parts) == 0 || !r.answerBegan && !completed || !completed && d.now-r.beganAt < crashLatency {
 		return
 	}
 	if len(d.answeredAt) >= maxAnswered {
-		maps.DeleteFunc(d.answeredAt, func(_ registrar.PartID, at time.Duration) bool { return d.now-at >= answeredMemory })
+		maps.DeleteFunc(d.answeredAt, func(_ isolator.Trait, at time.Duration) bool { return d.now-at >= answeredMemory })
 	}
-	for _, p := range r.SharedParts {
+	for _, p := range parts {
 		if _, known := d.answeredAt[p]; known || len(d.answeredAt) < maxAnswered {
 			d.answeredAt[p] = d.now
 		}
@@ -68,16 +80,16 @@
 
 // Answered returns those of the parts to which this gateway has seen an answer lately, and
 // which can't be what crashes upstreams.
-func (d *Dispatcher) Answered(now time.Duration, parts []registrar.PartID) []registrar.PartID {
-	being := map[registrar.PartID]bool{}
+func (d *Dispatcher) Answered(now time.Duration, parts []isolator.Trait) []isolator.Trait {
+	being := map[isolator.Trait]bool{}
 	for _, r := range d.requests {
 		if r.upstream != nil && r.answerBegan && now-r.beganAt >= crashLatency {
-			for _, p := range r.SharedParts {
+			for _, p := range r.Traits {
 				being[p] = true
 			}
 		}
 	}
-	var answered []registrar.PartID
+	var answered []isolator.Trait
 	for _, p := range parts {
 		at, ok := d.answeredAt[p]
 		if being[p] || ok && now-at < answeredMemory {
@@ -99,15 +111,26 @@
 		if b.reports >= crashRepeats || b.reports > 0 && d.now-b.reportedAt < crashRepeatDelay || !d.hasEnded(id, b) {
 			continue
 		}
+		if b.reports == 0 {
+			d.logCrash(id, b)
+		}
 		b.reports++
 		b.reportedAt = d.now
-		if analysts := firstInRendezvousOrder("crashes", d.reportingAddresses(b.service), analystCount); len(analysts) > 0 {
-			crash := isolator.Crash{Upstream: id, Incarnation: b.incarnation, Suspects: slices.Sorted(maps.Keys(b.suspects))}
+		parts := partsOf(slices.Sorted(maps.Keys(b.suspects)))
+		if analysts := firstInRendezvousOrder("crashes", d.reportingAddresses(b.service), analystCount); len(analysts) > 0 && len(parts) > 0 {
+			crash := isolator.Crash{Upstream: id, Incarnation: b.incarnation, Suspects: parts}
 			d.emit(ReportCrash{Addresses: analysts, Crash: crash})
 		}
 	}
 }
 
+// logCrash logs that an upstream has ended since its sends were broken off, and how many
+// analysts are told so.
+func (d *Dispatcher) logCrash(id registrar.UpstreamID, b *breakage) {
+	analysts := min(analystCount, len(d.reportingAddresses(b.service)))
+	d.emit(Log{Event: UpstreamCrashed, Upstream: id, Traits: slices.Sorted(maps.Keys(b.suspects)), Analysts: analysts, Waiting: d.waitingCount})
+}
+
 // hasEnded reports whether an incarnation of an upstream is known to have ended.
 func (d *Dispatcher) hasEnded(id registrar.UpstreamID, b *breakage) bool {
 	u := d.upstreams[id]
@@ -119,7 +142,7 @@
 func (d *Dispatcher) handleVerdicts(verdicts []isolator.Verdict) {
 	added := d.verdicts.Learn(d.now, verdicts)
 	for _, p := range added {
-		d.emit(Log{Event: "prompt part isolated", Parts: []registrar.PartID{p}, Waiting: d.waitingCount})
+		d.emit(Log{Event: "prompt part isolated", Traits: []isolator.Trait{p}, Waiting: d.waitingCount})
 	}
 	if len(added) == 0 {
 		return
@@ -141,7 +164,7 @@
 
 // isolates reports whether a part of the request's prompt is isolated.
 func (d *Dispatcher) isolates(r *request) bool {
-	_, ok := d.verdicts.Isolated(d.now, r.SharedParts)
+	_, ok := d.verdicts.Isolated(d.now, r.Traits)
 	return ok
 }
 
--- a/internal/dispatcher/isolation_test.go
+++ b/internal/dispatcher/isolation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -73,17 +74,32 @@
 	}
 }
 
+func TestCrashFleetRepeatsItsHistory(t *testing.T) {
+	var crashes, arrivals, begun []int
+	for range 5 {
+		f := newCrashFleet(t, 6, 12, 1)
+		f.load(100, 3)
+		f.run(10 * time.Second)
+		crashes, arrivals, begun = append(crashes, f.crashes), append(arrivals, int(f.lastID)), append(begun, f.begun)
+	}
+	for _, of := range [][]int{crashes, arrivals, begun} {
+		require.Len(t, slices.Compact(of), 1, "crashes %v, requests %v, begun %v", crashes, arrivals, begun)
+	}
+}
+
 func TestMutantsOfIsolationAreCaught(t *testing.T) {
 	for _, mutant := range []crashMutant{noMutant, gatewaysNeverObject, verdictsStay, restartsForget} {
 		f := newCrashFleet(t, 6, 12, 1)
 		f.mutant = mutant
 		f.load(100, 3)
 		f.run(12 * time.Second)
-		f.loseStewards()
-		for g := range f.gateways {
-			f.startGateway(g)
+		for range 3 {
+			f.loseStewards()
+			for g := range f.gateways {
+				f.startGateway(g)
+			}
+			f.run(5 * time.Second)
 		}
-		f.run(5 * time.Second)
 		caught := f.arrivals > maxCrashArrivals || f.refusedSound > 0
 		require.Equal(t, mutant != noMutant, caught, "mutant %q: %d arrivals, %d sound requests refused", mutant, f.arrivals, f.refusedSound)
 	}
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -21,7 +21,7 @@
 		entry := d.logEvent("send failed", r, u)
 		entry.Cause = string(ev.Outcome) + ": " + ev.Cause
 		if ev.Outcome == Unknown || ev.Outcome == Interrupted {
-			entry.Parts = r.SharedParts
+			entry.Traits = r.Traits
 		}
 		d.emit(entry)
 	}
--- a/internal/driver/isolation.go
+++ b/internal/driver/isolation.go
@@ -11,7 +11,6 @@
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/messenger"
-	"github.com/egretwall/egretwall/internal/registrar"
 )
 
 // Timing of verdicts on parts of prompts.
@@ -25,7 +24,7 @@
 // VerdictStore keeps verdicts in the platform's store, so that they outlive all processes.
 type VerdictStore interface {
 	// AppendVerdict writes a verdict that was reached now.
-	AppendVerdict(ctx context.Context, part registrar.PartID) error
+	AppendVerdict(ctx context.Context, part isolator.Trait) error
 	// ReadVerdicts returns all verdicts with their ages.
 	ReadVerdicts(ctx context.Context) ([]isolator.Verdict, error)
 }
@@ -49,12 +48,12 @@
 	store    VerdictStore
 	verdicts *isolator.Verdicts
 	analyst  *isolator.Analyst
-	changed  bool               // verdicts, since they were last sent
-	sentAt   time.Duration      // when they were
-	own      []registrar.PartID // verdicts of this steward
-	unsaved  []registrar.PartID // of these, those that are not in the store yet
-	crashed  chan struct{}      // wakes judge
-	save     chan struct{}      // wakes keepVerdicts
+	changed  bool             // verdicts, since they were last sent
+	sentAt   time.Duration    // when they were
+	own      []isolator.Trait // verdicts of this steward
+	unsaved  []isolator.Trait // of these, those that are not in the store yet
+	crashed  chan struct{}    // wakes judge
+	save     chan struct{}    // wakes keepVerdicts
 }
 
 func newVerdictKeeper(store VerdictStore) *verdictKeeper {
@@ -118,10 +117,10 @@
 	suspects := s.verdicts.analyst.Suspects(now)
 	decided := s.verdicts.analyst.Decide(now)
 	for _, v := range decided {
-		s.verdicts.own = append(s.verdicts.own, v.Part)
-		s.verdicts.unsaved = append(s.verdicts.unsaved, v.Part)
+		s.verdicts.own = append(s.verdicts.own, v.Trait)
+		s.verdicts.unsaved = append(s.verdicts.unsaved, v.Trait)
 		wake(s.verdicts.save)
-		s.cfg.Log.Logger.Warn().Str("part", string(v.Part)).Str("source", "crashes").Msg("prompt part isolated")
+		s.cfg.Log.Logger.Warn().Str("part", string(v.Trait)).Str("source", "crashes").Msg("prompt part isolated")
 	}
 	if len(suspects) > 0 || len(decided) > 0 {
 		s.tellGateways(messenger.Message{Suspects: suspects, Verdicts: s.verdicts.verdicts.All(now)}, len(decided) > 0)
@@ -191,7 +190,7 @@
 			continue
 		}
 		s.syncer.mu.Lock()
-		s.verdicts.unsaved = slices.DeleteFunc(s.verdicts.unsaved, func(p registrar.PartID) bool { return p == part })
+		s.verdicts.unsaved = slices.DeleteFunc(s.verdicts.unsaved, func(p isolator.Trait) bool { return p == part })
 		s.syncer.mu.Unlock()
 	}
 }
@@ -213,7 +212,7 @@
 }
 
 // answerSuspects tells a steward which of the parts that it suspects have been answered.
-func (g *Gateway) answerSuspects(to netip.AddrPort, suspects []registrar.PartID) {
+func (g *Gateway) answerSuspects(to netip.AddrPort, suspects []isolator.Trait) {
 	g.syncer.mu.Lock()
 	answered := g.dispatcher.Answered(g.syncer.now(), suspects)
 	version := g.syncer.version()
--- a/internal/driver/isolation_test.go
+++ b/internal/driver/isolation_test.go
@@ -30,13 +30,13 @@
 	s.away = away
 }
 
-func (s *verdictStore) AppendVerdict(_ context.Context, part registrar.PartID) error {
+func (s *verdictStore) AppendVerdict(_ context.Context, part isolator.Trait) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
 		return errors.New("the store is away")
 	}
-	s.stored = append(s.stored, isolator.Verdict{Part: part})
+	s.stored = append(s.stored, isolator.Verdict{Trait: part})
 	return nil
 }
 
@@ -61,15 +61,15 @@
 		var g sync.WaitGroup
 		g.Go(func() { s.judge(ctx) })
 		g.Go(func() { s.keepVerdicts(ctx) })
-		for _, part := range []registrar.PartID{"dead1", "dead2"} {
+		for _, part := range []isolator.Trait{"dead1", "dead2"} {
 			s.syncer.mu.Lock()
 			for _, u := range []registrar.UpstreamID{"u1", "u2", "u3"} {
-				s.recordCrash(isolator.Crash{Upstream: u + registrar.UpstreamID(part), Suspects: []registrar.PartID{part}})
+				s.recordCrash(isolator.Crash{Upstream: u + registrar.UpstreamID(part), Suspects: []isolator.Trait{part}})
 			}
 			s.syncer.mu.Unlock()
 			time.Sleep(time.Second)
 			s.syncer.mu.Lock()
-			_, isolated := s.verdicts.verdicts.Isolated(s.syncer.now(), []registrar.PartID{part})
+			_, isolated := s.verdicts.verdicts.Isolated(s.syncer.now(), []isolator.Trait{part})
 			s.syncer.mu.Unlock()
 			require.True(t, isolated, part)
 		}
@@ -77,7 +77,7 @@
 		time.Sleep(2 * time.Second)
 		cancel()
 		g.Wait()
-		require.Equal(t, []isolator.Verdict{{Part: "dead1"}, {Part: "dead2"}}, store.stored)
+		require.Equal(t, []isolator.Verdict{{Trait: "dead1"}, {Trait: "dead2"}}, store.stored)
 		require.NoError(t, log.Close())
 	})
 }
@@ -102,7 +102,7 @@
 		var g sync.WaitGroup
 		g.Go(func() { s.keepVerdicts(ctx) })
 		s.syncer.mu.Lock()
-		s.verdicts.own, s.verdicts.unsaved = []registrar.PartID{"dead"}, []registrar.PartID{"dead"}
+		s.verdicts.own, s.verdicts.unsaved = []isolator.Trait{"dead"}, []isolator.Trait{"dead"}
 		s.syncer.mu.Unlock()
 		wake(s.verdicts.save)
 		for era := range watcher.Era(2) {
@@ -112,7 +112,7 @@
 		time.Sleep(time.Second)
 		cancel()
 		g.Wait()
-		require.Equal(t, []isolator.Verdict{{Part: "dead"}, {Part: "dead"}, {Part: "dead"}}, store.stored)
+		require.Equal(t, []isolator.Verdict{{Trait: "dead"}, {Trait: "dead"}, {Trait: "dead"}}, store.stored)
 		require.NoError(t, log.Close())
 	})
 }
--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/dispatcher"
+	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/observer"
 	"github.com/egretwall/egretwall/internal/reconciler"
 	"github.com/egretwall/egretwall/internal/registrar"
@@ -89,8 +90,11 @@
 	if entry.Cause != "" {
 		ev = ev.Str("cause", entry.Cause)
 	}
-	if len(entry.Parts) > 0 {
-		ev = ev.Strs("parts", names(entry.Parts))
+	if len(entry.Traits) > 0 {
+		ev = ev.Strs("traits", names(entry.Traits))
+	}
+	if entry.Event == dispatcher.UpstreamCrashed {
+		ev = ev.Int("analysts", entry.Analysts)
 	}
 	if entry.Pause > 0 {
 		ev = ev.Int64("pause", entry.Pause.Milliseconds())
@@ -111,11 +115,11 @@
 	ev.Int("try", int(entry.Try)).Int("waiting", entry.Waiting).Int64("version", g.version()).Msg(entry.Event)
 }
 
-// names returns parts as strings.
-func names(parts []registrar.PartID) []string {
-	all := make([]string, 0, len(parts))
-	for _, p := range parts {
-		all = append(all, string(p))
+// names returns traits as strings.
+func names(traits []isolator.Trait) []string {
+	all := make([]string, 0, len(traits))
+	for _, t := range traits {
+		all = append(all, string(t))
 	}
 	return all
 }
--- a/internal/isolator/analyst.go
+++ b/internal/isolator/analyst.go
@@ -26,7 +26,7 @@
 type Crash struct {
 	Upstream    registrar.UpstreamID `json:"upstream" cbor:"1,keyasint"`
 	Incarnation int64                `json:"born" cbor:"2,keyasint"`
-	Suspects    []registrar.PartID   `json:"suspects" cbor:"3,keyasint"`
+	Suspects    []Trait              `json:"suspects" cbor:"3,keyasint"`
 }
 
 // crashKey identifies a crash, which several gateways report.
@@ -38,7 +38,7 @@
 // recordedCrash is a crash with the parts that any gateway reported.
 type recordedCrash struct {
 	at    time.Duration
-	parts map[registrar.PartID]bool
+	parts map[Trait]bool
 }
 
 // Analyst finds the part that several crashes have in common. It is not safe for concurrent
@@ -46,14 +46,14 @@
 type Analyst struct {
 	verdicts    *Verdicts
 	crashes     map[crashKey]*recordedCrash
-	clearedAt   map[registrar.PartID]time.Duration // when the last answer to the part was known
-	suspectedAt map[registrar.PartID]time.Duration // since when Suspects has named the part
-	askedAt     time.Duration                      // of the last call of Suspects
+	clearedAt   map[Trait]time.Duration // when the last answer to the part was known
+	suspectedAt map[Trait]time.Duration // since when Suspects has named the part
+	askedAt     time.Duration           // of the last call of Suspects
 }
 
 // NewAnalyst returns an analyst that knows of no crash and adds its verdicts to those given.
 func NewAnalyst(verdicts *Verdicts) *Analyst {
-	return &Analyst{verdicts: verdicts, crashes: map[crashKey]*recordedCrash{}, clearedAt: map[registrar.PartID]time.Duration{}, suspectedAt: map[registrar.PartID]time.Duration{}}
+	return &Analyst{verdicts: verdicts, crashes: map[crashKey]*recordedCrash{}, clearedAt: map[Trait]time.Duration{}, suspectedAt: map[Trait]time.Duration{}}
 }
 
 // Record adds what a gateway saw of a crash.
@@ -65,7 +65,7 @@
 		if len(a.crashes) >= maxRecorded {
 			return
 		}
-		crash = &recordedCrash{at: now, parts: map[registrar.PartID]bool{}}
+		crash = &recordedCrash{at: now, parts: map[Trait]bool{}}
 		a.crashes[key] = crash
 	}
 	for _, p := range c.Suspects {
@@ -77,12 +77,12 @@
 func (a *Analyst) forget(now time.Duration) {
 	maps.DeleteFunc(a.crashes, func(_ crashKey, c *recordedCrash) bool { return now-c.at >= crashMemory })
 	if len(a.clearedAt) >= maxCleared {
-		maps.DeleteFunc(a.clearedAt, func(_ registrar.PartID, at time.Duration) bool { return now-at >= answerMemory })
+		maps.DeleteFunc(a.clearedAt, func(_ Trait, at time.Duration) bool { return now-at >= answerMemory })
 	}
 }
 
 // Clear records that prompts with these parts have been answered.
-func (a *Analyst) Clear(now time.Duration, parts []registrar.PartID) {
+func (a *Analyst) Clear(now time.Duration, parts []Trait) {
 	for _, p := range parts {
 		if len(a.clearedAt) < maxCleared {
 			a.clearedAt[p] = now
@@ -91,7 +91,7 @@
 	}
 }
 
-func (a *Analyst) cleared(now time.Duration, p registrar.PartID) bool {
+func (a *Analyst) cleared(now time.Duration, p Trait) bool {
 	at, ok := a.clearedAt[p]
 	return ok && now-at < answerMemory
 }
@@ -104,8 +104,8 @@
 }
 
 // counts returns the number of unexplained crashes for each part that was never answered.
-func (a *Analyst) counts(now time.Duration) map[registrar.PartID]int {
-	counts := map[registrar.PartID]int{}
+func (a *Analyst) counts(now time.Duration) map[Trait]int {
+	counts := map[Trait]int{}
 	for _, c := range a.crashes {
 		if now-c.at >= crashMemory || a.explained(now, c) {
 			continue
@@ -121,13 +121,13 @@
 
 // Suspects returns the parts that have enough crashes in common, in their order. Gateways
 // are to be asked whether they have seen an answer to them, and are asked anew after a pause.
-func (a *Analyst) Suspects(now time.Duration) []registrar.PartID {
+func (a *Analyst) Suspects(now time.Duration) []Trait {
 	if now-a.askedAt > objectionTime {
 		clear(a.suspectedAt)
 	}
 	a.askedAt = now
 	counts := a.counts(now)
-	var suspects []registrar.PartID
+	var suspects []Trait
 	for p, n := range counts {
 		if n < minCrashes {
 			continue
@@ -137,7 +137,7 @@
 			a.suspectedAt[p] = now
 		}
 	}
-	maps.DeleteFunc(a.suspectedAt, func(p registrar.PartID, _ time.Duration) bool { return counts[p] < minCrashes })
+	maps.DeleteFunc(a.suspectedAt, func(p Trait, _ time.Duration) bool { return counts[p] < minCrashes })
 	slices.Sort(suspects)
 	return suspects
 }
@@ -147,14 +147,14 @@
 // maxCrashes.
 func (a *Analyst) Decide(now time.Duration) []Verdict {
 	counts := a.counts(now)
-	var ranked []registrar.PartID
+	var ranked []Trait
 	for p := range a.suspectedAt {
 		ranked = append(ranked, p)
 	}
 	if len(ranked) == 0 {
 		return nil
 	}
-	slices.SortFunc(ranked, func(p, q registrar.PartID) int {
+	slices.SortFunc(ranked, func(p, q Trait) int {
 		return cmp.Or(cmp.Compare(counts[q], counts[p]), cmp.Compare(p, q))
 	})
 	most := counts[ranked[0]]
@@ -167,11 +167,11 @@
 	var verdicts []Verdict
 	for _, p := range ranked {
 		if counts[p] == most && now-a.suspectedAt[p] >= objectionTime {
-			verdicts = append(verdicts, Verdict{Part: p})
+			verdicts = append(verdicts, Verdict{Trait: p})
 		}
 	}
 	for _, v := range verdicts {
-		delete(a.suspectedAt, v.Part)
+		delete(a.suspectedAt, v.Trait)
 	}
 	a.verdicts.Learn(now, verdicts)
 	return verdicts
--- a/internal/isolator/analyst_test.go
+++ b/internal/isolator/analyst_test.go
@@ -13,15 +13,15 @@
 func TestAnalystWaitsForObjections(t *testing.T) {
 	a := NewAnalyst(NewVerdicts())
 	for i := range 3 {
-		a.Record(0, Crash{Upstream: registrar.UpstreamID(fmt.Sprint(i)), Suspects: []registrar.PartID{"base", "dead"}})
+		a.Record(0, Crash{Upstream: registrar.UpstreamID(fmt.Sprint(i)), Suspects: []Trait{"base", "dead"}})
 	}
-	require.Equal(t, []registrar.PartID{"base", "dead"}, a.Suspects(0))
+	require.Equal(t, []Trait{"base", "dead"}, a.Suspects(0))
 	require.Empty(t, a.Decide(0))
-	a.Clear(time.Millisecond, []registrar.PartID{"base"})
-	require.Equal(t, []Verdict{{Part: "dead"}}, a.Decide(time.Second))
+	a.Clear(time.Millisecond, []Trait{"base"})
+	require.Equal(t, []Verdict{{Trait: "dead"}}, a.Decide(time.Second))
 }
 
-func crash(upstream int, suspects ...registrar.PartID) Crash {
+func crash(upstream int, suspects ...Trait) Crash {
 	return Crash{Upstream: registrar.UpstreamID(fmt.Sprint("u", upstream)), Suspects: suspects}
 }
 
@@ -59,7 +59,7 @@
 func TestExplainedCrashesSayNothingOfOtherParts(t *testing.T) {
 	v := NewVerdicts()
 	a := NewAnalyst(v)
-	v.Learn(0, []Verdict{{Part: "dead"}})
+	v.Learn(0, []Verdict{{Trait: "dead"}})
 	for i := range 10 {
 		a.Record(0, crash(i, "rare"))
 		a.Record(0, crash(i, "dead"))
@@ -76,7 +76,7 @@
 		now += time.Second
 	}
 	a.Record(now, crash(maxCrashes, "x", "y"))
-	require.Equal(t, []Verdict{{Part: "x"}, {Part: "y"}}, decide(a, now))
+	require.Equal(t, []Verdict{{Trait: "x"}, {Trait: "y"}}, decide(a, now))
 }
 
 // Gateways may have seen an answer since they were asked last.
@@ -88,7 +88,7 @@
 	require.Empty(t, decide(a, 0))
 	a.Record(10*time.Second, crash(maxCrashes, "x"))
 	a.Record(10*time.Second, crash(maxCrashes+1, "x"))
-	require.Equal(t, []registrar.PartID{"x", "y"}, a.Suspects(10*time.Second))
+	require.Equal(t, []Trait{"x", "y"}, a.Suspects(10*time.Second))
 	require.Empty(t, a.Decide(10*time.Second), "no time to object")
 }
 
@@ -98,20 +98,20 @@
 		a.Record(0, crash(i, "p"))
 	}
 	a.Suspects(0)
-	a.Clear(0, []registrar.PartID{"p"})
+	a.Clear(0, []Trait{"p"})
 	require.Empty(t, decide(a, 0))
 	require.Empty(t, decide(a, answerMemory-time.Second))
-	require.Equal(t, []Verdict{{Part: "p"}}, decide(a, answerMemory))
+	require.Equal(t, []Verdict{{Trait: "p"}}, decide(a, answerMemory))
 }
 
 func TestAnalystIsBounded(t *testing.T) {
 	a := NewAnalyst(NewVerdicts())
 	for i := range 2 * maxRecorded {
-		a.Record(0, crash(i, registrar.PartID(fmt.Sprint(i))))
+		a.Record(0, crash(i, Trait(fmt.Sprint(i))))
 	}
 	require.Len(t, a.crashes, maxRecorded)
 	for i := range 2 * maxCleared {
-		a.Clear(0, []registrar.PartID{registrar.PartID(fmt.Sprint(i))})
+		a.Clear(0, []Trait{Trait(fmt.Sprint(i))})
 	}
 	require.Len(t, a.clearedAt, maxCleared)
 	a.Record(crashMemory, crash(1, "p"))
--- a/internal/isolator/verdict.go
+++ b/internal/isolator/verdict.go
@@ -23,8 +23,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/egretwall/egretwall/internal/registrar"
 )
 
 // Bounds of what a process remembers.
@@ -36,36 +34,36 @@
 // Verdict says that a part crashes upstreams. It is sent between processes and kept in the
 // store with the numbers of the cbor tags for names.
 type Verdict struct {
-	Part registrar.PartID `json:"part" cbor:"1,keyasint"`
-	Age  time.Duration    `json:"age" cbor:"2,keyasint"` // since it was reached
+	Trait Trait         `json:"part" cbor:"1,keyasint"`
+	Age   time.Duration `json:"age" cbor:"2,keyasint"` // since it was reached
 }
 
 // Verdicts holds the verdicts that a process knows. It is not safe for concurrent use.
 type Verdicts struct {
-	reachedAt map[registrar.PartID]time.Duration
+	reachedAt map[Trait]time.Duration
 }
 
 // NewVerdicts returns an empty set.
 func NewVerdicts() *Verdicts {
-	return &Verdicts{reachedAt: map[registrar.PartID]time.Duration{}}
+	return &Verdicts{reachedAt: map[Trait]time.Duration{}}
 }
 
 // Learn stores verdicts and returns the parts that were not isolated before. Of several on a
 // part the earliest counts, since the ages that processes tell each other only grow.
-func (v *Verdicts) Learn(now time.Duration, verdicts []Verdict) []registrar.PartID {
-	var added []registrar.PartID
+func (v *Verdicts) Learn(now time.Duration, verdicts []Verdict) []Trait {
+	var added []Trait
 	for _, verdict := range verdicts {
 		reachedAt := now - max(0, verdict.Age)
-		if verdict.Part == "" || verdict.Age >= verdictLifetime {
+		if verdict.Trait == "" || verdict.Age >= verdictLifetime {
 			continue
 		}
-		if known, ok := v.reachedAt[verdict.Part]; ok && now-known < verdictLifetime {
-			v.reachedAt[verdict.Part] = min(known, reachedAt)
+		if known, ok := v.reachedAt[verdict.Trait]; ok && now-known < verdictLifetime {
+			v.reachedAt[verdict.Trait] = min(known, reachedAt)
 			continue
 		}
 		v.makeRoom(now)
-		v.reachedAt[verdict.Part] = reachedAt
-		added = append(added, verdict.Part)
+		v.reachedAt[verdict.Trait] = reachedAt
+		added = append(added, verdict.Trait)
 	}
 	return added
 }
@@ -76,9 +74,9 @@
 	if len(v.reachedAt) < maxVerdicts {
 		return
 	}
-	maps.DeleteFunc(v.reachedAt, func(_ registrar.PartID, at time.Duration) bool { return now-at >= verdictLifetime })
+	maps.DeleteFunc(v.reachedAt, func(_ Trait, at time.Duration) bool { return now-at >= verdictLifetime })
 	for len(v.reachedAt) >= maxVerdicts {
-		oldest := slices.MinFunc(slices.Collect(maps.Keys(v.reachedAt)), func(a, b registrar.PartID) int {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(v.reachedAt)), func(a, b Trait) int {
 			return cmp.Or(cmp.Compare(v.reachedAt[a], v.reachedAt[b]), cmp.Compare(a, b))
 		})
 		delete(v.reachedAt, oldest)
@@ -86,7 +84,7 @@
 }
 
 // Isolated returns the first of the parts that crashes upstreams, and false without one.
-func (v *Verdicts) Isolated(now time.Duration, parts []registrar.PartID) (registrar.PartID, bool) {
+func (v *Verdicts) Isolated(now time.Duration, parts []Trait) (Trait, bool) {
 	if len(v.reachedAt) == 0 {
 		return "", false
 	}
@@ -103,9 +101,9 @@
 	var all []Verdict
 	for p, at := range v.reachedAt {
 		if now-at < verdictLifetime {
-			all = append(all, Verdict{Part: p, Age: now - at})
+			all = append(all, Verdict{Trait: p, Age: now - at})
 		}
 	}
-	slices.SortFunc(all, func(a, b Verdict) int { return cmp.Compare(a.Part, b.Part) })
+	slices.SortFunc(all, func(a, b Verdict) int { return cmp.Compare(a.Trait, b.Trait) })
 	return all
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -54,8 +54,8 @@
 	Stream           tracker.StreamID     `json:"stream,omitempty" cbor:"10,keyasint,omitempty"`   // from a gateway that asks for its origin
 	Absence          *tracker.Absence     `json:"absence,omitempty" cbor:"11,keyasint,omitempty"`  // from a steward that does not know Stream
 	Crash            *isolator.Crash      `json:"crash,omitempty" cbor:"12,keyasint,omitempty"`    // from a gateway
-	Suspects         []registrar.PartID   `json:"suspects,omitempty" cbor:"13,keyasint,omitempty"` // from a steward that asks whether they have been answered
-	Answered         []registrar.PartID   `json:"answered,omitempty" cbor:"14,keyasint,omitempty"` // from a gateway, of Suspects
+	Suspects         []isolator.Trait     `json:"suspects,omitempty" cbor:"13,keyasint,omitempty"` // from a steward that asks whether they have been answered
+	Answered         []isolator.Trait     `json:"answered,omitempty" cbor:"14,keyasint,omitempty"` // from a gateway, of Suspects
 	Verdicts         []isolator.Verdict   `json:"verdicts,omitempty" cbor:"15,keyasint,omitempty"` // from a steward, with some reports and with Suspects
 }
 
--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -191,7 +191,7 @@
 		AttemptID: in.info.AttemptID, Route: route, Model: in.info.Model, Adapter: in.info.Adapter,
 		PromptTokens: in.info.PromptTokens, OutputTokens: in.info.OutputTokens, Deadline: now + timeout,
 		Resumed: in.info.LastEventID >= 0 || in.info.Resumes != "", Resumes: in.info.Resumes,
-		SharedParts: in.info.SharedParts,
+		Traits: in.traits(),
 	}, mailbox)
 	out.lastEventID = in.info.LastEventID
 	for {
@@ -232,7 +232,7 @@
 // readRequest reads a caller's request with its body and removes hop-by-hop and
 // reserved headers. The returned kind is None if the request is valid.
 func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request, out *callerResponse) (*callerRequest, classifier.Kind) {
-	in := &callerRequest{method: r.Method, target: r.RequestURI, host: r.Host, header: http.Header{}}
+	in := &callerRequest{method: r.Method, target: r.RequestURI, host: r.Host, caller: hostOf(r.RemoteAddr), header: http.Header{}}
 	info, err := g.cfg.HeaderCodec.ParseRequest(r.Header)
 	in.info = info
 	if err != nil || !strings.HasPrefix(r.RequestURI, "/") {
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/egretwall/egretwall/internal/dispatcher"
+	"github.com/egretwall/egretwall/internal/isolator"
 )
 
 // Limits of sends.
@@ -26,10 +27,17 @@
 	method string
 	target string // path and query of the request line, as the caller sent them
 	host   string
+	caller string      // IP address
 	header http.Header // end-to-end headers
 	body   []byte
 }
 
+// traits returns what other requests may have in common with this one.
+func (in *callerRequest) traits() []isolator.Trait {
+	content := isolator.Content{Method: in.method, Host: hostOf(in.host), Target: in.target, Caller: in.caller, Body: in.body}
+	return isolator.TraitsOf(content, in.info.SharedParts)
+}
+
 // upstreamResponse is an upstream's response whose headers have been read.
 type upstreamResponse struct {
 	conn        *upstreamConn
