--- a/internal/dispatcher/crashfleet_test.go
+++ b/internal/dispatcher/crashfleet_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"maps"
@@ -16,18 +17,21 @@
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
-// What a part that crashes upstreams may still do: maxCrashArrivals requests with it reach
-// runners later than crashLearnTime after crash number crashesToLearn.
+// What requests that crash upstreams may still do: maxCrashArrivals of them reach upstreams
+// later than crashLearnTime after crash number partCrashes or requestCrashes.
 const (
-	crashesToLearn   = 5
+	partCrashes      = 5
+	requestCrashes   = 3
 	crashLearnTime   = 3 * time.Second
 	maxCrashArrivals = 3
 	crashDowntime    = 3 * time.Second
 	crashingPart     = isolator.Trait("dead")
+	crashingRequest  = isolator.Trait("request:again")
 )
 
-// crashFleet is a fleet of gateways before runners that crash when they begin to answer a
-// request with crashingPart, on a virtual clock. Each runner's steward is an analyst.
+// crashFleet is a fleet of gateways before upstreams that crash when they begin to answer a
+// request with crashingPart or crashingRequest, on a virtual clock. Each runner's steward is
+// an analyst; upstreams of the plain service have none.
 type crashFleet struct {
 	t        *testing.T
 	rng      *rand.Rand
@@ -39,14 +43,16 @@
 	gateways []*Dispatcher
 	runners  []*crashingRunner
 	stored   []isolator.Verdict
-	requests map[int]map[RequestID][]isolator.Trait // by gateway
+	requests map[int]map[RequestID]crashFleetRequest // by gateway
 
 	crashes      int
-	learnBy      time.Duration // zero before crashesToLearn
-	arrivals     int           // of requests with crashingPart since learnBy
+	learnBy      time.Duration // zero before so many crashes that the cause must be known
+	arrivals     int           // of crashing requests since learnBy
 	begun, sound int           // of sound requests, since the last call of share
 	refusedSound int
 
+	crashing map[isolator.Trait]bool // requests that crash upstreams
+
 	mutant crashMutant
 }
 
@@ -61,14 +67,20 @@
 	restartsForget      crashMutant = "verdicts are not read from the store"
 )
 
-// crashingRunner is a runner with its steward.
+// crashFleetRequest is an attempt of a request, whose caller may send it once more.
+type crashFleetRequest struct {
+	Request
+	again bool // the caller has sent it before
+}
+
+// crashingRunner is a runner with its steward, or an upstream of the plain service without.
 type crashingRunner struct {
 	info     registrar.Upstream
 	down     bool
 	sends    map[RequestID]crashFleetSend
 	verdicts *isolator.Verdicts
-	analyst  *isolator.Analyst
-	judging  bool // since the last crash that was reported
+	analyst  *isolator.Analyst // nil without a steward
+	judging  bool              // since the last crash that was reported
 }
 
 type crashFleetSend struct {
@@ -76,8 +88,11 @@
 	send    Send
 }
 
+// plainUpstreams is the number of upstreams of the plain service.
+const plainUpstreams = 4
+
 func newCrashFleet(t *testing.T, gateways, runners int, seed uint64) *crashFleet {
-	f := &crashFleet{t: t, rng: rand.New(rand.NewPCG(seed, 1)), requests: map[int]map[RequestID][]isolator.Trait{}}
+	f := &crashFleet{t: t, rng: rand.New(rand.NewPCG(seed, 1)), requests: map[int]map[RequestID]crashFleetRequest{}, crashing: map[isolator.Trait]bool{}}
 	for i := range runners {
 		verdicts := isolator.NewVerdicts()
 		f.runners = append(f.runners, &crashingRunner{
@@ -88,6 +103,15 @@
 			sends: map[RequestID]crashFleetSend{}, verdicts: verdicts, analyst: isolator.NewAnalyst(verdicts),
 		})
 	}
+	for i := range plainUpstreams {
+		f.runners = append(f.runners, &crashingRunner{
+			info: registrar.Upstream{
+				ID: registrar.UpstreamID(fmt.Sprint("p", i)), Service: plainService, Address: fmt.Sprintf("10.0.1.%d:80", i+1), Domain: "a",
+				State: registrar.Ready, Slots: 6, Incarnation: 1,
+			},
+			sends: map[RequestID]crashFleetSend{},
+		})
+	}
 	for g := range gateways {
 		f.gateways = append(f.gateways, nil)
 		f.startGateway(g)
@@ -104,7 +128,7 @@
 
 func (f *crashFleet) startGateway(g int) {
 	f.gateways[g] = newHarness(f.t).d
-	f.requests[g] = map[RequestID][]isolator.Trait{}
+	f.requests[g] = map[RequestID]crashFleetRequest{}
 	for _, u := range f.runners {
 		for id, s := range u.sends {
 			if s.gateway == g {
@@ -156,9 +180,14 @@
 	}
 }
 
+// stewards returns the runners, whose stewards report.
+func (f *crashFleet) stewards() []*crashingRunner {
+	return slices.DeleteFunc(slices.Clone(f.runners), func(u *crashingRunner) bool { return u.analyst == nil })
+}
+
 // report sends the reports and verdicts of all stewards to all gateways.
 func (f *crashFleet) report() {
-	for _, u := range f.runners {
+	for _, u := range f.stewards() {
 		r := Report{Address: u.info.Address, Incarnation: u.info.Incarnation, Residents: u.info.Residents, Gateways: len(f.gateways), Unreachable: u.down, Running: len(u.sends)}
 		for g := range f.gateways {
 			f.deliver(func() {
@@ -173,16 +202,20 @@
 
 // judge lets all analysts ask about suspects and decide.
 func (f *crashFleet) judge() {
-	for _, u := range f.runners {
+	for _, u := range f.stewards() {
 		if !u.judging {
 			continue
 		}
 		suspects := u.analyst.Suspects(f.now)
 		decided := u.analyst.Decide(f.now)
 		u.judging = u.analyst.Busy(f.now)
-		f.stored = append(f.stored, decided...)
+		for _, v := range decided {
+			if v.Lasting() {
+				f.stored = append(f.stored, v)
+			}
+		}
 		if len(decided) > 0 {
-			for _, other := range f.runners {
+			for _, other := range f.stewards() {
 				f.deliver(func() { other.verdicts.Learn(f.now, decided) })
 			}
 		}
@@ -208,7 +241,7 @@
 			f.send(g, ef)
 		case ReportCrash:
 			for _, address := range ef.Addresses {
-				for _, u := range f.runners {
+				for _, u := range f.stewards() {
 					if u.info.Address == address {
 						f.deliver(func() {
 							u.analyst.Record(f.now, ef.Crash)
@@ -221,21 +254,39 @@
 			for _, u := range f.runners {
 				delete(u.sends, ef.ID)
 			}
+		case ProbeUpstream:
+			f.probe(g, ef)
 		case Fail:
-			if ef.Kind == classifier.Isolated && !f.isCrashing(f.requests[g][ef.ID]) {
-				f.refusedSound++
-			}
+			f.handleFailure(g, f.requests[g][ef.ID], ef.Kind)
 		}
 	}
 }
 
-func (f *crashFleet) isCrashing(parts []isolator.Trait) bool {
-	for _, p := range parts {
-		if p == crashingPart {
-			return true
+func (f *crashFleet) probe(g int, p ProbeUpstream) {
+	f.after(time.Millisecond, func() {
+		for _, u := range f.runners {
+			if u.info.ID == p.Upstream {
+				f.reduce(g, UpstreamProbed{Upstream: p.Upstream, Incarnation: p.Incarnation, Refused: u.down})
+			}
 		}
+	})
+}
+
+// handleFailure lets the caller of a request that was refused or may be sent again send it
+// once more.
+func (f *crashFleet) handleFailure(g int, r crashFleetRequest, kind classifier.Kind) {
+	if kind == classifier.Isolated && !isCrashing(r.Traits) {
+		f.refusedSound++
+	}
+	refused := kind != classifier.Lost && kind != classifier.Broken && kind != classifier.Expired
+	if !r.again && (refused || r.Route.Repeatable()) {
+		r.again = true
+		f.after(time.Duration(100+f.rng.IntN(200))*time.Millisecond, func() { f.arrive(r) })
 	}
-	return false
+}
+
+func isCrashing(traits []isolator.Trait) bool {
+	return slices.Contains(traits, crashingPart) || slices.Contains(traits, crashingRequest)
 }
 
 func (f *crashFleet) send(g int, e Send) {
@@ -250,7 +301,8 @@
 		return
 	}
 	u.sends[e.ID] = crashFleetSend{g, e}
-	crashing := f.isCrashing(f.requests[g][e.ID])
+	r := f.requests[g][e.ID]
+	crashing := isCrashing(r.Traits)
 	if crashing && f.learnBy > 0 && f.now > f.learnBy {
 		f.arrivals++
 	}
@@ -260,11 +312,19 @@
 		}
 		if crashing {
 			f.crash(u)
+			if slices.Contains(r.Traits, crashingRequest) && f.crashes == requestCrashes || f.crashes == partCrashes {
+				f.learnBy = cmp.Or(f.learnBy, f.now+crashLearnTime)
+			}
 			return
 		}
-		if e.Try == 1 {
+		if e.Try == 1 && !r.again {
 			f.begun++
 		}
+		if r.Model == "" {
+			delete(u.sends, e.ID)
+			f.reduce(g, SendEnded{ID: e.ID, Try: e.Try, Outcome: Completed})
+			return
+		}
 		f.reduce(g, AnswerBegan{ID: e.ID, Try: e.Try})
 		f.after(time.Duration(300+f.rng.IntN(1200))*time.Millisecond, func() {
 			if s, ok := u.sends[e.ID]; ok && s.send == e {
@@ -286,9 +346,6 @@
 
 func (f *crashFleet) crash(u *crashingRunner) {
 	f.crashes++
-	if f.crashes == crashesToLearn {
-		f.learnBy = f.now + crashLearnTime
-	}
 	u.down = true
 	f.breakOff(u)
 	f.after(crashDowntime, func() {
@@ -300,19 +357,33 @@
 	})
 }
 
-// submit lets a request with the given shared parts arrive at a random gateway.
-func (f *crashFleet) submit(parts []isolator.Trait) {
+// arrive lets a request arrive at a random gateway.
+func (f *crashFleet) arrive(r crashFleetRequest) {
 	g := f.rng.IntN(len(f.gateways))
 	f.lastID++
-	id := f.lastID
-	f.requests[g][id] = parts
-	if !f.isCrashing(parts) {
+	r.ID, r.Deadline = f.lastID, f.now+4*time.Second
+	f.requests[g][r.ID] = r
+	if !isCrashing(r.Traits) && !r.again {
 		f.sound++
 	}
-	f.reduce(g, Arrived{Request{
-		ID: id, Route: route(registrar.Streaming, 2), Service: runnerService, Model: "m", PromptTokens: 800, OutputTokens: 300,
-		Deadline: f.now + 4*time.Second, Traits: parts,
-	}})
+	f.reduce(g, Arrived{r.Request})
+}
+
+// submit lets a request for a model arrive whose prompt has the given shared parts, or one
+// for the plain service without. content is empty if it is no other request's.
+func (f *crashFleet) submit(content string, kind registrar.Kind, parts []isolator.Trait) {
+	if content == "" {
+		content = fmt.Sprint(f.lastID)
+	}
+	traits := append([]isolator.Trait{isolator.Trait("request:" + content), isolator.Trait("content:" + content)}, parts...)
+	if isCrashing(traits) {
+		f.crashing[traits[0]], f.crashing[traits[1]] = true, true
+	}
+	r := Request{Route: route(kind, 2), Service: plainService, Traits: traits}
+	if kind == registrar.Streaming {
+		r.Service, r.Model, r.PromptTokens, r.OutputTokens = runnerService, "m", 800, 300
+	}
+	f.arrive(crashFleetRequest{Request: r})
 }
 
 // soundParts draws an instruction that all requests share, one of many callers, some of
@@ -326,24 +397,46 @@
 	return parts
 }
 
-func (f *crashFleet) load(soundPerSecond, crashingPerSecond float64) {
-	arrivals := func(rate float64, submit func()) {
-		var next func()
-		next = func() {
-			submit()
-			f.after(time.Duration(f.rng.ExpFloat64()/rate*float64(time.Second)), next)
-		}
-		if rate > 0 {
-			next()
-		}
+// submitAt submits requests at random times.
+func (f *crashFleet) submitAt(perSecond float64, submit func()) {
+	var next func()
+	next = func() {
+		submit()
+		f.after(time.Duration(f.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
+	}
+	if perSecond > 0 {
+		next()
 	}
-	arrivals(soundPerSecond, func() { f.submit(f.soundParts()) })
-	arrivals(crashingPerSecond, func() {
+}
+
+func (f *crashFleet) load(soundPerSecond, crashingPerSecond float64) {
+	f.submitAt(soundPerSecond, func() { f.submit("", registrar.Streaming, f.soundParts()) })
+	f.submitAt(crashingPerSecond, func() {
 		parts := f.soundParts()
-		f.submit([]isolator.Trait{parts[0], parts[1], crashingPart})
+		f.submit("", registrar.Streaming, []isolator.Trait{parts[0], parts[1], crashingPart})
 	})
 }
 
+// loadPlain adds requests for the plain service, one in three of which may be repeated.
+func (f *crashFleet) loadPlain(perSecond float64) {
+	f.submitAt(perSecond, func() {
+		kind := registrar.NonIdempotent
+		if f.rng.IntN(3) == 0 {
+			kind = registrar.Idempotent
+		}
+		f.submit("", kind, nil)
+	})
+}
+
+// loadAgain adds attempts of crashingRequest.
+func (f *crashFleet) loadAgain(perSecond float64, kind registrar.Kind) {
+	var parts []isolator.Trait
+	if kind == registrar.Streaming {
+		parts = append(f.soundParts(), "rare")
+	}
+	f.submitAt(perSecond, func() { f.submit("again", kind, parts) })
+}
+
 // share returns the part of the sound requests that have begun at the first attempt since
 // the last call.
 func (f *crashFleet) share() float64 {
@@ -352,18 +445,19 @@
 	return share
 }
 
-// requireOnlyCrashingPart requires that no sound part was isolated anywhere.
-func (f *crashFleet) requireOnlyCrashingPart() {
+// requireOnlyCrashing requires that nothing was isolated but crashingPart and requests that
+// crash upstreams, and no sound request refused.
+func (f *crashFleet) requireOnlyCrashing() {
 	f.t.Helper()
 	require.Zero(f.t, f.refusedSound, "sound requests refused; verdicts: %v", f.stored)
 	for _, v := range f.stored {
-		require.Equal(f.t, crashingPart, v.Trait)
+		require.True(f.t, v.Trait == crashingPart || f.crashing[v.Trait], "%v", f.stored)
 	}
 }
 
 // loseStewards makes all stewards forget what they know.
 func (f *crashFleet) loseStewards() {
-	for _, u := range f.runners {
+	for _, u := range f.stewards() {
 		u.verdicts = isolator.NewVerdicts()
 		u.analyst = isolator.NewAnalyst(u.verdicts)
 	}
--- /dev/null
+++ b/internal/dispatcher/crashreport_test.go
@@ -0,0 +1,71 @@
+package dispatcher
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/isolator"
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+// listBothServices lists a runner whose steward reports and an upstream of the plain service.
+func listBothServices(h *harness) {
+	h.reduce(UpstreamsListed{[]*registrar.Upstream{
+		{ID: "runner", Service: runnerService, Address: "10.0.0.1:80", Domain: "a", State: registrar.Ready, Slots: 6},
+		{ID: "plain", Service: plainService, Address: "10.0.1.1:80", Domain: "a", State: registrar.Ready, Slots: 6},
+	}})
+	h.reduce(Reported{Report{Address: "10.0.0.1:80", Gateways: 1}})
+}
+
+func (h *harness) submitWithTraits(traits ...isolator.Trait) (RequestID, []Effect) {
+	h.lastID++
+	return h.lastID, h.reduce(Arrived{Request{ID: h.lastID, Route: route(registrar.Idempotent, 2), Service: plainService, Deadline: h.now + 4*time.Second, Traits: traits}})
+}
+
+func TestCrashOfAnUpstreamWithoutStewardIsReported(t *testing.T) {
+	h := newHarness(t)
+	listBothServices(h)
+	id, _ := h.submitWithTraits("request:r", "content:r")
+	h.reduce(SendEnded{ID: id, Try: 1, Outcome: Unknown})
+	h.now += TickPeriod
+	require.Contains(t, h.reduce(Tick{}), ProbeUpstream{Upstream: "plain", Address: "10.0.1.1:80"})
+	want := ReportCrash{Addresses: []string{"10.0.0.1:80"}, Crash: isolator.Crash{Upstream: "plain", Suspects: []isolator.Trait{"content:r", "request:r"}}}
+	require.Contains(t, h.reduce(UpstreamProbed{Upstream: "plain", Refused: true}), want)
+}
+
+func TestUpstreamThatListensHasNotCrashed(t *testing.T) {
+	h := newHarness(t)
+	listBothServices(h)
+	id, _ := h.submitWithTraits("request:r")
+	h.reduce(SendEnded{ID: id, Try: 1, Outcome: Unknown})
+	h.now += TickPeriod
+	h.reduce(Tick{})
+	for range 150 {
+		effects := h.reduce(UpstreamProbed{Upstream: "plain"})
+		h.now += TickPeriod
+		require.Empty(t, append(effects, h.reduce(Tick{})...))
+	}
+}
+
+// Of requests that may have crashed upstreams, one at a time is sent, and not again.
+func TestRequestOnTrialIsSentAlone(t *testing.T) {
+	h := newHarness(t)
+	h.listUpstreams(plainService, 3)
+	h.reduce(VerdictsReported{[]isolator.Verdict{{Trait: "request:r", Age: time.Hour - time.Second}}})
+	refusal := func(effects []Effect) Fail {
+		require.Len(t, effects, 1)
+		return effects[0].(Fail)
+	}
+	_, effects := h.submitWithTraits("request:r")
+	require.Equal(t, classifier.Isolated, refusal(effects).Kind)
+	h.now += time.Second
+	id, effects := h.submitWithTraits("request:r")
+	require.IsType(t, Send{}, effects[0])
+	_, effects = h.submitWithTraits("request:r")
+	require.Equal(t, classifier.Isolated, refusal(effects).Kind)
+	effects = h.reduce(SendEnded{ID: id, Try: 1, Outcome: Unknown})
+	require.Equal(t, classifier.Lost, refusal(effects).Kind)
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -42,7 +42,8 @@
 	releases           map[registrar.ServiceName]*tracker.Releases
 	verdicts           *isolator.Verdicts
 	breakages          map[registrar.UpstreamID]*breakage
-	answeredAt         map[isolator.Trait]time.Duration // of parts that were answered lately
+	answeredAt         map[isolator.Trait]time.Duration // of traits that were answered lately
+	answeredSweptAt    time.Duration                    // when forgotten ones were last removed from it
 	gatewayCount       int
 	refuseAt           time.Duration // of Stopping, zero before it
 
@@ -56,7 +57,7 @@
 	SentLimited  int `json:"limited"`  // of these, to upstreams that named a limit
 	Completed    int `json:"whole"`    // requests with a complete answer
 	Refused      int `json:"refused"`  // requests that no upstream ran, answered with an error
-	Isolated     int `json:"isolated"` // of these, with a part of the prompt that crashes upstreams
+	Isolated     int `json:"isolated"` // of these, like others that crash upstreams
 	Lost         int `json:"lost"`     // requests that an upstream may have run, answered with an error
 	Retried      int `json:"repeated"` // retries after an upstream had received the request
 	Resumed      int `json:"resumed"`  // of these, after a part of a stream had reached the caller
@@ -153,6 +154,8 @@
 		d.handleStreamFound(ev.Origin)
 	case StreamUnknown:
 		d.handleStreamUnknown(ev.Absence)
+	case UpstreamProbed:
+		d.handleProbe(ev)
 	case VerdictsReported:
 		d.handleVerdicts(ev.Verdicts)
 	}
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -108,8 +108,15 @@
 // StreamUnknown says that a steward does not know a stream, in answer to FindStream.
 type StreamUnknown struct{ Absence tracker.Absence }
 
-// VerdictsReported carries verdicts on parts of prompts that crash upstreams, as a steward or
-// the platform's store knows them.
+// UpstreamProbed says whether an upstream refuses connections, in answer to ProbeUpstream.
+type UpstreamProbed struct {
+	Upstream    registrar.UpstreamID
+	Incarnation int64
+	Refused     bool
+}
+
+// VerdictsReported carries verdicts on requests that crash upstreams, as a steward or the
+// platform's store knows them.
 type VerdictsReported struct{ Verdicts []isolator.Verdict }
 
 // Outcome is how a send to an upstream ended.
@@ -185,6 +192,7 @@
 func (StreamFound) event()        {}
 func (StreamUnknown) event()      {}
 func (VerdictsReported) event()   {}
+func (UpstreamProbed) event()     {}
 
 // Effect is an output of the dispatcher, which the driver carries out.
 type Effect interface{ effect() }
@@ -237,6 +245,13 @@
 	Request limiter.Request
 }
 
+// ProbeUpstream asks whether an upstream still listens; UpstreamProbed is the answer.
+type ProbeUpstream struct {
+	Upstream    registrar.UpstreamID
+	Incarnation int64
+	Address     string
+}
+
 // RecordStream tells stewards which release began a stream.
 type RecordStream struct {
 	Addresses []string // of the stewards' runners
@@ -289,4 +304,5 @@
 func (RecordStream) effect()   {}
 func (FindStream) effect()     {}
 func (ReportCrash) effect()    {}
+func (ProbeUpstream) effect()  {}
 func (Log) effect()            {}
--- a/internal/dispatcher/isolation.go
+++ b/internal/dispatcher/isolation.go
@@ -14,86 +14,99 @@
 const (
 	crashLatency     = 250 * time.Millisecond // from the beginning of an answer until it can't have crashed the upstream any more
 	crashConfirmTime = 3 * time.Second        // for an upstream's end to be known after its sends were broken off
+	crashProbePeriod = 250 * time.Millisecond // between probes whether the upstream has ended
 	crashRepeats     = 3                      // reports of each crash, in case datagrams are lost
 	crashRepeatDelay = 100 * time.Millisecond // between them
-	answeredMemory   = 30 * time.Second       // for which a part counts as answered
-	maxAnswered      = 20_000                 // parts that are remembered
+	answeredMemory   = 30 * time.Second       // for which a trait counts as answered
+	answeredSweep    = time.Second            // between searches for traits to forget while there is no room for others
+	maxAnswered      = 50_000                 // traits that are remembered
+	maxSuspects      = 1000                   // traits reported of a crash, which must fit into a datagram
 	analystCount     = 8                      // stewards that crashes are reported to, some of which may be gone or cut off
-	isolatedDelay    = time.Minute            // Retry-After of requests with an isolated part
+	trialPeriod      = time.Second            // shortest Retry-After of these
+	isolatedDelay    = time.Minute            // longest Retry-After of requests with an isolated trait
 )
 
 // breakage is what this gateway knows of sends to one incarnation of an upstream that were
 // broken off, perhaps by a crash.
 type breakage struct {
 	incarnation int64
-	service     registrar.ServiceName
+	address     string
 	since       time.Duration
 	suspects    map[isolator.Trait]bool
-	reports     int // since suspects last grew
+	probedAt    time.Duration // when the last probe began
+	alive       bool          // a probe has reached the upstream
+	reports     int           // since suspects last grew
 	reportedAt  time.Duration
 }
 
 // recordBreakage notes a send that its upstream broke off. Unless the answer had been
-// written for a while, the parts of the request are suspects if the upstream has crashed.
+// written for a while, the traits of the request are suspects if the upstream has crashed.
 func (d *Dispatcher) recordBreakage(r *request, u *upstream) {
 	if r.answerBegan && d.now-r.beganAt >= crashLatency {
 		return
 	}
 	b := d.breakages[u.info.ID]
 	if b == nil || b.incarnation != u.info.Incarnation {
-		b = &breakage{incarnation: u.info.Incarnation, service: r.Service, since: d.now, suspects: map[isolator.Trait]bool{}}
+		b = &breakage{incarnation: u.info.Incarnation, address: u.info.Address, since: d.now, probedAt: d.now - crashProbePeriod, suspects: map[isolator.Trait]bool{}}
 		d.breakages[u.info.ID] = b
 	}
-	for _, p := range r.Traits {
-		if !b.suspects[p] {
-			b.suspects[p], b.reports = true, 0
+	for _, t := range r.Traits {
+		if !b.suspects[t] && len(b.suspects) < maxSuspects {
+			b.suspects[t], b.reports = true, 0
 		}
 	}
 }
 
-// partsOf returns those of the traits that are parts of prompts.
-func partsOf(traits []isolator.Trait) []isolator.Trait {
-	var parts []isolator.Trait
-	for _, t := range traits {
-		if t.Kind() == isolator.PartTrait {
-			parts = append(parts, t)
-		}
+// probe asks whether an upstream still listens, since one without a steward may have ended
+// without a sign until its entry is removed.
+func (d *Dispatcher) probe(id registrar.UpstreamID, b *breakage) {
+	b.probedAt = d.now
+	d.emit(ProbeUpstream{Upstream: id, Incarnation: b.incarnation, Address: b.address})
+}
+
+// handleProbe records whether an upstream still listens.
+func (d *Dispatcher) handleProbe(ev UpstreamProbed) {
+	if b := d.breakages[ev.Upstream]; b != nil && b.incarnation == ev.Incarnation && !ev.Refused {
+		b.alive = true
+	}
+	if u := d.upstreams[ev.Upstream]; u != nil && u.info.Incarnation == ev.Incarnation && ev.Refused {
+		u.refuseConnections()
 	}
-	return parts
+	d.reportCrashes()
 }
 
-// recordAnswered notes that prompts with the parts of a request are answered.
+// recordAnswered notes that requests with the traits of r are answered.
 func (d *Dispatcher) recordAnswered(r *request, completed bool) {
-	parts := partsOf(r.Traits)
-	if len(parts) == 0 || !r.answerBegan && !completed || !completed && d.now-r.beganAt < crashLatency {
+	if !r.answerBegan && !completed || !completed && d.now-r.beganAt < crashLatency {
 		return
 	}
-	if len(d.answeredAt) >= maxAnswered {
+	if len(d.answeredAt) >= maxAnswered && d.now-d.answeredSweptAt >= answeredSweep {
+		d.answeredSweptAt = d.now
 		maps.DeleteFunc(d.answeredAt, func(_ isolator.Trait, at time.Duration) bool { return d.now-at >= answeredMemory })
 	}
-	for _, p := range parts {
-		if _, known := d.answeredAt[p]; known || len(d.answeredAt) < maxAnswered {
-			d.answeredAt[p] = d.now
+	for _, t := range r.Traits {
+		if _, known := d.answeredAt[t]; known || len(d.answeredAt) < maxAnswered {
+			d.answeredAt[t] = d.now
 		}
 	}
 }
 
-// Answered returns those of the parts to which this gateway has seen an answer lately, and
+// Answered returns those of the traits to which this gateway has seen an answer lately, and
 // which can't be what crashes upstreams.
-func (d *Dispatcher) Answered(now time.Duration, parts []isolator.Trait) []isolator.Trait {
+func (d *Dispatcher) Answered(now time.Duration, traits []isolator.Trait) []isolator.Trait {
 	being := map[isolator.Trait]bool{}
 	for _, r := range d.requests {
 		if r.upstream != nil && r.answerBegan && now-r.beganAt >= crashLatency {
-			for _, p := range r.Traits {
-				being[p] = true
+			for _, t := range r.Traits {
+				being[t] = true
 			}
 		}
 	}
 	var answered []isolator.Trait
-	for _, p := range parts {
-		at, ok := d.answeredAt[p]
-		if being[p] || ok && now-at < answeredMemory {
-			answered = append(answered, p)
+	for _, t := range traits {
+		at, ok := d.answeredAt[t]
+		if being[t] || ok && now-at < answeredMemory {
+			answered = append(answered, t)
 		}
 	}
 	return answered
@@ -108,27 +121,36 @@
 			delete(d.breakages, id)
 			continue
 		}
-		if b.reports >= crashRepeats || b.reports > 0 && d.now-b.reportedAt < crashRepeatDelay || !d.hasEnded(id, b) {
+		if !d.hasEnded(id, b) {
+			if !b.alive && d.now-b.probedAt >= crashProbePeriod {
+				d.probe(id, b)
+			}
 			continue
 		}
-		if b.reports == 0 {
-			d.logCrash(id, b)
-		}
-		b.reports++
-		b.reportedAt = d.now
-		parts := partsOf(slices.Sorted(maps.Keys(b.suspects)))
-		if analysts := firstInRendezvousOrder("crashes", d.reportingAddresses(b.service), analystCount); len(analysts) > 0 && len(parts) > 0 {
-			crash := isolator.Crash{Upstream: id, Incarnation: b.incarnation, Suspects: parts}
-			d.emit(ReportCrash{Addresses: analysts, Crash: crash})
+		if b.reports >= crashRepeats || b.reports > 0 && d.now-b.reportedAt < crashRepeatDelay {
+			continue
 		}
+		d.reportCrash(id, b)
 	}
 }
 
-// logCrash logs that an upstream has ended since its sends were broken off, and how many
-// analysts are told so.
-func (d *Dispatcher) logCrash(id registrar.UpstreamID, b *breakage) {
-	analysts := min(analystCount, len(d.reportingAddresses(b.service)))
-	d.emit(Log{Event: UpstreamCrashed, Upstream: id, Traits: slices.Sorted(maps.Keys(b.suspects)), Analysts: analysts, Waiting: d.waitingCount})
+// reportCrash tells analysts of a crash. They are among the stewards of all services, since
+// the upstreams of plain ones have none.
+func (d *Dispatcher) reportCrash(id registrar.UpstreamID, b *breakage) {
+	var addresses []string
+	for service := range d.upstreamsByService {
+		addresses = append(addresses, d.reportingAddresses(service)...)
+	}
+	analysts := firstInRendezvousOrder("crashes", addresses, analystCount)
+	suspects := slices.Sorted(maps.Keys(b.suspects))
+	if b.reports == 0 {
+		d.emit(Log{Event: UpstreamCrashed, Upstream: id, Traits: suspects, Analysts: len(analysts), Waiting: d.waitingCount})
+	}
+	b.reports++
+	b.reportedAt = d.now
+	if len(analysts) > 0 {
+		d.emit(ReportCrash{Addresses: analysts, Crash: isolator.Crash{Upstream: id, Incarnation: b.incarnation, Suspects: suspects}})
+	}
 }
 
 // hasEnded reports whether an incarnation of an upstream is known to have ended.
@@ -137,12 +159,12 @@
 	return u == nil || u.info.Incarnation != b.incarnation || u.connectionRefused || u.replaced || u.reported && u.report.Unreachable
 }
 
-// handleVerdicts isolates parts: requests with them that wait, or whose answers have not
+// handleVerdicts isolates traits: requests with them that wait, or whose answers have not
 // begun, are ended.
 func (d *Dispatcher) handleVerdicts(verdicts []isolator.Verdict) {
 	added := d.verdicts.Learn(d.now, verdicts)
-	for _, p := range added {
-		d.emit(Log{Event: "prompt part isolated", Traits: []isolator.Trait{p}, Waiting: d.waitingCount})
+	for _, t := range added {
+		d.emit(Log{Event: t.IsolationEvent(), Traits: []isolator.Trait{t}, Waiting: d.waitingCount})
 	}
 	if len(added) == 0 {
 		return
@@ -155,21 +177,39 @@
 		case r.upstream == nil:
 			d.refuseIsolated(r)
 		case !r.answerBegan:
-			r.lastCause = "a part of the prompt crashes upstreams"
+			r.lastCause = "requests like it crash upstreams"
 			d.emit(Abort{r.ID, classifier.Lost})
 			d.failAfterRun(r, classifier.Lost)
 		}
 	}
 }
 
-// isolates reports whether a part of the request's prompt is isolated.
+// isolates reports whether a trait of the request is isolated, or on trial in another
+// request.
 func (d *Dispatcher) isolates(r *request) bool {
-	_, ok := d.verdicts.Isolated(d.now, r.Traits)
+	if _, ok := d.verdicts.Isolated(d.now, r.Traits); ok {
+		return true
+	}
+	trait, ok := d.verdicts.OnTrial(d.now, r.Traits)
+	if !ok {
+		return false
+	}
+	for _, other := range d.requests {
+		if other != r && slices.Contains(other.Traits, trait) {
+			return true
+		}
+	}
+	return false
+}
+
+// onTrial reports whether a trait of the request may crash upstreams.
+func (d *Dispatcher) onTrial(r *request) bool {
+	_, ok := d.verdicts.OnTrial(d.now, r.Traits)
 	return ok
 }
 
 // refuseIsolated refuses a request that is under way at no upstream.
 func (d *Dispatcher) refuseIsolated(r *request) {
 	d.Counters.Isolated++
-	d.refuse(r, classifier.Isolated, isolatedDelay)
+	d.refuse(r, classifier.Isolated, min(isolatedDelay, max(trialPeriod, d.verdicts.Remaining(d.now, r.Traits))))
 }
--- a/internal/dispatcher/isolation_test.go
+++ b/internal/dispatcher/isolation_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/egretwall/egretwall/internal/registrar"
 )
 
 func TestPartThatCrashesRunnersIsIsolatedAndNoOther(t *testing.T) {
@@ -30,12 +32,42 @@
 				f.run(10 * time.Second)
 				require.Greater(t, f.share(), before/2)
 				require.LessOrEqual(t, f.arrivals, maxCrashArrivals, "%d crashes", f.crashes)
-				f.requireOnlyCrashingPart()
+				f.requireOnlyCrashing()
 			})
 		}
 	}
 }
 
+func TestRequestThatComesAgainIsIsolatedAndNoOther(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []registrar.Kind{registrar.Idempotent, registrar.NonIdempotent, registrar.Streaming} {
+		for _, c := range []struct {
+			gateways, runners     int
+			plain, sound, against float64
+			loss                  float64
+		}{{6, 12, 45, 100, 1, 0.01}, {6, 9, 30, 60, 5, 0.1}, {30, 40, 60, 300, 2, 0.05}, {1, 3, 30, 30, 2, 0}} {
+			for seed := range uint64(2) {
+				t.Run(fmt.Sprintf("%s, %+v, seed %d", kind, c, seed), func(t *testing.T) {
+					f := newCrashFleet(t, c.gateways, c.runners, seed)
+					f.loss = c.loss
+					f.load(c.sound, 0)
+					f.loadPlain(c.plain)
+					f.run(3 * time.Second)
+					before := f.share()
+					f.loadAgain(c.against, kind)
+					f.run(20 * time.Second)
+					require.GreaterOrEqual(t, f.crashes, requestCrashes)
+					f.share()
+					f.run(10 * time.Second)
+					require.Greater(t, f.share(), 0.9*before)
+					require.LessOrEqual(t, f.arrivals, maxCrashArrivals, "%d crashes", f.crashes)
+					f.requireOnlyCrashing()
+				})
+			}
+		}
+	}
+}
+
 func TestRestartedGatewaysKnowIsolatedParts(t *testing.T) {
 	f := newCrashFleet(t, 6, 12, 1)
 	f.load(100, 3)
@@ -47,7 +79,7 @@
 		}
 	}
 	require.LessOrEqual(t, f.arrivals, maxCrashArrivals)
-	f.requireOnlyCrashingPart()
+	f.requireOnlyCrashing()
 }
 
 // Connections that are reset, and runners that crash for reasons of their own, must not
@@ -58,6 +90,7 @@
 		f := newCrashFleet(t, 6, 12, seed)
 		f.loss = 0.05
 		f.load(60, 0)
+		f.loadPlain(40)
 		f.every(700*time.Millisecond, func() {
 			u := f.runners[f.rng.IntN(len(f.runners))]
 			switch {
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -16,7 +16,7 @@
 	u := r.upstream
 	r.lastCause = ev.Cause
 	d.endSend(r)
-	d.recordAnswered(r, ev.Outcome == Completed)
+	d.recordAnswered(r, ev.Outcome == Completed || ev.Outcome == Failed)
 	if ev.Outcome != Completed && ev.Outcome != CallerClosed {
 		entry := d.logEvent("send failed", r, u)
 		entry.Cause = string(ev.Outcome) + ": " + ev.Cause
@@ -53,7 +53,7 @@
 	case Withheld:
 		d.retryUnsent(r, u)
 	case ConnectionRefused:
-		u.connectionRefused, u.heartbeatAtRefusal = true, u.info.Heartbeat
+		u.refuseConnections()
 		d.retryUnsent(r, u)
 	case Failed:
 		u.recordResult(d.now, true)
@@ -127,7 +127,7 @@
 	b := d.retryBucket(r.Service)
 	b.refill(d.now, d.cfg.RetryBudget, d.gatewayCount, 0)
 	timeLeft := r.Deadline - d.now
-	if !r.Route.Repeatable() || r.runs >= max(1, r.Route.AttemptLimit) || timeLeft < minRunTime(r) || d.isolates(r) || !r.retryPaid && !b.take() {
+	if !r.Route.Repeatable() || r.runs >= max(1, r.Route.AttemptLimit) || timeLeft < minRunTime(r) || d.isolates(r) || d.onTrial(r) || !r.retryPaid && !b.take() {
 		d.failAfterRun(r, kind)
 		return
 	}
--- a/internal/dispatcher/upstream.go
+++ b/internal/dispatcher/upstream.go
@@ -209,6 +209,11 @@
 	u.avoidUntil = max(u.avoidUntil, now+avoidTime)
 }
 
+// refuseConnections records that nothing listens at the upstream's address.
+func (u *upstream) refuseConnections() {
+	u.connectionRefused, u.heartbeatAtRefusal = true, u.info.Heartbeat
+}
+
 // accepting reports whether the upstream may get new requests. After a refused
 // connection it gets none until its next heartbeat.
 func (u *upstream) accepting() bool {
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -422,6 +422,8 @@
 			g.send(g.stewardsAt(ef.Addresses), messenger.Message{Stream: ef.Stream, Version: g.syncer.version()})
 		case dispatcher.ReportCrash:
 			g.send(g.stewardsAt(ef.Addresses), messenger.Message{Crash: &ef.Crash, Version: g.syncer.version()})
+		case dispatcher.ProbeUpstream:
+			go g.probe(ef)
 		case dispatcher.Log:
 			g.logRequest(ef)
 		}
--- a/internal/driver/isolation.go
+++ b/internal/driver/isolation.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -13,7 +15,7 @@
 	"github.com/egretwall/egretwall/internal/messenger"
 )
 
-// Timing of verdicts on parts of prompts.
+// Timing of verdicts.
 const (
 	suspectPeriod      = 100 * time.Millisecond // between questions to gateways about suspects
 	verdictsPeriod     = time.Second            // between messages with unchanged verdicts
@@ -24,7 +26,7 @@
 // VerdictStore keeps verdicts in the platform's store, so that they outlive all processes.
 type VerdictStore interface {
 	// AppendVerdict writes a verdict that was reached now.
-	AppendVerdict(ctx context.Context, part isolator.Trait) error
+	AppendVerdict(ctx context.Context, trait isolator.Trait) error
 	// ReadVerdicts returns all verdicts with their ages.
 	ReadVerdicts(ctx context.Context) ([]isolator.Verdict, error)
 }
@@ -36,13 +38,13 @@
 		if err == nil {
 			return verdicts
 		}
-		logger.Warn().Err(err).Msg("verdicts on prompt parts not read")
+		logger.Warn().Err(err).Msg("verdicts not read")
 		pause(ctx, verdictRetryPeriod)
 	}
 	return nil
 }
 
-// verdictKeeper is a steward's part in finding the parts of prompts that crash upstreams.
+// verdictKeeper is a steward's part in finding the requests that crash upstreams.
 // Its fields but store and the channels are guarded by the steward's syncer.mu.
 type verdictKeeper struct {
 	store    VerdictStore
@@ -73,9 +75,9 @@
 
 // learnVerdicts records verdicts and logs new ones. The caller holds syncer.mu.
 func (s *Steward) learnVerdicts(verdicts []isolator.Verdict, source string) {
-	for _, p := range s.verdicts.verdicts.Learn(s.syncer.now(), verdicts) {
+	for _, t := range s.verdicts.verdicts.Learn(s.syncer.now(), verdicts) {
 		s.verdicts.changed = true
-		s.cfg.Log.Logger.Info().Str("part", string(p)).Str("source", source).Msg("prompt part isolated")
+		s.cfg.Log.Logger.Info().Str("trait", string(t)).Str("source", source).Msg(t.IsolationEvent())
 	}
 }
 
@@ -117,10 +119,12 @@
 	suspects := s.verdicts.analyst.Suspects(now)
 	decided := s.verdicts.analyst.Decide(now)
 	for _, v := range decided {
-		s.verdicts.own = append(s.verdicts.own, v.Trait)
-		s.verdicts.unsaved = append(s.verdicts.unsaved, v.Trait)
-		wake(s.verdicts.save)
-		s.cfg.Log.Logger.Warn().Str("part", string(v.Trait)).Str("source", "crashes").Msg("prompt part isolated")
+		if v.Lasting() {
+			s.verdicts.own = append(s.verdicts.own, v.Trait)
+			s.verdicts.unsaved = append(s.verdicts.unsaved, v.Trait)
+			wake(s.verdicts.save)
+		}
+		s.cfg.Log.Logger.Warn().Str("trait", string(v.Trait)).Str("source", "crashes").Bool("lasting", v.Lasting()).Msg(v.Trait.IsolationEvent())
 	}
 	if len(suspects) > 0 || len(decided) > 0 {
 		s.tellGateways(messenger.Message{Suspects: suspects, Verdicts: s.verdicts.verdicts.All(now)}, len(decided) > 0)
@@ -183,14 +187,14 @@
 		if len(unsaved) == 0 {
 			return
 		}
-		part := unsaved[0]
-		if err := s.verdicts.store.AppendVerdict(ctx, part); err != nil {
-			s.cfg.Log.Logger.Warn().Str("part", string(part)).Err(err).Msg("verdict on a prompt part not written")
+		trait := unsaved[0]
+		if err := s.verdicts.store.AppendVerdict(ctx, trait); err != nil {
+			s.cfg.Log.Logger.Warn().Str("trait", string(trait)).Err(err).Msg("verdict not written")
 			pause(ctx, verdictRetryPeriod)
 			continue
 		}
 		s.syncer.mu.Lock()
-		s.verdicts.unsaved = slices.DeleteFunc(s.verdicts.unsaved, func(p isolator.Trait) bool { return p == part })
+		s.verdicts.unsaved = slices.DeleteFunc(s.verdicts.unsaved, func(t isolator.Trait) bool { return t == trait })
 		s.syncer.mu.Unlock()
 	}
 }
@@ -211,7 +215,19 @@
 	}
 }
 
-// answerSuspects tells a steward which of the parts that it suspects have been answered.
+// probe connects to an upstream that may have crashed and tells the dispatcher the result,
+// unless that says nothing of the upstream.
+func (g *Gateway) probe(p dispatcher.ProbeUpstream) {
+	err := g.relayer.Pool().Warm(context.Background(), p.Address)
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	if err != nil && !refused {
+		g.cfg.Log.Logger.Debug().Str("upstream", string(p.Upstream)).Err(err).Msg("upstream not probed")
+		return
+	}
+	g.Reduce(dispatcher.UpstreamProbed{Upstream: p.Upstream, Incarnation: p.Incarnation, Refused: refused})
+}
+
+// answerSuspects tells a steward which of the traits that it suspects have been answered.
 func (g *Gateway) answerSuspects(to netip.AddrPort, suspects []isolator.Trait) {
 	g.syncer.mu.Lock()
 	answered := g.dispatcher.Answered(g.syncer.now(), suspects)
--- a/internal/isolator/analyst_test.go
+++ b/internal/isolator/analyst_test.go
@@ -117,3 +117,67 @@
 	a.Record(crashMemory, crash(1, "p"))
 	require.Len(t, a.crashes, 1)
 }
+
+func TestRequestIsBlamedBeforeItsParts(t *testing.T) {
+	a := NewAnalyst(NewVerdicts())
+	for i := range 3 {
+		a.Record(0, crash(i, "request:r", "content:r", "rare"))
+	}
+	require.Equal(t, []Verdict{{Trait: "request:r"}}, decide(a, 0))
+	// A further crash of another cause says nothing of the part.
+	a.Record(time.Second, crash(3, "request:s", "content:s", "rare"))
+	require.Empty(t, decide(a, time.Second))
+}
+
+func TestContentIsBlamedWhenCallersDiffer(t *testing.T) {
+	a := NewAnalyst(NewVerdicts())
+	for i := range 3 {
+		a.Record(0, crash(i, Trait(fmt.Sprint("request:", i)), "content:r", "rare"))
+	}
+	require.Equal(t, []Verdict{{Trait: "content:r"}}, decide(a, 0))
+}
+
+func TestPartIsBlamedWhenSeveralRequestsCrash(t *testing.T) {
+	a := NewAnalyst(NewVerdicts())
+	now := time.Duration(0)
+	for i := range 3 {
+		a.Record(now, crash(i, "request:r", "content:r", "dead"))
+	}
+	require.Equal(t, []Verdict{{Trait: "request:r"}}, decide(a, now))
+	now += time.Second
+	a.Record(now, crash(3, "request:s", "content:s", "dead"))
+	require.Empty(t, decide(a, now))
+	a.Record(now, crash(4, "request:t", "content:t", "dead"))
+	require.Equal(t, []Verdict{{Trait: "dead"}}, decide(a, now))
+}
+
+func TestRequestsThatWereBrokenOffTogetherAreTriedAgain(t *testing.T) {
+	v := NewVerdicts()
+	a := NewAnalyst(v)
+	for i := range 3 {
+		a.Record(0, crash(i, "request:r", "content:r", "request:s", "content:s", "part"))
+	}
+	verdicts := decide(a, 0)
+	require.Len(t, verdicts, 2)
+	for _, verdict := range verdicts {
+		require.Equal(t, RequestTrait, verdict.Trait.Kind())
+		require.False(t, verdict.Lasting())
+	}
+	now := objectionTime + trialDelay + time.Second
+	_, isolated := v.Isolated(now, []Trait{"request:r", "request:s"})
+	require.False(t, isolated)
+	trait, onTrial := v.OnTrial(now, []Trait{"request:s"})
+	require.True(t, onTrial)
+	require.Equal(t, Trait("request:s"), trait)
+	a.Record(now, crash(4, "request:r", "content:r"))
+	require.Equal(t, []Verdict{{Trait: "request:r"}}, decide(a, now))
+}
+
+func TestRequestThatWasAnsweredIsNotBlamed(t *testing.T) {
+	a := NewAnalyst(NewVerdicts())
+	for i := range 3 {
+		a.Record(0, crash(i, "request:r", "content:r", "request:s", "content:s"))
+	}
+	a.Clear(0, []Trait{"request:s", "content:s"})
+	require.Equal(t, []Verdict{{Trait: "request:r"}}, decide(a, 0))
+}
--- a/internal/isolator/trait.go
+++ b/internal/isolator/trait.go
@@ -71,3 +71,18 @@
 	}
 	return ContentTrait
 }
+
+// IsolationEvent returns the event under which processes log that the trait is isolated.
+func (t Trait) IsolationEvent() string {
+	if t.Kind() == PartTrait {
+		return "prompt part isolated"
+	}
+	return "request isolated"
+}
+
+// narrower reports whether t is of a more specific kind than other.
+func (t Trait) narrower(other Trait) bool {
+	return specificity[t.Kind()] > specificity[other.Kind()]
+}
+
+var specificity = map[TraitKind]int{PartTrait: 0, ContentTrait: 1, RequestTrait: 2}
--- a/internal/isolator/verdict.go
+++ b/internal/isolator/verdict.go
@@ -1,21 +1,23 @@
-// Package isolator finds the parts of prompts that crash upstreams, so that no more requests
-// with them reach any.
+// Package isolator finds what requests that crash upstreams have in common, so that no more
+// of them reach any.
 //
 // Usage:
 //
 //	verdicts := isolator.NewVerdicts()
 //	analyst := isolator.NewAnalyst(verdicts)
-//	analyst.Record(now, isolator.Crash{Upstream: "i-7f3a91c2", Incarnation: born, Suspects: parts})
-//	ask(analyst.Suspects(now)) // whether an answer to a prompt with them has been written
-//	analyst.Clear(now, written)
+//	traits := isolator.TraitsOf(content, sharedParts)
+//	analyst.Record(now, isolator.Crash{Upstream: "i-7f3a91c2", Incarnation: born, Suspects: traits})
+//	ask(analyst.Suspects(now)) // whether a request with them has been answered
+//	analyst.Clear(now, answered)
 //	spread(analyst.Decide(now))
-//	part, isolated := verdicts.Isolated(now, parts)
+//	trait, isolated := verdicts.Isolated(now, traits)
 //
-// Such a part crashes each upstream that begins to write an answer to it. Gateways report
-// the parts of the requests that an upstream was about to answer when it crashed, and which
-// of the suspected parts they have seen answered; analysts, which run in several stewards,
-// isolate the part that several crashes have in common and that was never answered. All
-// processes tell each other the verdicts, and the platform's store keeps them.
+// One part of a prompt may crash each upstream that begins to answer it, or one request that
+// comes again and again. Gateways report the traits of the requests that an upstream was
+// about to answer when it crashed, and which of the suspected traits they have seen answered;
+// analysts, which run in several stewards, isolate the trait that several crashes have in
+// common and that was never answered, the most specific one of several. All processes tell
+// each other the verdicts, and the platform's store keeps them.
 package isolator
 
 import (
@@ -28,28 +30,36 @@
 // Bounds of what a process remembers.
 const (
 	maxVerdicts     = 1000
-	verdictLifetime = time.Hour // after which a part may have been mended together with the upstreams
+	verdictLifetime = time.Hour        // after which the upstreams may have been mended
+	trialDelay      = 10 * time.Second // until requests are sent again of which only one crashes upstreams; these are back by then
+	trialTime       = time.Minute      // from then on, during which they are sent with care
+	retellTime      = time.Minute      // between verdicts on a trait that are not the same one, told again
 )
 
-// Verdict says that a part crashes upstreams. It is sent between processes and kept in the
+// Verdict says that requests with a trait crash upstreams. It is sent between processes and kept in the
 // store with the numbers of the cbor tags for names.
 type Verdict struct {
 	Trait Trait         `json:"part" cbor:"1,keyasint"`
-	Age   time.Duration `json:"age" cbor:"2,keyasint"` // since it was reached
+	Age   time.Duration `json:"age" cbor:"2,keyasint"` // since it was reached, or long if it is for a short time only
 }
 
+// Lasting reports whether a verdict that was just reached holds for long.
+func (v Verdict) Lasting() bool { return v.Age == 0 }
+
 // Verdicts holds the verdicts that a process knows. It is not safe for concurrent use.
 type Verdicts struct {
 	reachedAt map[Trait]time.Duration
+	trialTill map[Trait]time.Duration // of traits that were isolated for a short time only
 }
 
 // NewVerdicts returns an empty set.
 func NewVerdicts() *Verdicts {
-	return &Verdicts{reachedAt: map[Trait]time.Duration{}}
+	return &Verdicts{reachedAt: map[Trait]time.Duration{}, trialTill: map[Trait]time.Duration{}}
 }
 
-// Learn stores verdicts and returns the parts that were not isolated before. Of several on a
-// part the earliest counts, since the ages that processes tell each other only grow.
+// Learn stores verdicts and returns the traits that were not isolated before. Of what
+// several processes tell of one verdict the earliest counts, since the ages that they tell
+// each other only grow; of different verdicts on a trait the latest.
 func (v *Verdicts) Learn(now time.Duration, verdicts []Verdict) []Trait {
 	var added []Trait
 	for _, verdict := range verdicts {
@@ -57,13 +67,18 @@
 		if verdict.Trait == "" || verdict.Age >= verdictLifetime {
 			continue
 		}
-		if known, ok := v.reachedAt[verdict.Trait]; ok && now-known < verdictLifetime {
-			v.reachedAt[verdict.Trait] = min(known, reachedAt)
-			continue
+		known, ok := v.reachedAt[verdict.Trait]
+		switch {
+		case !ok || now-known >= verdictLifetime:
+			v.makeRoom(now)
+			v.reachedAt[verdict.Trait] = reachedAt
+			added = append(added, verdict.Trait)
+			if verdict.Age >= verdictLifetime-trialDelay {
+				v.trialTill[verdict.Trait] = reachedAt + verdictLifetime + trialTime
+			}
+		case reachedAt-known >= retellTime || reachedAt < known && known-reachedAt < retellTime:
+			v.reachedAt[verdict.Trait] = reachedAt
 		}
-		v.makeRoom(now)
-		v.reachedAt[verdict.Trait] = reachedAt
-		added = append(added, verdict.Trait)
 	}
 	return added
 }
@@ -75,6 +90,7 @@
 		return
 	}
 	maps.DeleteFunc(v.reachedAt, func(_ Trait, at time.Duration) bool { return now-at >= verdictLifetime })
+	maps.DeleteFunc(v.trialTill, func(_ Trait, end time.Duration) bool { return now >= end })
 	for len(v.reachedAt) >= maxVerdicts {
 		oldest := slices.MinFunc(slices.Collect(maps.Keys(v.reachedAt)), func(a, b Trait) int {
 			return cmp.Or(cmp.Compare(v.reachedAt[a], v.reachedAt[b]), cmp.Compare(a, b))
@@ -83,25 +99,50 @@
 	}
 }
 
-// Isolated returns the first of the parts that crashes upstreams, and false without one.
-func (v *Verdicts) Isolated(now time.Duration, parts []Trait) (Trait, bool) {
+// Isolated returns the first of the traits that crashes upstreams, and false without one.
+func (v *Verdicts) Isolated(now time.Duration, traits []Trait) (Trait, bool) {
 	if len(v.reachedAt) == 0 {
 		return "", false
 	}
-	for _, p := range parts {
-		if at, ok := v.reachedAt[p]; ok && now-at < verdictLifetime {
-			return p, true
+	for _, t := range traits {
+		if at, ok := v.reachedAt[t]; ok && now-at < verdictLifetime {
+			return t, true
 		}
 	}
 	return "", false
 }
 
-// All returns the verdicts in force, in the order of their parts.
+// OnTrial returns the first of the traits that may crash upstreams, so that one request with
+// it should be sent at a time, and false without one.
+func (v *Verdicts) OnTrial(now time.Duration, traits []Trait) (Trait, bool) {
+	if len(v.trialTill) == 0 {
+		return "", false
+	}
+	for _, t := range traits {
+		if now < v.trialTill[t] {
+			return t, true
+		}
+	}
+	return "", false
+}
+
+// Remaining returns how long requests with the traits will be kept from upstreams.
+func (v *Verdicts) Remaining(now time.Duration, traits []Trait) time.Duration {
+	remaining := time.Duration(0)
+	for _, t := range traits {
+		if at, ok := v.reachedAt[t]; ok {
+			remaining = max(remaining, at+verdictLifetime-now)
+		}
+	}
+	return remaining
+}
+
+// All returns the verdicts in force, in the order of their traits.
 func (v *Verdicts) All(now time.Duration) []Verdict {
 	var all []Verdict
-	for p, at := range v.reachedAt {
+	for t, at := range v.reachedAt {
 		if now-at < verdictLifetime {
-			all = append(all, Verdict{Trait: p, Age: now - at})
+			all = append(all, Verdict{Trait: t, Age: now - at})
 		}
 	}
 	slices.SortFunc(all, func(a, b Verdict) int { return cmp.Compare(a.Trait, b.Trait) })
--- a/internal/isolator/verdict_test.go
+++ b/internal/isolator/verdict_test.go
@@ -48,3 +48,15 @@
 	_, ok := v.Isolated(3*maxVerdicts, []Trait{Trait(fmt.Sprint(3*maxVerdicts - 1))})
 	require.True(t, ok, "the newest")
 }
+
+// A verdict for a short time must not shorten the one that follows it.
+func TestLaterVerdictCounts(t *testing.T) {
+	v := NewVerdicts()
+	short := Verdict{Trait: "request:r", Age: verdictLifetime - trialDelay}
+	v.Learn(0, []Verdict{short})
+	v.Learn(trialDelay-time.Second, []Verdict{{Trait: "request:r"}})
+	v.Learn(trialDelay-time.Second, []Verdict{{Trait: "request:r", Age: verdictLifetime - time.Second}})
+	require.Equal(t, verdictLifetime-time.Second, v.Remaining(trialDelay, []Trait{"request:r"}))
+	_, ok := v.Isolated(trialDelay+time.Second, []Trait{"request:r"})
+	require.True(t, ok)
+}
--- a/internal/relayer/gateway_test.go
+++ b/internal/relayer/gateway_test.go
@@ -507,3 +507,13 @@
 	require.Equal(t, "second", <-written)
 	require.Empty(t, written)
 }
+
+func TestWarmTellsWhetherAnUpstreamListens(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := NewPool()
+	require.NoError(t, p.Warm(t.Context(), l.Addr().String()))
+	require.NotNil(t, p.pop(l.Addr().String()), "the connection is kept for a request")
+	require.NoError(t, l.Close())
+	require.ErrorIs(t, p.Warm(t.Context(), l.Addr().String()), syscall.ECONNREFUSED)
+}
--- a/internal/relayer/pool.go
+++ b/internal/relayer/pool.go
@@ -67,6 +67,21 @@
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx, address)
+}
+
+// Warm dials a new connection to the address and adds it to the idle ones. The error says
+// why the upstream can't be reached.
+func (p *Pool) Warm(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.Put(c)
+	return nil
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*upstreamConn, error) {
 	conn, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
