Isolate a request whatever its callers, and tell parts from requests by which requests have them

A 500 is no longer taken for an answer that clears a request: an upstream may fail without running it. Ruled out: sending one request with an isolated content at a time, whoever sends it; another caller's sound one was refused (process test). Isolating the content at once: that would refuse it too. Process tests pass, with a case of several callers.

--- a/internal/dispatcher/crashfleet_test.go
+++ b/internal/dispatcher/crashfleet_test.go
@@ -26,11 +26,11 @@
 	maxCrashArrivals = 3
 	crashDowntime    = 3 * time.Second
 	crashingPart     = isolator.Trait("dead")
-	crashingRequest  = isolator.Trait("request:again")
+	crashingContent  = isolator.Trait("content:again")
 )
 
 // crashFleet is a fleet of gateways before upstreams that crash when they begin to answer a
-// request with crashingPart or crashingRequest, on a virtual clock. Each runner's steward is
+// request with crashingPart or crashingContent, on a virtual clock. Each runner's steward is
 // an analyst; upstreams of the plain service have none.
 type crashFleet struct {
 	t        *testing.T
@@ -128,6 +128,7 @@
 
 func (f *crashFleet) startGateway(g int) {
 	f.gateways[g] = newHarness(f.t).d
+	f.gateways[g].trialTurn = f.rng.Float64()
 	f.requests[g] = map[RequestID]crashFleetRequest{}
 	for _, u := range f.runners {
 		for id, s := range u.sends {
@@ -286,7 +287,7 @@
 }
 
 func isCrashing(traits []isolator.Trait) bool {
-	return slices.Contains(traits, crashingPart) || slices.Contains(traits, crashingRequest)
+	return slices.Contains(traits, crashingPart) || slices.Contains(traits, crashingContent)
 }
 
 func (f *crashFleet) send(g int, e Send) {
@@ -312,7 +313,7 @@
 		}
 		if crashing {
 			f.crash(u)
-			if slices.Contains(r.Traits, crashingRequest) && f.crashes == requestCrashes || f.crashes == partCrashes {
+			if slices.Contains(r.Traits, crashingContent) && f.crashes == requestCrashes || f.crashes == partCrashes {
 				f.learnBy = cmp.Or(f.learnBy, f.now+crashLearnTime)
 			}
 			return
@@ -371,11 +372,11 @@
 
 // submit lets a request for a model arrive whose prompt has the given shared parts, or one
 // for the plain service without. content is empty if it is no other request's.
-func (f *crashFleet) submit(content string, kind registrar.Kind, parts []isolator.Trait) {
+func (f *crashFleet) submit(content string, caller int, kind registrar.Kind, parts []isolator.Trait) {
 	if content == "" {
 		content = fmt.Sprint(f.lastID)
 	}
-	traits := append([]isolator.Trait{isolator.Trait("request:" + content), isolator.Trait("content:" + content)}, parts...)
+	traits := append([]isolator.Trait{isolator.Trait(fmt.Sprintf("request:%s.%d", content, caller)), isolator.Trait("content:" + content)}, parts...)
 	if isCrashing(traits) {
 		f.crashing[traits[0]], f.crashing[traits[1]] = true, true
 	}
@@ -410,10 +411,10 @@
 }
 
 func (f *crashFleet) load(soundPerSecond, crashingPerSecond float64) {
-	f.submitAt(soundPerSecond, func() { f.submit("", registrar.Streaming, f.soundParts()) })
+	f.submitAt(soundPerSecond, func() { f.submit("", 0, registrar.Streaming, f.soundParts()) })
 	f.submitAt(crashingPerSecond, func() {
 		parts := f.soundParts()
-		f.submit("", registrar.Streaming, []isolator.Trait{parts[0], parts[1], crashingPart})
+		f.submit("", 0, registrar.Streaming, []isolator.Trait{parts[0], parts[1], crashingPart})
 	})
 }
 
@@ -424,17 +425,17 @@
 		if f.rng.IntN(3) == 0 {
 			kind = registrar.Idempotent
 		}
-		f.submit("", kind, nil)
+		f.submit("", 0, kind, nil)
 	})
 }
 
-// loadAgain adds attempts of crashingRequest.
-func (f *crashFleet) loadAgain(perSecond float64, kind registrar.Kind) {
+// loadAgain adds attempts of a request with crashingContent, by so many callers.
+func (f *crashFleet) loadAgain(perSecond float64, kind registrar.Kind, callers int) {
 	var parts []isolator.Trait
 	if kind == registrar.Streaming {
 		parts = append(f.soundParts(), "rare")
 	}
-	f.submitAt(perSecond, func() { f.submit("again", kind, parts) })
+	f.submitAt(perSecond, func() { f.submit("again", f.rng.IntN(callers), kind, parts) })
 }
 
 // share returns the part of the sound requests that have begun at the first attempt since
--- a/internal/dispatcher/crashreport_test.go
+++ b/internal/dispatcher/crashreport_test.go
@@ -32,7 +32,7 @@
 	h.reduce(SendEnded{ID: id, Try: 1, Outcome: Unknown})
 	h.now += TickPeriod
 	require.Contains(t, h.reduce(Tick{}), ProbeUpstream{Upstream: "plain", Address: "10.0.1.1:80"})
-	want := ReportCrash{Addresses: []string{"10.0.0.1:80"}, Crash: isolator.Crash{Upstream: "plain", Suspects: []isolator.Trait{"content:r", "request:r"}}}
+	want := ReportCrash{Addresses: []string{"10.0.0.1:80"}, Crash: isolator.Crash{Upstream: "plain", Requests: [][]isolator.Trait{{"request:r", "content:r"}}}}
 	require.Contains(t, h.reduce(UpstreamProbed{Upstream: "plain", Refused: true}), want)
 }
 
@@ -53,6 +53,7 @@
 // Of requests that may have crashed upstreams, one at a time is sent, and not again.
 func TestRequestOnTrialIsSentAlone(t *testing.T) {
 	h := newHarness(t)
+	h.d.trialTurn = 0
 	h.listUpstreams(plainService, 3)
 	h.reduce(VerdictsReported{[]isolator.Verdict{{Trait: "request:r", Age: time.Hour - time.Second}}})
 	refusal := func(effects []Effect) Fail {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -44,6 +44,7 @@
 	breakages          map[registrar.UpstreamID]*breakage
 	answeredAt         map[isolator.Trait]time.Duration // of traits that were answered lately
 	answeredSweptAt    time.Duration                    // when forgotten ones were last removed from it
+	trialTurn          float64                          // of this gateway among all, from 0 to 1
 	gatewayCount       int
 	refuseAt           time.Duration // of Stopping, zero before it
 
@@ -108,6 +109,7 @@
 		verdicts:           isolator.NewVerdicts(),
 		breakages:          map[registrar.UpstreamID]*breakage{},
 		answeredAt:         map[isolator.Trait]time.Duration{},
+		trialTurn:          rand.New(rand.NewPCG(cfg.Seed, 2)).Float64(),
 		gatewayCount:       defaultGatewayCount,
 	}
 }
--- a/internal/dispatcher/isolation.go
+++ b/internal/dispatcher/isolation.go
@@ -22,7 +22,8 @@
 	maxAnswered      = 50_000                 // traits that are remembered
 	maxSuspects      = 1000                   // traits reported of a crash, which must fit into a datagram
 	analystCount     = 8                      // stewards that crashes are reported to, some of which may be gone or cut off
-	trialPeriod      = time.Second            // shortest Retry-After of these
+	trialPeriod      = time.Second            // shortest Retry-After of these, and pause between gateways that send one on trial
+	maxTrialWait     = 30 * time.Second       // for the last gateway to send one
 	isolatedDelay    = time.Minute            // longest Retry-After of requests with an isolated trait
 )
 
@@ -32,10 +33,11 @@
 	incarnation int64
 	address     string
 	since       time.Duration
-	suspects    map[isolator.Trait]bool
-	probedAt    time.Duration // when the last probe began
-	alive       bool          // a probe has reached the upstream
-	reports     int           // since suspects last grew
+	suspects    [][]isolator.Trait // of requests
+	traits      int                // of all requests
+	probedAt    time.Duration      // when the last probe began
+	alive       bool               // a probe has reached the upstream
+	reports     int                // since suspects last grew
 	reportedAt  time.Duration
 }
 
@@ -47,13 +49,11 @@
 	}
 	b := d.breakages[u.info.ID]
 	if b == nil || b.incarnation != u.info.Incarnation {
-		b = &breakage{incarnation: u.info.Incarnation, address: u.info.Address, since: d.now, probedAt: d.now - crashProbePeriod, suspects: map[isolator.Trait]bool{}}
+		b = &breakage{incarnation: u.info.Incarnation, address: u.info.Address, since: d.now, probedAt: d.now - crashProbePeriod}
 		d.breakages[u.info.ID] = b
 	}
-	for _, t := range r.Traits {
-		if !b.suspects[t] && len(b.suspects) < maxSuspects {
-			b.suspects[t], b.reports = true, 0
-		}
+	if b.traits += len(r.Traits); b.traits <= maxSuspects {
+		b.suspects, b.reports = append(b.suspects, r.Traits), 0
 	}
 }
 
@@ -142,14 +142,13 @@
 		addresses = append(addresses, d.reportingAddresses(service)...)
 	}
 	analysts := firstInRendezvousOrder("crashes", addresses, analystCount)
-	suspects := slices.Sorted(maps.Keys(b.suspects))
 	if b.reports == 0 {
-		d.emit(Log{Event: UpstreamCrashed, Upstream: id, Traits: suspects, Analysts: len(analysts), Waiting: d.waitingCount})
+		d.emit(Log{Event: UpstreamCrashed, Upstream: id, Traits: slices.Concat(b.suspects...), Analysts: len(analysts), Waiting: d.waitingCount})
 	}
 	b.reports++
 	b.reportedAt = d.now
 	if len(analysts) > 0 {
-		d.emit(ReportCrash{Addresses: analysts, Crash: isolator.Crash{Upstream: id, Incarnation: b.incarnation, Suspects: suspects}})
+		d.emit(ReportCrash{Addresses: analysts, Crash: isolator.Crash{Upstream: id, Incarnation: b.incarnation, Requests: slices.Clone(b.suspects)}})
 	}
 }
 
@@ -184,16 +183,22 @@
 	}
 }
 
-// isolates reports whether a trait of the request is isolated, or on trial in another
-// request.
+// isolates reports whether a trait of the request is isolated, or the request is on trial
+// in another attempt.
 func (d *Dispatcher) isolates(r *request) bool {
 	if _, ok := d.verdicts.Isolated(d.now, r.Traits); ok {
 		return true
 	}
-	trait, ok := d.verdicts.OnTrial(d.now, r.Traits)
+	trait, from, ok := d.onTrial(r)
 	if !ok {
 		return false
 	}
+	if trait.Kind() != isolator.RequestTrait {
+		return false
+	}
+	if d.now < from+d.trialWait() {
+		return true
+	}
 	for _, other := range d.requests {
 		if other != r && slices.Contains(other.Traits, trait) {
 			return true
@@ -202,10 +207,20 @@
 	return false
 }
 
-// onTrial reports whether a trait of the request may crash upstreams.
-func (d *Dispatcher) onTrial(r *request) bool {
-	_, ok := d.verdicts.OnTrial(d.now, r.Traits)
-	return ok
+// onTrial returns a trait of the request that may crash upstreams and since when it is on
+// trial, and false without one.
+func (d *Dispatcher) onTrial(r *request) (isolator.Trait, time.Duration, bool) {
+	trait, from, ok := d.verdicts.OnTrial(d.now, r.Traits)
+	if !ok || len(d.Answered(d.now, []isolator.Trait{trait})) > 0 {
+		return "", 0, false
+	}
+	return trait, from, true
+}
+
+// trialWait returns how long this gateway lets others send requests on trial first, so that
+// few of them crash upstreams at the same time.
+func (d *Dispatcher) trialWait() time.Duration {
+	return time.Duration(d.trialTurn * float64(min(time.Duration(d.gatewayCount)*trialPeriod, maxTrialWait)))
 }
 
 // refuseIsolated refuses a request that is under way at no upstream.
--- a/internal/dispatcher/isolation_test.go
+++ b/internal/dispatcher/isolation_test.go
@@ -42,10 +42,11 @@
 	t.Parallel()
 	for _, kind := range []registrar.Kind{registrar.Idempotent, registrar.NonIdempotent, registrar.Streaming} {
 		for _, c := range []struct {
-			gateways, runners     int
-			plain, sound, against float64
-			loss                  float64
-		}{{6, 12, 45, 100, 1, 0.01}, {6, 9, 30, 60, 5, 0.1}, {30, 40, 60, 300, 2, 0.05}, {1, 3, 30, 30, 2, 0}} {
+			gateways, runners   int
+			plain, sound, again float64
+			loss                float64
+			callers             int
+		}{{6, 12, 45, 100, 1, 0.01, 1}, {6, 9, 30, 60, 5, 0.1, 1}, {30, 40, 60, 300, 2, 0.05, 1}, {1, 3, 30, 30, 2, 0, 1}, {6, 12, 45, 100, 0.5, 0.01, 4}} {
 			for seed := range uint64(2) {
 				t.Run(fmt.Sprintf("%s, %+v, seed %d", kind, c, seed), func(t *testing.T) {
 					f := newCrashFleet(t, c.gateways, c.runners, seed)
@@ -54,7 +55,7 @@
 					f.loadPlain(c.plain)
 					f.run(3 * time.Second)
 					before := f.share()
-					f.loadAgain(c.against, kind)
+					f.loadAgain(c.again, kind, c.callers)
 					f.run(20 * time.Second)
 					require.GreaterOrEqual(t, f.crashes, requestCrashes)
 					f.share()
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -16,7 +16,7 @@
 	u := r.upstream
 	r.lastCause = ev.Cause
 	d.endSend(r)
-	d.recordAnswered(r, ev.Outcome == Completed || ev.Outcome == Failed)
+	d.recordAnswered(r, ev.Outcome == Completed)
 	if ev.Outcome != Completed && ev.Outcome != CallerClosed {
 		entry := d.logEvent("send failed", r, u)
 		entry.Cause = string(ev.Outcome) + ": " + ev.Cause
@@ -127,7 +127,8 @@
 	b := d.retryBucket(r.Service)
 	b.refill(d.now, d.cfg.RetryBudget, d.gatewayCount, 0)
 	timeLeft := r.Deadline - d.now
-	if !r.Route.Repeatable() || r.runs >= max(1, r.Route.AttemptLimit) || timeLeft < minRunTime(r) || d.isolates(r) || d.onTrial(r) || !r.retryPaid && !b.take() {
+	_, _, onTrial := d.onTrial(r)
+	if !r.Route.Repeatable() || r.runs >= max(1, r.Route.AttemptLimit) || timeLeft < minRunTime(r) || onTrial || d.isolates(r) || !r.retryPaid && !b.take() {
 		d.failAfterRun(r, kind)
 		return
 	}
--- a/internal/driver/isolation_test.go
+++ b/internal/driver/isolation_test.go
@@ -64,7 +64,7 @@
 		for _, part := range []isolator.Trait{"dead1", "dead2"} {
 			s.syncer.mu.Lock()
 			for _, u := range []registrar.UpstreamID{"u1", "u2", "u3"} {
-				s.recordCrash(isolator.Crash{Upstream: u + registrar.UpstreamID(part), Suspects: []isolator.Trait{part}})
+				s.recordCrash(isolator.Crash{Upstream: u + registrar.UpstreamID(part), Requests: [][]isolator.Trait{{part}}})
 			}
 			s.syncer.mu.Unlock()
 			time.Sleep(time.Second)
--- a/internal/isolator/analyst.go
+++ b/internal/isolator/analyst.go
@@ -15,18 +15,17 @@
 	objectionTime = 300 * time.Millisecond // for gateways to say that a suspected trait has been answered; three periods of being asked
 	answerMemory  = 30 * time.Second       // how long such an answer clears the trait
 	minCrashes    = 3                      // that have a trait in common before it is suspected
-	clearMajority = 2                      // crashes that a trait must have beyond other suspects to be isolated at once
 	maxCrashes    = 2 * minCrashes         // from which on all parts with the most crashes are isolated
 	maxRecorded   = 500                    // crashes that are remembered
 	maxCleared    = 20_000                 // traits whose answers are remembered
 )
 
 // Crash says that an upstream crashed and which traits the requests had that it was about to
-// answer.
+// answer. Field 3 was a list of parts.
 type Crash struct {
 	Upstream    registrar.UpstreamID `json:"upstream" cbor:"1,keyasint"`
 	Incarnation int64                `json:"born" cbor:"2,keyasint"`
-	Suspects    []Trait              `json:"suspects" cbor:"3,keyasint"`
+	Requests    [][]Trait            `json:"requests" cbor:"4,keyasint"`
 }
 
 // crashKey identifies a crash, which several gateways report.
@@ -39,6 +38,23 @@
 type recordedCrash struct {
 	at     time.Duration
 	traits map[Trait]bool
+	parts  map[Trait]map[Trait]bool // by the request or content that has them
+}
+
+// add adds the traits of one request.
+func (c *recordedCrash) add(traits []Trait) {
+	for _, t := range traits {
+		c.traits[t] = true
+		if t.Kind() == PartTrait {
+			continue
+		}
+		if c.parts[t] == nil {
+			c.parts[t] = map[Trait]bool{}
+		}
+		for _, part := range traits {
+			c.parts[t][part] = part.Kind() == PartTrait
+		}
+	}
 }
 
 // Analyst finds the trait that several crashes have in common. It is not safe for concurrent
@@ -65,11 +81,11 @@
 		if len(a.crashes) >= maxRecorded {
 			return
 		}
-		crash = &recordedCrash{at: now, traits: map[Trait]bool{}}
+		crash = &recordedCrash{at: now, traits: map[Trait]bool{}, parts: map[Trait]map[Trait]bool{}}
 		a.crashes[key] = crash
 	}
-	for _, t := range c.Suspects {
-		crash.traits[t] = true
+	for _, traits := range c.Requests {
+		crash.add(traits)
 	}
 }
 
@@ -96,68 +112,6 @@
 	return ok && now-at < answerMemory
 }
 
-// evidence is what speaks for a trait.
-type evidence struct {
-	crashes  map[crashKey]bool // unexplained ones of requests that have it
-	isolated map[Trait]bool    // narrower traits that explain other such crashes
-}
-
-// weight counts the causes that would be needed to explain the evidence otherwise.
-func (e evidence) weight() int { return len(e.crashes) + len(e.isolated) }
-
-// beyond returns how much of the evidence another trait does not explain.
-func (e evidence) beyond(other evidence) int {
-	n := len(e.isolated)
-	for key := range e.crashes {
-		if !other.crashes[key] {
-			n++
-		}
-	}
-	return n
-}
-
-// collect returns the evidence for each trait that was not answered lately.
-func (a *Analyst) collect(now time.Duration) map[Trait]evidence {
-	all := map[Trait]evidence{}
-	for key, c := range a.crashes {
-		if now-c.at >= crashMemory {
-			continue
-		}
-		explanation, explained := a.explanation(now, c)
-		for t := range c.traits {
-			if a.cleared(now, t) || explained && !explanation.narrower(t) {
-				continue
-			}
-			e, ok := all[t]
-			if !ok {
-				e = evidence{map[crashKey]bool{}, map[Trait]bool{}}
-				all[t] = e
-			}
-			if explained {
-				e.isolated[explanation] = true
-			} else {
-				e.crashes[key] = true
-			}
-		}
-	}
-	return all
-}
-
-// explanation returns the least specific isolated trait that explains a crash, and false
-// without one. The crash says nothing of other traits, unless they are less specific.
-func (a *Analyst) explanation(now time.Duration, c *recordedCrash) (Trait, bool) {
-	var widest Trait
-	for t := range c.traits {
-		if _, ok := a.verdicts.Isolated(now, []Trait{t}); !ok {
-			continue
-		}
-		if widest == "" || widest.narrower(t) || !t.narrower(widest) && t < widest {
-			widest = t
-		}
-	}
-	return widest, widest != ""
-}
-
 // Suspects returns the traits that have enough crashes in common, in their order. Gateways
 // are to be asked whether they have seen an answer to them, and are asked anew after a pause.
 func (a *Analyst) Suspects(now time.Duration) []Trait {
@@ -168,7 +122,7 @@
 	all := a.collect(now)
 	var suspects []Trait
 	for t, e := range all {
-		if e.weight() < minCrashes {
+		if _, isolated := a.verdicts.Isolated(now, []Trait{t}); isolated || !e.suspicious(t) {
 			continue
 		}
 		suspects = append(suspects, t)
@@ -176,77 +130,91 @@
 			a.suspectedAt[t] = now
 		}
 	}
-	maps.DeleteFunc(a.suspectedAt, func(t Trait, _ time.Duration) bool { return all[t].weight() < minCrashes })
+	maps.DeleteFunc(a.suspectedAt, func(t Trait, _ time.Duration) bool { return !slices.Contains(suspects, t) })
 	slices.Sort(suspects)
 	return suspects
 }
 
-// Decide isolates the suspect with the most crashes when no gateway has objected within
-// objectionTime. Suspects with about as many crashes are told apart by further ones: parts
-// go on reaching upstreams until maxCrashes, requests are isolated for trialDelay.
+// Decide isolates the suspects with the most crashes when no gateway has objected within
+// objectionTime: a part if one explains the crashes, else a request.
 func (a *Analyst) Decide(now time.Duration) []Verdict {
 	all := a.collect(now)
-	ranked := a.rank(all)
-	if len(ranked) == 0 {
+	parts, requests := a.rank(all)
+	verdicts := a.decideParts(now, all, parts)
+	if len(verdicts) == 0 {
+		verdicts = a.decideRequests(now, all, requests, parts)
+	}
+	for _, v := range verdicts {
+		delete(a.suspectedAt, v.Trait)
+	}
+	a.verdicts.Learn(now, verdicts)
+	return verdicts
+}
+
+// decideParts isolates the part with the most crashes. Parts with about as many crashes are
+// told apart by further ones, up to maxCrashes.
+func (a *Analyst) decideParts(now time.Duration, all map[Trait]*evidence, ranked []Trait) []Verdict {
+	if len(ranked) == 0 || now-a.suspectedAt[ranked[0]] < objectionTime {
 		return nil
 	}
-	first := ranked[0]
-	most := all[first].weight()
-	if now-a.suspectedAt[first] < objectionTime {
+	most := all[ranked[0]].weight()
+	if isTie(all, ranked) && most < maxCrashes*crashWeight {
 		return nil
 	}
+	return a.verdictsOn(now, all, ranked, most, 0)
+}
+
+// decideRequests isolates the request with the most crashes, several with about as many for
+// trialDelay only. So it does while there are parts with as many to which nobody objects.
+func (a *Analyst) decideRequests(now time.Duration, all map[Trait]*evidence, ranked, parts []Trait) []Verdict {
+	if len(ranked) == 0 || now-a.suspectedAt[ranked[0]] < objectionTime {
+		return nil
+	}
+	most := all[ranked[0]].weight()
+	doubtful := isTie(all, ranked) || slices.ContainsFunc(parts, func(p Trait) bool {
+		return all[p].weight() >= most && now-a.suspectedAt[p] >= objectionTime
+	})
 	var age time.Duration
-	if len(ranked) > 1 && most-all[ranked[1]].weight() < clearMajority {
-		switch {
-		case first.Kind() != PartTrait:
-			age = verdictLifetime - trialDelay
-		case most < maxCrashes:
-			return nil
-		}
+	if doubtful {
+		age = verdictLifetime - trialDelay
 	}
+	return a.verdictsOn(now, all, ranked, most, age)
+}
+
+// isTie reports whether the first of the ranked traits has no clear majority.
+func isTie(all map[Trait]*evidence, ranked []Trait) bool {
+	return len(ranked) > 1 && all[ranked[0]].weight()-all[ranked[1]].weight() < clearMajority
+}
+
+// verdictsOn returns verdicts on the traits with the most crashes.
+func (a *Analyst) verdictsOn(now time.Duration, all map[Trait]*evidence, ranked []Trait, most int, age time.Duration) []Verdict {
 	var verdicts []Verdict
 	for _, t := range ranked {
-		if all[t].weight() == most && now-a.suspectedAt[t] >= objectionTime && (age == 0 || t.Kind() != PartTrait) {
+		if all[t].weight() == most && now-a.suspectedAt[t] >= objectionTime {
 			verdicts = append(verdicts, Verdict{Trait: t, Age: age})
 		}
 	}
-	for _, v := range verdicts {
-		delete(a.suspectedAt, v.Trait)
-	}
-	a.verdicts.Learn(now, verdicts)
 	return verdicts
 }
 
 // rank returns the suspects, those with the most crashes first, without those whose crashes
 // another one explains.
-func (a *Analyst) rank(all map[Trait]evidence) []Trait {
-	var ranked []Trait
+func (a *Analyst) rank(all map[Trait]*evidence) (parts, requests []Trait) {
 	for t := range a.suspectedAt {
-		if !a.explainedByOther(all, t) {
-			ranked = append(ranked, t)
+		switch {
+		case all[t] == nil || explainedByOther(all, t):
+		case t.Kind() == PartTrait:
+			parts = append(parts, t)
+		default:
+			requests = append(requests, t)
 		}
 	}
-	slices.SortFunc(ranked, func(s, t Trait) int {
-		return cmp.Or(cmp.Compare(all[t].weight(), all[s].weight()), cmp.Compare(s, t))
-	})
-	return ranked
-}
-
-// explainedByOther reports whether another suspect explains the crashes of t. Of two that
-// nearly always come together, the more specific one does, since its verdict keeps fewer
-// requests from upstreams.
-func (a *Analyst) explainedByOther(all map[Trait]evidence, t Trait) bool {
-	for s := range a.suspectedAt {
-		switch beyond := all[t].beyond(all[s]); {
-		case s.narrower(t) && beyond < clearMajority:
-			return true
-		case t.narrower(s) && beyond == 0 && all[s].beyond(all[t]) >= clearMajority:
-			return true
-		case s.Kind() == t.Kind() && s.Kind() != PartTrait && beyond == 0 && all[s].beyond(all[t]) > 0:
-			return true
-		}
+	for _, ranked := range [][]Trait{parts, requests} {
+		slices.SortFunc(ranked, func(s, t Trait) int {
+			return cmp.Or(cmp.Compare(all[t].weight(), all[s].weight()), cmp.Compare(s, t))
+		})
 	}
-	return false
+	return parts, requests
 }
 
 // Busy reports whether gateways may still object to a suspect. Otherwise only a further
--- a/internal/isolator/analyst_test.go
+++ b/internal/isolator/analyst_test.go
@@ -13,7 +13,7 @@
 func TestAnalystWaitsForObjections(t *testing.T) {
 	a := NewAnalyst(NewVerdicts())
 	for i := range 3 {
-		a.Record(0, Crash{Upstream: registrar.UpstreamID(fmt.Sprint(i)), Suspects: []Trait{"base", "dead"}})
+		a.Record(0, Crash{Upstream: registrar.UpstreamID(fmt.Sprint(i)), Requests: [][]Trait{{"base", "dead"}}})
 	}
 	require.Equal(t, []Trait{"base", "dead"}, a.Suspects(0))
 	require.Empty(t, a.Decide(0))
@@ -22,7 +22,7 @@
 }
 
 func crash(upstream int, suspects ...Trait) Crash {
-	return Crash{Upstream: registrar.UpstreamID(fmt.Sprint("u", upstream)), Suspects: suspects}
+	return Crash{Upstream: registrar.UpstreamID(fmt.Sprint("u", upstream)), Requests: [][]Trait{suspects}}
 }
 
 // decide asks about suspects and decides when the time for objections is over.
@@ -121,33 +121,55 @@
 func TestRequestIsBlamedBeforeItsParts(t *testing.T) {
 	a := NewAnalyst(NewVerdicts())
 	for i := range 3 {
-		a.Record(0, crash(i, "request:r", "content:r", "rare"))
+		a.Record(0, crash(i, "request:r.1", "content:r", "rare"))
 	}
-	require.Equal(t, []Verdict{{Trait: "request:r"}}, decide(a, 0))
+	require.Equal(t, []Verdict{{Trait: "request:r.1"}}, decide(a, 0))
 	// A further crash of another cause says nothing of the part.
-	a.Record(time.Second, crash(3, "request:s", "content:s", "rare"))
+	a.Record(time.Second, crash(3, "request:s.1", "content:s", "rare"))
 	require.Empty(t, decide(a, time.Second))
 }
 
 func TestContentIsBlamedWhenCallersDiffer(t *testing.T) {
 	a := NewAnalyst(NewVerdicts())
 	for i := range 3 {
-		a.Record(0, crash(i, Trait(fmt.Sprint("request:", i)), "content:r", "rare"))
+		a.Record(0, crash(i, Trait(fmt.Sprint("request:r.", i)), "content:r", "rare"))
 	}
 	require.Equal(t, []Verdict{{Trait: "content:r"}}, decide(a, 0))
 }
 
+// Another caller's sound request with the same content must be served on.
+func TestContentOfOneCallerIsNotBlamed(t *testing.T) {
+	a := NewAnalyst(NewVerdicts())
+	for i := range 3 {
+		a.Record(0, crash(i, "request:r.1", "content:r"))
+	}
+	require.Equal(t, []Verdict{{Trait: "request:r.1"}}, decide(a, 0))
+	a.Record(time.Second, crash(3, "request:r.2", "content:r"))
+	a.Clear(time.Second, []Trait{"content:r", "request:r.2"})
+	require.Empty(t, decide(a, time.Second))
+}
+
+func TestContentIsBlamedAfterASecondCallersCrash(t *testing.T) {
+	a := NewAnalyst(NewVerdicts())
+	for i := range 3 {
+		a.Record(0, crash(i, "request:r.1", "content:r"))
+	}
+	require.Equal(t, []Verdict{{Trait: "request:r.1"}}, decide(a, 0))
+	a.Record(time.Second, crash(3, "request:r.2", "content:r"))
+	require.Equal(t, []Verdict{{Trait: "content:r"}}, decide(a, time.Second))
+}
+
 func TestPartIsBlamedWhenSeveralRequestsCrash(t *testing.T) {
 	a := NewAnalyst(NewVerdicts())
 	now := time.Duration(0)
 	for i := range 3 {
-		a.Record(now, crash(i, "request:r", "content:r", "dead"))
+		a.Record(now, crash(i, "request:r.1", "content:r", "dead"))
 	}
-	require.Equal(t, []Verdict{{Trait: "request:r"}}, decide(a, now))
+	require.Equal(t, []Verdict{{Trait: "request:r.1"}}, decide(a, now))
 	now += time.Second
-	a.Record(now, crash(3, "request:s", "content:s", "dead"))
+	a.Record(now, crash(3, "request:s.1", "content:s", "dead"))
 	require.Empty(t, decide(a, now))
-	a.Record(now, crash(4, "request:t", "content:t", "dead"))
+	a.Record(now, crash(4, "request:t.1", "content:t", "dead"))
 	require.Equal(t, []Verdict{{Trait: "dead"}}, decide(a, now))
 }
 
@@ -155,7 +177,7 @@
 	v := NewVerdicts()
 	a := NewAnalyst(v)
 	for i := range 3 {
-		a.Record(0, crash(i, "request:r", "content:r", "request:s", "content:s", "part"))
+		a.Record(0, crash(i, "request:r.1", "content:r", "request:s.1", "content:s", "part"))
 	}
 	verdicts := decide(a, 0)
 	require.Len(t, verdicts, 2)
@@ -164,20 +186,20 @@
 		require.False(t, verdict.Lasting())
 	}
 	now := objectionTime + trialDelay + time.Second
-	_, isolated := v.Isolated(now, []Trait{"request:r", "request:s"})
+	_, isolated := v.Isolated(now, []Trait{"request:r.1", "request:s.1"})
 	require.False(t, isolated)
-	trait, onTrial := v.OnTrial(now, []Trait{"request:s"})
+	trait, _, onTrial := v.OnTrial(now, []Trait{"request:s.1"})
 	require.True(t, onTrial)
-	require.Equal(t, Trait("request:s"), trait)
-	a.Record(now, crash(4, "request:r", "content:r"))
-	require.Equal(t, []Verdict{{Trait: "request:r"}}, decide(a, now))
+	require.Equal(t, Trait("request:s.1"), trait)
+	a.Record(now, crash(4, "request:r.1", "content:r"))
+	require.Equal(t, []Verdict{{Trait: "request:r.1"}}, decide(a, now))
 }
 
 func TestRequestThatWasAnsweredIsNotBlamed(t *testing.T) {
 	a := NewAnalyst(NewVerdicts())
 	for i := range 3 {
-		a.Record(0, crash(i, "request:r", "content:r", "request:s", "content:s"))
+		a.Record(0, crash(i, "request:r.1", "content:r", "request:s.1", "content:s"))
 	}
-	a.Clear(0, []Trait{"request:s", "content:s"})
-	require.Equal(t, []Verdict{{Trait: "request:r"}}, decide(a, 0))
+	a.Clear(0, []Trait{"request:s.1", "content:s"})
+	require.Equal(t, []Verdict{{Trait: "request:r.1"}}, decide(a, 0))
 }
--- /dev/null
+++ b/internal/isolator/evidence.go
@@ -0,0 +1,138 @@
+package isolator
+
+import (
+	"cmp"
+	"maps"
+	"time"
+)
+
+// Weights of evidence.
+const (
+	crashWeight   = 2
+	requestWeight = 3               // of a request that is isolated for its crashes: two of them make a part that they share a suspect
+	clearMajority = 2 * crashWeight // that a trait must have beyond other suspects to be isolated at once
+)
+
+// evidence is what speaks for a trait.
+type evidence struct {
+	crashes  map[crashKey]bool // unexplained ones of requests that have it
+	isolated map[Trait]bool    // of a part, requests with it that explain other crashes
+	parts    map[Trait]bool    // of a request or a content
+	callers  map[Trait]bool    // of a content, the requests with it
+}
+
+func newEvidence() *evidence {
+	return &evidence{map[crashKey]bool{}, map[Trait]bool{}, map[Trait]bool{}, map[Trait]bool{}}
+}
+
+func (e *evidence) weight() int {
+	return crashWeight*len(e.crashes) + requestWeight*len(e.isolated)
+}
+
+// beyond returns the weight of the evidence that another trait does not explain.
+func (e *evidence) beyond(other *evidence) int {
+	weight := requestWeight * len(e.isolated)
+	for key := range e.crashes {
+		if !other.crashes[key] {
+			weight += crashWeight
+		}
+	}
+	return weight
+}
+
+// suspicious reports whether a trait has enough crashes in common. A content is no suspect
+// while all its crashes are of one caller, whose request is.
+func (e *evidence) suspicious(t Trait) bool {
+	return e.weight() >= minCrashes*crashWeight && (t.Kind() != ContentTrait || len(e.callers) > 1)
+}
+
+// collect returns the evidence for each trait that was not answered lately.
+func (a *Analyst) collect(now time.Duration) map[Trait]*evidence {
+	all := map[Trait]*evidence{}
+	for key, c := range a.crashes {
+		if now-c.at >= crashMemory {
+			continue
+		}
+		explanation, explained := a.explanation(now, c)
+		for t := range c.traits {
+			if a.cleared(now, t) || explained && !explanation.leavesOpen(c, t) && !a.verdicts.brief(now, t) {
+				continue
+			}
+			if all[t] == nil {
+				all[t] = newEvidence()
+			}
+			if explained && explanation.lasting && t.Kind() == PartTrait {
+				all[t].isolated[explanation.trait] = true
+			} else {
+				all[t].crashes[key] = true
+			}
+			maps.Copy(all[t].parts, c.parts[t])
+		}
+		for t := range c.traits {
+			if t.Kind() != RequestTrait {
+				continue
+			}
+			if e := all[t.content()]; e != nil {
+				e.callers[t] = true
+			}
+		}
+	}
+	return all
+}
+
+// explanation is an isolated trait that explains a crash.
+type explanation struct {
+	trait   Trait
+	lasting bool
+}
+
+// explanation returns the broadest isolated trait that explains a crash, and false without
+// one.
+func (a *Analyst) explanation(now time.Duration, c *recordedCrash) (explanation, bool) {
+	var broadest Trait
+	for t := range c.traits {
+		if _, ok := a.verdicts.Isolated(now, []Trait{t}); !ok {
+			continue
+		}
+		if broadest == "" || cmp.Or(cmp.Compare(breadth[t.Kind()], breadth[broadest.Kind()]), cmp.Compare(broadest, t)) > 0 {
+			broadest = t
+		}
+	}
+	return explanation{broadest, !a.verdicts.brief(now, broadest)}, broadest != ""
+}
+
+// leavesOpen reports whether t may be to blame for a crash all the same: what contains the
+// isolated trait, or a part while it is not certain which request is to blame.
+func (e explanation) leavesOpen(c *recordedCrash, t Trait) bool {
+	if t.Kind() == PartTrait {
+		return c.parts[e.trait][t] || !e.lasting
+	}
+	return e.trait.ofContent(t)
+}
+
+// explainedByOther reports whether another suspect explains the crashes of t. Of a request
+// and a part of it that nearly always come together, the request does, since its verdict
+// keeps fewer from upstreams.
+func explainedByOther(all map[Trait]*evidence, t Trait) bool {
+	for s, e := range all {
+		if t == s || !e.suspicious(s) || s.ofContent(t) {
+			continue
+		}
+		beyond, otherBeyond := all[t].beyond(e), e.beyond(all[t])
+		switch {
+		case t.ofContent(s):
+			return true
+		case e.parts[t]:
+			if beyond < clearMajority {
+				return true
+			}
+		case all[t].parts[s]:
+			if beyond == 0 && otherBeyond >= clearMajority {
+				return true
+			}
+		case t.Kind() != PartTrait && s.Kind() != PartTrait && beyond == 0 && otherBeyond > 0:
+			return true
+		}
+	}
+	return false
+}
--- a/internal/isolator/trait.go
+++ b/internal/isolator/trait.go
@@ -10,23 +10,26 @@
 )
 
 // Trait is what requests may have in common that crashes upstreams: a shared part of their
-// prompts, written as its ID, or a digest with its kind as prefix. IDs of parts contain no
+// prompts, written as its ID, or digests with their kind as prefix. IDs of parts contain no
 // colon.
 type Trait string
 
 // TraitKind is a kind of trait.
 type TraitKind string
 
-// The kinds of traits, from the most specific to the least.
+// The kinds of traits.
 const (
-	RequestTrait TraitKind = "request" // the content and the caller
-	ContentTrait TraitKind = "content" // method, host, path, query and body
+	RequestTrait TraitKind = "request" // the content and the caller: request:CONTENT.CALLER
+	ContentTrait TraitKind = "content" // method, host, path, query and body: content:CONTENT
 	PartTrait    TraitKind = "part"    // one shared part of the prompt
 )
 
-// digestBytes is the length of a digest; traits of all requests of some seconds are kept
-// and told to other processes.
-const digestBytes = 12
+// Lengths of digests; the traits of all requests of some seconds are kept and told to other
+// processes.
+const (
+	contentDigestBytes = 12
+	callerDigestBytes  = 6
+)
 
 // Content is what a request asks for, and who asks. An attempt's ID and deadline are not
 // among it, so that all attempts of a request have the same.
@@ -36,29 +39,34 @@
 	Body                 []byte
 }
 
-// TraitsOf returns the traits of a request, the most specific first. parts are the shared
-// ones of its prompt.
+// TraitsOf returns the traits of a request. parts are the shared ones of its prompt.
 func TraitsOf(c Content, parts []registrar.PartID) []Trait {
+	content := c.digest()
+	caller := sha256.Sum256([]byte(c.Caller))
 	traits := make([]Trait, 0, 2+len(parts))
-	traits = append(traits, c.digest(RequestTrait, c.Caller), c.digest(ContentTrait, ""))
+	traits = append(traits, newTrait(RequestTrait, content+"."+encodeDigest(caller[:callerDigestBytes])), newTrait(ContentTrait, content))
 	for _, p := range parts {
 		traits = append(traits, Trait(p))
 	}
 	return traits
 }
 
-// digest hashes the fields with their lengths, so that none can pass for the end of
-// another.
-func (c Content) digest(kind TraitKind, caller string) Trait {
+func newTrait(kind TraitKind, digest string) Trait { return Trait(string(kind) + ":" + digest) }
+
+func encodeDigest(b []byte) string { return base64.RawURLEncoding.EncodeToString(b) }
+
+// digest hashes all fields but the caller, with their lengths, so that none can pass for the
+// end of another.
+func (c Content) digest() string {
 	h := sha256.New()
-	for _, field := range []string{c.Method, c.Host, c.Target, caller} {
+	for _, field := range []string{c.Method, c.Host, c.Target} {
 		var length [8]byte
 		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
 		h.Write(length[:])
 		h.Write([]byte(field))
 	}
 	h.Write(c.Body)
-	return Trait(string(kind) + ":" + base64.RawURLEncoding.EncodeToString(h.Sum(nil)[:digestBytes]))
+	return encodeDigest(h.Sum(nil)[:contentDigestBytes])
 }
 
 // Kind returns the kind of a trait.
@@ -72,6 +80,12 @@
 	return ContentTrait
 }
 
+// content returns the ContentTrait of a RequestTrait.
+func (t Trait) content() Trait {
+	digests, _, _ := strings.Cut(strings.TrimPrefix(string(t), string(RequestTrait)+":"), ".")
+	return newTrait(ContentTrait, digests)
+}
+
 // IsolationEvent returns the event under which processes log that the trait is isolated.
 func (t Trait) IsolationEvent() string {
 	if t.Kind() == PartTrait {
@@ -80,9 +94,10 @@
 	return "request isolated"
 }
 
-// narrower reports whether t is of a more specific kind than other.
-func (t Trait) narrower(other Trait) bool {
-	return specificity[t.Kind()] > specificity[other.Kind()]
+// ofContent reports whether t is a RequestTrait and other its ContentTrait.
+func (t Trait) ofContent(other Trait) bool {
+	return t.Kind() == RequestTrait && t.content() == other
 }
 
-var specificity = map[TraitKind]int{PartTrait: 0, ContentTrait: 1, RequestTrait: 2}
+// breadth ranks kinds by how many requests may have one trait of it.
+var breadth = map[TraitKind]int{RequestTrait: 0, ContentTrait: 1, PartTrait: 2}
--- a/internal/isolator/verdict.go
+++ b/internal/isolator/verdict.go
@@ -32,7 +32,7 @@
 	maxVerdicts     = 1000
 	verdictLifetime = time.Hour        // after which the upstreams may have been mended
 	trialDelay      = 10 * time.Second // until requests are sent again of which only one crashes upstreams; these are back by then
-	trialTime       = time.Minute      // from then on, during which they are sent with care
+	trialTime       = time.Minute      // from then on, during which they are sent with care; longer than all gateways together take
 	retellTime      = time.Minute      // between verdicts on a trait that are not the same one, told again
 )
 
@@ -49,12 +49,12 @@
 // Verdicts holds the verdicts that a process knows. It is not safe for concurrent use.
 type Verdicts struct {
 	reachedAt map[Trait]time.Duration
-	trialTill map[Trait]time.Duration // of traits that were isolated for a short time only
+	trialFrom map[Trait]time.Duration // since when requests with a trait are sent with care
 }
 
 // NewVerdicts returns an empty set.
 func NewVerdicts() *Verdicts {
-	return &Verdicts{reachedAt: map[Trait]time.Duration{}, trialTill: map[Trait]time.Duration{}}
+	return &Verdicts{reachedAt: map[Trait]time.Duration{}, trialFrom: map[Trait]time.Duration{}}
 }
 
 // Learn stores verdicts and returns the traits that were not isolated before. Of what
@@ -73,9 +73,7 @@
 			v.makeRoom(now)
 			v.reachedAt[verdict.Trait] = reachedAt
 			added = append(added, verdict.Trait)
-			if verdict.Age >= verdictLifetime-trialDelay {
-				v.trialTill[verdict.Trait] = reachedAt + verdictLifetime + trialTime
-			}
+			v.startTrial(now, verdict)
 		case reachedAt-known >= retellTime || reachedAt < known && known-reachedAt < retellTime:
 			v.reachedAt[verdict.Trait] = reachedAt
 		}
@@ -83,6 +81,17 @@
 	return added
 }
 
+// startTrial begins the trial of a request that is isolated for a short time only, or of
+// what other callers may send of the content of one that is isolated for long.
+func (v *Verdicts) startTrial(now time.Duration, verdict Verdict) {
+	switch {
+	case verdict.Age >= verdictLifetime-trialDelay:
+		v.trialFrom[verdict.Trait] = now - verdict.Age + verdictLifetime
+	case verdict.Trait.Kind() == RequestTrait:
+		v.trialFrom[verdict.Trait.content()] = now
+	}
+}
+
 // makeRoom forgets verdicts that have expired and, if there are still maxVerdicts, the
 // oldest one.
 func (v *Verdicts) makeRoom(now time.Duration) {
@@ -90,7 +99,7 @@
 		return
 	}
 	maps.DeleteFunc(v.reachedAt, func(_ Trait, at time.Duration) bool { return now-at >= verdictLifetime })
-	maps.DeleteFunc(v.trialTill, func(_ Trait, end time.Duration) bool { return now >= end })
+	maps.DeleteFunc(v.trialFrom, func(_ Trait, from time.Duration) bool { return now >= from+trialTime })
 	for len(v.reachedAt) >= maxVerdicts {
 		oldest := slices.MinFunc(slices.Collect(maps.Keys(v.reachedAt)), func(a, b Trait) int {
 			return cmp.Or(cmp.Compare(v.reachedAt[a], v.reachedAt[b]), cmp.Compare(a, b))
@@ -112,18 +121,18 @@
 	return "", false
 }
 
-// OnTrial returns the first of the traits that may crash upstreams, so that one request with
-// it should be sent at a time, and false without one.
-func (v *Verdicts) OnTrial(now time.Duration, traits []Trait) (Trait, bool) {
-	if len(v.trialTill) == 0 {
-		return "", false
+// OnTrial returns the first of the traits that may crash upstreams, so that requests with it
+// should be sent one at a time, and since when; false without one.
+func (v *Verdicts) OnTrial(now time.Duration, traits []Trait) (t Trait, from time.Duration, ok bool) {
+	if len(v.trialFrom) == 0 {
+		return "", 0, false
 	}
 	for _, t := range traits {
-		if now < v.trialTill[t] {
-			return t, true
+		if from, ok := v.trialFrom[t]; ok && now < from+trialTime {
+			return t, from, true
 		}
 	}
-	return "", false
+	return "", 0, false
 }
 
 // Remaining returns how long requests with the traits will be kept from upstreams.
@@ -137,6 +146,12 @@
 	return remaining
 }
 
+// brief reports whether a trait is isolated for a short time only.
+func (v *Verdicts) brief(now time.Duration, t Trait) bool {
+	remaining := v.Remaining(now, []Trait{t})
+	return remaining > 0 && remaining <= trialDelay
+}
+
 // All returns the verdicts in force, in the order of their traits.
 func (v *Verdicts) All(now time.Duration) []Verdict {
 	var all []Verdict
