--- a/internal/isolator/analyst_test.go
+++ b/internal/isolator/analyst_test.go
@@ -149,6 +149,16 @@
 	require.Empty(t, decide(a, time.Second))
 }
 
+func TestContentThatTwoCallersSentTogetherIsNotBlamed(t *testing.T) {
+	a := NewAnalyst(NewVerdicts())
+	for i := range 2 {
+		a.Record(0, crash(i, "request:r.1", "content:r"))
+		a.Record(0, crash(i, "request:r.2", "content:r"))
+	}
+	a.Record(0, crash(2, "request:r.1", "content:r"))
+	require.Equal(t, []Verdict{{Trait: "request:r.1"}}, decide(a, 0))
+}
+
 func TestContentIsBlamedAfterASecondCallersCrash(t *testing.T) {
 	a := NewAnalyst(NewVerdicts())
 	for i := range 3 {
--- a/internal/isolator/evidence.go
+++ b/internal/isolator/evidence.go
@@ -18,11 +18,11 @@
 	crashes  map[crashKey]bool // unexplained ones of requests that have it
 	isolated map[Trait]bool    // of a part, requests with it that explain other crashes
 	parts    map[Trait]bool    // of a request or a content
-	callers  map[Trait]bool    // of a content, the requests with it
+	callers  map[Trait]int     // of a content, the number of crashes by the request with it
 }
 
 func newEvidence() *evidence {
-	return &evidence{map[crashKey]bool{}, map[Trait]bool{}, map[Trait]bool{}, map[Trait]bool{}}
+	return &evidence{map[crashKey]bool{}, map[Trait]bool{}, map[Trait]bool{}, map[Trait]int{}}
 }
 
 func (e *evidence) weight() int {
@@ -41,9 +41,20 @@
 }
 
 // suspicious reports whether a trait has enough crashes in common. A content is no suspect
-// while all its crashes are of one caller, whose request is.
+// while one caller's request with it was in all of them.
 func (e *evidence) suspicious(t Trait) bool {
-	return e.weight() >= minCrashes*crashWeight && (t.Kind() != ContentTrait || len(e.callers) > 1)
+	if e.weight() < minCrashes*crashWeight {
+		return false
+	}
+	if t.Kind() != ContentTrait {
+		return true
+	}
+	for _, n := range e.callers {
+		if n == len(e.crashes) {
+			return false
+		}
+	}
+	return true
 }
 
 // collect returns the evidence for each trait that was not answered lately.
@@ -72,8 +83,8 @@
 			if t.Kind() != RequestTrait {
 				continue
 			}
-			if e := all[t.content()]; e != nil {
-				e.callers[t] = true
+			if e := all[t.content()]; e != nil && e.crashes[key] {
+				e.callers[t]++
 			}
 		}
 	}
