Don't clear a request by the beginning of an answer to an earlier send

Callers saw runners crash one after the other: a stream whose first event is written before its upstream crashes, and that is sent again, counted as answered as soon as the second send ended 0.25 s after that event. So requests and parts that crash upstreams after their first event were cleared for 30 s, and their second crash was not reported. Cause: the time of the first event was kept over all sends of a request. Change: AnswerBegan comes for each send, and says whether the stream had begun before. Ruled out: events that are held back until an upstream has survived them; callers would wait. Conclusion: fixed where reproduced.

--- a/internal/dispatcher/crashfleet_test.go
+++ b/internal/dispatcher/crashfleet_test.go
@@ -311,11 +311,13 @@
 		if s, ok := u.sends[e.ID]; !ok || s.send != e {
 			return
 		}
+		if crashing && r.Model != "" && f.rng.IntN(2) == 0 {
+			f.reduce(g, AnswerBegan{ID: e.ID, Try: e.Try, Resumed: e.Try > 1})
+			f.after(time.Duration(f.rng.IntN(120))*time.Millisecond, func() { f.crashUnder(u, e, r) })
+			return
+		}
 		if crashing {
-			f.crash(u)
-			if slices.Contains(r.Traits, crashingContent) && f.crashes == requestCrashes || f.crashes == partCrashes {
-				f.learnBy = cmp.Or(f.learnBy, f.now+crashLearnTime)
-			}
+			f.crashUnder(u, e, r)
 			return
 		}
 		if e.Try == 1 && !r.again {
@@ -336,6 +338,17 @@
 	})
 }
 
+// crashUnder crashes an upstream that still runs a send of a request.
+func (f *crashFleet) crashUnder(u *crashingRunner, e Send, r crashFleetRequest) {
+	if s, ok := u.sends[e.ID]; !ok || s.send != e {
+		return
+	}
+	f.crash(u)
+	if slices.Contains(r.Traits, crashingContent) && f.crashes == requestCrashes || f.crashes == partCrashes {
+		f.learnBy = cmp.Or(f.learnBy, f.now+crashLearnTime)
+	}
+}
+
 // breakOff ends all sends to a runner with a reset of their connections.
 func (f *crashFleet) breakOff(u *crashingRunner) {
 	for _, id := range slices.Sorted(maps.Keys(u.sends)) {
--- a/internal/dispatcher/crashreport_test.go
+++ b/internal/dispatcher/crashreport_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -70,3 +71,29 @@
 	effects = h.reduce(SendEnded{ID: id, Try: 1, Outcome: Unknown})
 	require.Equal(t, classifier.Lost, refusal(effects).Kind)
 }
+
+// The answer to an earlier send must not clear a request that crashed that upstream too.
+func TestResumedRequestThatCrashesAgainIsReported(t *testing.T) {
+	h := newHarness(t)
+	h.listUpstreams(runnerService, 3, "m")
+	for i := range 3 {
+		h.reduce(Reported{Report{Address: fmt.Sprintf("10.0.0.%d:80", i+1), Gateways: 1, Residents: []registrar.ResidentModel{{Model: "m"}}}})
+	}
+	r := Request{ID: 1, Route: route(registrar.Streaming, 3), Service: runnerService, Model: "m", Deadline: 4 * time.Second, Traits: []isolator.Trait{"request:r.1", "content:r"}}
+	reported := map[registrar.UpstreamID]bool{}
+	effects := h.reduce(Arrived{r})
+	for try := range Try(2) {
+		send := effects[0].(Send)
+		h.reduce(AnswerBegan{ID: 1, Try: send.Try, Resumed: try > 0})
+		h.now += 100 * time.Millisecond
+		effects = h.reduce(SendEnded{ID: 1, Try: send.Try, Outcome: Interrupted})
+		h.now += crashLatency
+		for _, e := range h.reduce(UpstreamProbed{Upstream: send.Upstream, Refused: true}) {
+			if report, ok := e.(ReportCrash); ok {
+				reported[report.Crash.Upstream] = true
+			}
+		}
+	}
+	require.Len(t, reported, 2)
+	require.Empty(t, h.d.Answered(h.now, r.Traits))
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -80,6 +80,7 @@
 	sendsAtEnqueue int
 	retryPaid      bool                 // the retry budget has been charged for the next send
 	answerBegan    bool                 // a part of an answer has reached the caller
+	sendBegan      bool                 // a part of the last send's answer has reached the caller
 	beganAt        time.Duration        // when that was
 	failureKept    bool                 // the relayer keeps an upstream's 5xx answer for RelayFailure
 	mayHaveRun     bool                 // an earlier send may have run
@@ -229,6 +230,7 @@
 	r.try++
 	r.upstream = u
 	r.sentAt = d.now
+	r.sendBegan = false
 	u.inFlight++
 	u.quota.remaining--
 	if !r.onTime(d.now) {
@@ -273,10 +275,14 @@
 	}
 	if !r.answerBegan {
 		d.recordOrigin(r)
-		r.beganAt = d.now
+	}
+	if !r.sendBegan {
+		r.sendBegan, r.beganAt = true, d.now
 	}
 	r.answerBegan = true
-	d.recordStart(r)
+	if !ev.Resumed {
+		d.recordStart(r)
+	}
 	r.upstream.consecutiveFailures = 0
 }
 
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -59,11 +59,11 @@
 // CallerDisconnected says that the caller closed its connection.
 type CallerDisconnected struct{ ID RequestID }
 
-// AnswerBegan says that the first part of an upstream's answer was written to the
-// caller.
+// AnswerBegan says that the first part of a send's answer was written to the caller.
 type AnswerBegan struct {
-	ID  RequestID
-	Try Try
+	ID      RequestID
+	Try     Try
+	Resumed bool // parts of an earlier send's answer were written before
 }
 
 // SendStalled says that an upstream has sent no part of its answer for the
--- a/internal/dispatcher/isolation.go
+++ b/internal/dispatcher/isolation.go
@@ -44,7 +44,7 @@
 // recordBreakage notes a send that its upstream broke off. Unless the answer had been
 // written for a while, the traits of the request are suspects if the upstream has crashed.
 func (d *Dispatcher) recordBreakage(r *request, u *upstream) {
-	if r.answerBegan && d.now-r.beganAt >= crashLatency {
+	if r.sendBegan && d.now-r.beganAt >= crashLatency {
 		return
 	}
 	b := d.breakages[u.info.ID]
@@ -77,7 +77,7 @@
 
 // recordAnswered notes that requests with the traits of r are answered.
 func (d *Dispatcher) recordAnswered(r *request, completed bool) {
-	if !r.answerBegan && !completed || !completed && d.now-r.beganAt < crashLatency {
+	if !r.sendBegan && !completed || !completed && d.now-r.beganAt < crashLatency {
 		return
 	}
 	if len(d.answeredAt) >= maxAnswered && d.now-d.answeredSweptAt >= answeredSweep {
@@ -96,7 +96,7 @@
 func (d *Dispatcher) Answered(now time.Duration, traits []isolator.Trait) []isolator.Trait {
 	being := map[isolator.Trait]bool{}
 	for _, r := range d.requests {
-		if r.upstream != nil && r.answerBegan && now-r.beganAt >= crashLatency {
+		if r.upstream != nil && r.sendBegan && now-r.beganAt >= crashLatency {
 			for _, t := range r.Traits {
 				being[t] = true
 			}
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -379,7 +379,9 @@
 	g.apply(e)
 	switch ev := e.(type) {
 	case dispatcher.AnswerBegan:
-		g.timeToFirstByte.Record(g.syncer.now() - g.arrivedAt[ev.ID])
+		if !ev.Resumed {
+			g.timeToFirstByte.Record(g.syncer.now() - g.arrivedAt[ev.ID])
+		}
 	case dispatcher.CallerDisconnected:
 		g.forget(ev.ID)
 	case dispatcher.SendEnded:
--- a/internal/relayer/events.go
+++ b/internal/relayer/events.go
@@ -27,6 +27,7 @@
 func (g *Gateway) relayEvents(ctx context.Context, up *upstreamResponse, out *callerResponse, e dispatcher.Send, stall *stallTimer) (dispatcher.Outcome, string) {
 	buf := make([]byte, 0, readBufferSize)
 	chunk := make([]byte, readBufferSize)
+	began, resumed := false, out.headerWritten
 	for {
 		n, err := up.response.Body.Read(chunk)
 		if n > 0 {
@@ -42,13 +43,13 @@
 				return connFailureOutcome(ctx, out), gapErr.Error()
 			}
 			if len(undelivered) > 0 {
-				first := !out.headerWritten
 				if writeErr := out.writeEvents(up.response, undelivered); writeErr != nil {
 					up.conn.abort()
 					return dispatcher.CallerClosed, writeErr.Error()
 				}
-				if first {
-					g.cfg.Dispatcher.Reduce(dispatcher.AnswerBegan{ID: e.ID, Try: e.Try})
+				if !began {
+					began = true
+					g.cfg.Dispatcher.Reduce(dispatcher.AnswerBegan{ID: e.ID, Try: e.Try, Resumed: resumed})
 				}
 			}
 			buf = append(buf[:0], buf[end:]...)
