Count only complete events as progress of a stream

Callers of a stream whose upstream sent a byte now and then, but no event, waited until their deadline (operators of similar systems told of it): each byte restarted the time after which a stalled stream is sent elsewhere. Change: an event that is passed on restarts it.

--- a/internal/relayer/events.go
+++ b/internal/relayer/events.go
@@ -30,9 +30,6 @@
 	began, resumed := false, out.headerWritten
 	for {
 		n, err := up.response.Body.Read(chunk)
-		if n > 0 {
-			stall.reset()
-		}
 		searched := max(0, len(buf)-len(eventTerminator)+1) // no event ends before
 		buf = append(buf, chunk[:n]...)
 		if end := bytes.LastIndex(buf[searched:], eventTerminator); n > 0 && end >= 0 {
@@ -43,6 +40,7 @@
 				return connFailureOutcome(ctx, out), gapErr.Error()
 			}
 			if len(undelivered) > 0 {
+				stall.reset()
 				if writeErr := out.writeEvents(up.response, undelivered); writeErr != nil {
 					up.conn.abort()
 					return dispatcher.CallerClosed, writeErr.Error()
--- a/internal/relayer/gateway_test.go
+++ b/internal/relayer/gateway_test.go
@@ -72,6 +72,8 @@
 	notices    []dispatcher.UpstreamNotice
 	withhold   bool          // the first send is not sendable
 	timeout    time.Duration // of sends
+	stalls     int           // of sends, which ended them
+	stall      time.Duration // FirstTimeout and GapTimeout of sends, whose stalls end them
 }
 
 func newFakeDispatcher(addresses ...string) *fakeDispatcher {
@@ -114,7 +116,7 @@
 		d.mailboxes[id].Put(dispatcher.Fail{ID: id, Kind: classifier.Lost})
 		return
 	}
-	d.mailboxes[id].Put(dispatcher.Send{ID: id, Try: try + 1, Upstream: "u", Address: d.addresses[try], Timeout: d.timeout})
+	d.mailboxes[id].Put(dispatcher.Send{ID: id, Try: try + 1, Upstream: "u", Address: d.addresses[try], Timeout: d.timeout, FirstTimeout: d.stall, GapTimeout: d.stall})
 }
 
 func (d *fakeDispatcher) Reduce(e dispatcher.Event) {
@@ -123,6 +125,10 @@
 	if n, ok := e.(dispatcher.UpstreamNotice); ok {
 		d.notices = append(d.notices, n)
 	}
+	if stalled, ok := e.(dispatcher.SendStalled); ok && stalled.Try == d.tries[stalled.ID] {
+		d.stalls++
+		d.mailboxes[stalled.ID].Put(dispatcher.Failover{ID: stalled.ID})
+	}
 	ev, ok := e.(dispatcher.SendEnded)
 	if !ok {
 		return
@@ -289,6 +295,51 @@
 	require.Equal(t, []dispatcher.Outcome{dispatcher.Interrupted, dispatcher.Completed}, d.outcomes())
 }
 
+// streamHead begins a stream that ends with its connection.
+const streamHead = "HTTP/1.1 200 OK\r\nTry: n1\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n"
+
+// trickle writes s a byte at a time.
+func trickle(c net.Conn, s string, pause time.Duration) {
+	for _, b := range []byte(s) {
+		if _, err := c.Write([]byte{b}); err != nil {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
+
+func TestStreamThatSendsAByteNowAndThenIsStalled(t *testing.T) {
+	first := startUpstream(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, streamHead+"id: 1\ndata: a\n\nid: 2\ndata: ")
+		trickle(c, strings.Repeat("x", 200), 50*time.Millisecond)
+	})
+	second := startUpstream(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, streamHead+"id: 2\ndata: b\n\n")
+	})
+	d := newFakeDispatcher(first, second)
+	d.stall = 300 * time.Millisecond
+	_, gateway := startGateway(t, d)
+	_, body, err := post(t, gateway, "n1", "")
+	require.NoError(t, err)
+	require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", body)
+	require.Equal(t, 1, d.stalls)
+}
+
+func TestSlowStreamIsNotCut(t *testing.T) {
+	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+	d := newFakeDispatcher(startUpstream(t, func(c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		trickle(c, streamHead+events, 5*time.Millisecond)
+	}))
+	d.stall = 2 * time.Second
+	_, gateway := startGateway(t, d)
+	_, body, err := post(t, gateway, "n1", "")
+	require.NoError(t, err)
+	require.Equal(t, events, body)
+}
+
 func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
 	address := startUpstream(t, func(c net.Conn, r *bufio.Reader) {
 		readRequest(r)
