Announce loads and evictions anew after a pause of the steward

Ours did: a steward that was stopped for seconds after it had announced a load or an eviction carried it out at its first tick, on reports of the other stewards from before the pause. So a model could be loaded twice, the weight store's limit be exceeded, or the last copy of a model be unloaded. Evidence: TestAnnouncedLoadIsAnnouncedAnewAfterAPause and TestAnnouncedEvictionIsAnnouncedAnewAfterAPause failed (the order was sent). Change: after 0.7 s without any event what was announced before is forgotten. Ruled out: a longer wait after each pause; datagrams that came meanwhile are read within the 60 ms of a new announcement. Not covered: a machine that is suspended so that its steady clock stands still. Conclusion: fixed for stopped processes.

--- a/internal/reconciler/event.go
+++ b/internal/reconciler/event.go
@@ -166,6 +166,7 @@
 	maxReportInterval           = 400 * time.Millisecond  // half of the time without reports after which gateways avoid a runner
 	peerReportTTL               = 3 * time.Second         // after it, the list replaces a peer's report
 	planTTL                     = 250 * time.Millisecond  // the period at which gateways report their demand
+	maxEventGap                 = 700 * time.Millisecond  // between events of a steward that was not paused; its runner's state comes four times as often
 	announcementDelay           = 60 * time.Millisecond   // from an announcement to its effect; a datagram takes a few milliseconds
 	adapterRequestTTL           = time.Second             // gateways repeat a request for an adapter while a caller waits for it
 	copyHysteresis              = 1.35                    // a new copy must serve this many times the work of an existing one
--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -134,6 +134,9 @@
 // Reduce applies an event that happened at time now and returns the effects to
 // carry out. The slice is valid until the next call.
 func (r *Reconciler) Reduce(now time.Duration, event Event) []Effect {
+	if now-r.now >= maxEventGap {
+		r.queuedLoad, r.evicting = queuedLoad{}, "" // others may have acted since these were announced
+	}
 	r.now = now
 	r.effects = r.effects[:0]
 	if !r.started {
