Write no request after its deadline, or with a permit that has expired

Operators of similar systems told of processes that act, after a pause, on a permission that has run out. Between the decision to send a request and its first byte ours opened a connection and looked again only at what the upstream had said meanwhile: after a pause of seconds there a request was sent whose caller had given up, with the whole time of the decision as its deadline, or with a permit that others had long been given anew. A connection that takes a second to open had the same effect on the deadline. Change: both are looked at again before the first byte, and the time since the decision is taken from what is left. Ruled out: doing so after the write; nothing can be taken back then. Conclusion: fixed; a pause between that look and the write itself remains.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -252,7 +252,7 @@
 	stats.sends++
 	e := Send{
 		ID: r.ID, Try: r.try, Upstream: u.info.ID, Incarnation: u.info.Incarnation, Address: u.info.Address,
-		Timeout: r.Deadline - d.now, Priority: d.priority(r),
+		At: d.now, Timeout: r.Deadline - d.now, Priority: d.priority(r),
 	}
 	if r.Route.Kind == registrar.Streaming && r.Route.Repeatable() {
 		e.FirstTimeout, e.GapTimeout = max(stallTargets*r.Route.TargetLatency, minStallTimeout), max(stallGaps*r.Route.TargetGap, minStallTimeout)
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -204,7 +204,8 @@
 	Upstream     registrar.UpstreamID
 	Incarnation  int64 // of the upstream
 	Address      string
-	Timeout      time.Duration // time left for the complete answer
+	At           time.Duration // when it was decided, on the clock of Reduce
+	Timeout      time.Duration // time left then for the complete answer
 	Priority     int           // 0 is admitted first
 	FirstTimeout time.Duration // longest wait for the first part of the answer before SendStalled, zero for no limit
 	GapTimeout   time.Duration // the same between two parts of the answer
--- a/internal/dispatcher/notice.go
+++ b/internal/dispatcher/notice.go
@@ -82,15 +82,15 @@
 }
 
 // Sendable reports whether the upstream of a Send may still get the request. Opening a
-// connection takes time, in which the upstream may have asked for no new requests or named
-// a limit.
+// connection takes time, and the process may have been paused meanwhile: the upstream may
+// have asked for no new requests or named a limit, and the deadline may have passed.
 func (d *Dispatcher) Sendable(now time.Duration, id RequestID, try Try) bool {
 	r := d.requests[id]
 	if r == nil || r.try != try || r.upstream == nil || !r.upstream.accepting() || now < r.upstream.pausedUntil {
 		return false
 	}
-	if d.isolates(r) {
+	if now >= r.Deadline-answerMargin || d.isolates(r) {
 		return false
 	}
-	return r.permitted || d.limitOf(r.upstream) == 0
+	return d.limitOf(r.upstream) == 0 || r.permitted && now < r.sentAt+permitLifetime
 }
--- a/internal/relayer/gateway_test.go
+++ b/internal/relayer/gateway_test.go
@@ -46,6 +46,7 @@
 
 func (testHeaderCodec) SetForwardHeaders(h http.Header, info ForwardInfo) {
 	h.Set("Inner", string(info.Upstream))
+	h.Set("Left", info.Timeout.String())
 	if info.LastEventID >= 0 {
 		h.Set("After", strconv.FormatInt(info.LastEventID, 10))
 	}
@@ -71,6 +72,7 @@
 	endedSends []dispatcher.SendEnded
 	notices    []dispatcher.UpstreamNotice
 	withhold   bool          // the first send is not sendable
+	now        time.Duration // all sends are decided at zero
 	timeout    time.Duration // of sends
 	stalls     int           // of sends, which ended them
 	stall      time.Duration // FirstTimeout and GapTimeout of sends, whose stalls end them
@@ -86,7 +88,7 @@
 }
 
 func (d *fakeDispatcher) Configuration() *registrar.Configuration { return d.cfg }
-func (d *fakeDispatcher) Now() time.Duration                      { return 0 }
+func (d *fakeDispatcher) Now() time.Duration                      { return d.now }
 
 func (d *fakeDispatcher) Submit(_ dispatcher.Request, mailbox *Mailbox) dispatcher.RequestID {
 	d.mu.Lock()
@@ -274,6 +276,21 @@
 	require.Equal(t, []dispatcher.Outcome{dispatcher.Unknown, dispatcher.Completed}, d.outcomes())
 }
 
+func TestTimeToConnectIsTakenFromTheTimeout(t *testing.T) {
+	timeouts := make(chan string, 1)
+	address := startUpstream(t, func(c net.Conn, r *bufio.Reader) {
+		req, _ := readRequest(r)
+		timeouts <- req.Header.Get("Left")
+		_, _ = io.WriteString(c, okResponse("n1", "x"))
+	})
+	d := newFakeDispatcher(address)
+	d.now = time.Second
+	_, gateway := startGateway(t, d)
+	_, _, err := post(t, gateway, "n1", "")
+	require.NoError(t, err)
+	require.Equal(t, (d.timeout - d.now).String(), <-timeouts)
+}
+
 func TestStreamGoesOnAtAnotherUpstream(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nTry: n1\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n"
 	first := startUpstream(t, func(c net.Conn, r *bufio.Reader) {
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -180,7 +180,8 @@
 		}
 		return dispatcher.Unsent, err.Error()
 	}
-	if !g.cfg.Dispatcher.Sendable(e.ID, e.Try) {
+	e.Timeout -= g.cfg.Dispatcher.Now() - e.At
+	if e.Timeout <= 0 || !g.cfg.Dispatcher.Sendable(e.ID, e.Try) {
 		conn.abort()
 		return dispatcher.Withheld, "upstream takes no new requests"
 	}
