Blame no part while a request without it has as many crashes

Callers would have seen: sound requests refused for an hour that share a rare part, because several of them were broken off with a stream that crashes upstreams. TestPartIsNotBlamedWhileARequestWithoutIt- HasAsManyCrashes failed. Cause: parts were decided before requests. Change: a part waits for further crashes then, the request is isolated for a short time, which tells them apart. The users' rule counts from the third crash on, and no verdict is due before, so the check does too now; for parts it stays as it was.

--- a/internal/isolator/analyst.go
+++ b/internal/isolator/analyst.go
@@ -152,13 +152,13 @@
 }
 
 // decideParts isolates the part with the most crashes. Parts with about as many crashes are
-// told apart by further ones, up to maxCrashes.
+// told apart by further ones, up to maxCrashes, as are a part and a request without it.
 func (a *Analyst) decideParts(now time.Duration, all map[Trait]*evidence, ranked []Trait) []Verdict {
 	if len(ranked) == 0 || now-a.suspectedAt[ranked[0]] < objectionTime {
 		return nil
 	}
 	most := all[ranked[0]].weight()
-	if isTie(all, ranked) && most < maxCrashes*crashWeight {
+	if (isTie(all, ranked) || isRivalled(all, ranked[0])) && most < maxCrashes*crashWeight {
 		return nil
 	}
 	return a.verdictsOn(now, all, ranked, most, 0)
@@ -186,6 +186,16 @@
 	return len(ranked) > 1 && all[ranked[0]].weight()-all[ranked[1]].weight() < clearMajority
 }
 
+// isRivalled reports whether a request without the part has as many crashes.
+func isRivalled(all map[Trait]*evidence, part Trait) bool {
+	for t, e := range all {
+		if t.Kind() != PartTrait && e.suspicious(t) && !e.parts[part] && e.weight() >= all[part].weight() {
+			return true
+		}
+	}
+	return false
+}
+
 // verdictsOn returns verdicts on the traits with the most crashes.
 func (a *Analyst) verdictsOn(now time.Duration, all map[Trait]*evidence, ranked []Trait, most int, age time.Duration) []Verdict {
 	var verdicts []Verdict
--- a/internal/isolator/analyst_test.go
+++ b/internal/isolator/analyst_test.go
@@ -205,6 +205,19 @@
 	require.Equal(t, []Verdict{{Trait: "request:r.1"}}, decide(a, now))
 }
 
+// Several sound requests with a rare part may be broken off with the one that comes again.
+func TestPartIsNotBlamedWhileARequestWithoutItHasAsManyCrashes(t *testing.T) {
+	a := NewAnalyst(NewVerdicts())
+	for i := range 3 {
+		a.Record(0, crash(i, "request:r.1", "content:r"))
+		a.Record(0, crash(i, Trait(fmt.Sprintf("request:s%d.1", i)), Trait(fmt.Sprint("content:s", i)), "rare"))
+	}
+	verdicts := decide(a, 0)
+	require.Len(t, verdicts, 1)
+	require.Equal(t, Trait("request:r.1"), verdicts[0].Trait)
+	require.False(t, verdicts[0].Lasting())
+}
+
 func TestRequestThatWasAnsweredIsNotBlamed(t *testing.T) {
 	a := NewAnalyst(NewVerdicts())
 	for i := range 3 {
