End sends of isolated requests that resume a stream

Callers would have seen: one upstream more that crashes, under a stream whose first events an earlier upstream had written, sent again just before the verdict. Evidence: TestVerdictEndsASendThatResumesAStream failed. Cause: a verdict ended only requests none of whose sends had been answered. Change: those whose send under way has not. Ruled out: ending streams that an upstream is answering; it survives them. Conclusion: fixed.

--- a/internal/dispatcher/crashreport_test.go
+++ b/internal/dispatcher/crashreport_test.go
@@ -97,3 +97,13 @@
 	require.Len(t, reported, 2)
 	require.Empty(t, h.d.Answered(h.now, r.Traits))
 }
+
+func TestVerdictEndsASendThatResumesAStream(t *testing.T) {
+	h := newHarness(t)
+	h.listUpstreams(runnerService, 3, "m")
+	effects := h.reduce(Arrived{Request{ID: 1, Route: route(registrar.Streaming, 3), Service: runnerService, Model: "m", Deadline: 4 * time.Second, Traits: []isolator.Trait{"request:r.1"}}})
+	h.reduce(AnswerBegan{ID: 1, Try: h.requireSend(effects).Try})
+	effects = h.reduce(SendEnded{ID: 1, Try: 1, Outcome: Interrupted})
+	require.EqualValues(t, 2, h.requireSend(effects).Try)
+	require.Contains(t, h.reduce(VerdictsReported{[]isolator.Verdict{{Trait: "request:r.1"}}}), Abort{1, classifier.Lost})
+}
--- a/internal/dispatcher/isolation.go
+++ b/internal/dispatcher/isolation.go
@@ -22,9 +22,9 @@
 	maxAnswered      = 50_000                 // traits that are remembered
 	maxSuspects      = 1000                   // traits reported of a crash, which must fit into a datagram
 	analystCount     = 8                      // stewards that crashes are reported to, some of which may be gone or cut off
-	trialPeriod      = time.Second            // shortest Retry-After of these, and pause between gateways that send one on trial
-	maxTrialWait     = 30 * time.Second       // for the last gateway to send one
 	isolatedDelay    = time.Minute            // longest Retry-After of requests with an isolated trait
+	trialPeriod      = time.Second            // shortest one, and pause between gateways that send a request on trial
+	maxTrialWait     = 30 * time.Second       // for the last gateway to do so
 )
 
 // breakage is what this gateway knows of sends to one incarnation of an upstream that were
@@ -158,8 +158,8 @@
 	return u == nil || u.info.Incarnation != b.incarnation || u.connectionRefused || u.replaced || u.reported && u.report.Unreachable
 }
 
-// handleVerdicts isolates traits: requests with them that wait, or whose answers have not
-// begun, are ended.
+// handleVerdicts isolates traits: requests with them that wait, or that an upstream has not
+// begun to answer, are ended.
 func (d *Dispatcher) handleVerdicts(verdicts []isolator.Verdict) {
 	added := d.verdicts.Learn(d.now, verdicts)
 	for _, t := range added {
@@ -175,7 +175,7 @@
 		switch {
 		case r.upstream == nil:
 			d.refuseIsolated(r)
-		case !r.answerBegan:
+		case !r.sendBegan:
 			r.lastCause = "requests like it crash upstreams"
 			d.emit(Abort{r.ID, classifier.Lost})
 			d.failAfterRun(r, classifier.Lost)
@@ -190,10 +190,7 @@
 		return true
 	}
 	trait, from, ok := d.onTrial(r)
-	if !ok {
-		return false
-	}
-	if trait.Kind() != isolator.RequestTrait {
+	if !ok || trait.Kind() != isolator.RequestTrait {
 		return false
 	}
 	if d.now < from+d.trialWait() {
--- a/internal/isolator/verdict.go
+++ b/internal/isolator/verdict.go
@@ -6,7 +6,7 @@
 //	verdicts := isolator.NewVerdicts()
 //	analyst := isolator.NewAnalyst(verdicts)
 //	traits := isolator.TraitsOf(content, sharedParts)
-//	analyst.Record(now, isolator.Crash{Upstream: "i-7f3a91c2", Incarnation: born, Suspects: traits})
+//	analyst.Record(now, isolator.Crash{Upstream: "i-7f3a91c2", Incarnation: born, Requests: [][]isolator.Trait{traits}})
 //	ask(analyst.Suspects(now)) // whether a request with them has been answered
 //	analyst.Clear(now, answered)
 //	spread(analyst.Decide(now))
@@ -16,8 +16,9 @@
 // comes again and again. Gateways report the traits of the requests that an upstream was
 // about to answer when it crashed, and which of the suspected traits they have seen answered;
 // analysts, which run in several stewards, isolate the trait that several crashes have in
-// common and that was never answered, the most specific one of several. All processes tell
-// each other the verdicts, and the platform's store keeps them.
+// common and that was never answered, a request before the parts that it has. Requests that
+// were broken off together each time are isolated for a short time and then on trial. All
+// processes tell each other the verdicts, and the platform's store keeps them.
 package isolator
 
 import (
@@ -36,8 +37,8 @@
 	retellTime      = time.Minute      // between verdicts on a trait that are not the same one, told again
 )
 
-// Verdict says that requests with a trait crash upstreams. It is sent between processes and kept in the
-// store with the numbers of the cbor tags for names.
+// Verdict says that requests with a trait crash upstreams. It is sent between processes and
+// kept in the store with the numbers of the cbor tags for names.
 type Verdict struct {
 	Trait Trait         `json:"part" cbor:"1,keyasint"`
 	Age   time.Duration `json:"age" cbor:"2,keyasint"` // since it was reached, or long if it is for a short time only
