Decode workspaces, identify callers by key and name their workspace to upstreams

Change: registrar.Workspace with digests of keys, a quota and a priority; relayer refuses unknown keys (denied), strips the headers that carry a key or name a workspace on each send, and sets the workspace's name. Without workspaces in the configuration, headers pass as before. Types only for quotas.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -265,7 +265,7 @@
 	if !r.onTime(d.now) {
 		return latePriority
 	}
-	return min(r.Route.Priority, maxOnTimePriority)
+	return min(r.Priority(), maxOnTimePriority)
 }
 
 func (d *Dispatcher) handleAnswerBegan(ev AnswerBegan) {
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -145,12 +145,22 @@
 	Service      registrar.ServiceName
 	Model        registrar.ModelName
 	Adapter      registrar.AdapterName
-	PromptTokens registrar.Tokens // length of the prompt
-	OutputTokens registrar.Tokens // expected length of the answer
-	Deadline     time.Duration    // when the caller stops waiting, on the clock of Reduce
-	Resumed      bool             // the caller has received events of the stream
-	Resumes      string           // attempt that brought the first of them, empty if it is unknown
-	Traits       []isolator.Trait // the most specific first
+	PromptTokens registrar.Tokens     // length of the prompt
+	OutputTokens registrar.Tokens     // expected length of the answer
+	Workspace    *registrar.Workspace // of the caller, nil without workspaces or a key
+	Deadline     time.Duration        // when the caller stops waiting, on the clock of Reduce
+	Resumed      bool                 // the caller has received events of the stream
+	Resumes      string               // attempt that brought the first of them, empty if it is unknown
+	Traits       []isolator.Trait     // the most specific first
+}
+
+// Priority returns the priority of the caller's workspace or, if it has none, of the route.
+// 0 is the most urgent.
+func (r *Request) Priority() int {
+	if r.Workspace != nil && r.Workspace.Priority != nil {
+		return *r.Workspace.Priority
+	}
+	return r.Route.Priority
 }
 
 // Report is the state of a model runner. Its steward sends it to the gateways and
--- a/internal/dispatcher/queue.go
+++ b/internal/dispatcher/queue.go
@@ -77,7 +77,7 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(a.Route.Priority, b.Route.Priority), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(a.Priority(), b.Priority()), cmp.Compare(a.ID, b.ID))
 }
 
 // enqueue inserts a request into its queue by urgency.
--- a/internal/registrar/configuration.go
+++ b/internal/registrar/configuration.go
@@ -61,9 +61,12 @@
 	Routes   []Route
 	Services map[ServiceName]Service
 	Limits   Limits
+	// Workspaces is nil if callers need no keys.
+	Workspaces []Workspace
 
-	routesByHost map[HostName]map[string]*Route // by path prefix
-	models       []ModelName                    // of all services, sorted
+	routesByHost    map[HostName]map[string]*Route // by path prefix
+	models          []ModelName                    // of all services, sorted
+	workspacesByKey map[KeyDigest]workspaceKey
 }
 
 // Models lists the names of the models of all services, sorted. It is empty before
@@ -86,6 +89,7 @@
 	Split         []WeightedService
 	AttemptLimit  int  // number of upstreams that may run the same request
 	Resumable     bool // whether another upstream can continue an interrupted stream
+	Public        bool // callers need no key
 }
 
 // WeightedService is a service with its share of a route's requests, which is
@@ -153,6 +157,7 @@
 		}
 	}
 	c.models = slices.Sorted(maps.Keys(names))
+	c.indexWorkspaces()
 	c.routesByHost = map[HostName]map[string]*Route{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -165,9 +165,32 @@
 		g.reject(out, in, classifier.Missing, cfg.Version)
 		return
 	}
+	if !g.identify(in, cfg, route) {
+		g.reject(out, in, classifier.Denied, cfg.Version)
+		return
+	}
 	g.runEffects(r.Context(), in, out, route)
 }
 
+// identify sets the workspace of a request by its key and removes the headers that carry
+// it. It reports whether the request may use the route.
+func (g *Gateway) identify(in *callerRequest, cfg *registrar.Configuration, route *registrar.Route) bool {
+	if !cfg.HasWorkspaces() {
+		return true
+	}
+	for name := range in.header {
+		if g.cfg.HeaderCodec.Identifies(name) {
+			delete(in.header, name)
+		}
+	}
+	if route.Public {
+		return true
+	}
+	w, ok := cfg.Workspace(in.info.Key)
+	in.workspace = w
+	return ok
+}
+
 // reject writes an error response to a request that is not submitted to the
 // dispatcher. For classifier.Missing, version is that of the configuration that has
 // no route for the request; otherwise it is zero.
@@ -191,7 +214,7 @@
 		AttemptID: in.info.AttemptID, Route: route, Model: in.info.Model, Adapter: in.info.Adapter,
 		PromptTokens: in.info.PromptTokens, OutputTokens: in.info.OutputTokens, Deadline: now + timeout,
 		Resumed: in.info.LastEventID >= 0 || in.info.Resumes != "", Resumes: in.info.Resumes,
-		Traits: in.traits(),
+		Traits: in.traits(), Workspace: in.workspace,
 	}, mailbox)
 	out.lastEventID = in.info.LastEventID
 	for {
--- a/internal/relayer/gateway_test.go
+++ b/internal/relayer/gateway_test.go
@@ -44,6 +44,8 @@
 
 func (testHeaderCodec) Reserved(name string) bool { return name == "Inner" }
 
+func (testHeaderCodec) Identifies(name string) bool { return name == "Key" || name == "Workspace" }
+
 func (testHeaderCodec) SetForwardHeaders(h http.Header, info ForwardInfo) {
 	h.Set("Inner", string(info.Upstream))
 	h.Set("Left", info.Timeout.String())
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -29,11 +29,12 @@
 	Timeout      time.Duration // how long the caller waits for the response, zero if unknown
 	Model        registrar.ModelName
 	Adapter      registrar.AdapterName
-	PromptTokens registrar.Tokens   // length of the prompt
-	OutputTokens registrar.Tokens   // expected length of the response
-	LastEventID  int64              // id of the last event that the caller has received, negative without one
-	SharedParts  []registrar.PartID // of the prompt in their order, without its last part, which belongs to this request or its session
-	Resumes      string             // attempt that brought the first event of the stream that the request resumes, empty without one
+	PromptTokens registrar.Tokens    // length of the prompt
+	OutputTokens registrar.Tokens    // expected length of the response
+	LastEventID  int64               // id of the last event that the caller has received, negative without one
+	SharedParts  []registrar.PartID  // of the prompt in their order, without its last part, which belongs to this request or its session
+	Key          registrar.KeyDigest // of the caller's workspace, zero without exactly one
+	Resumes      string              // attempt that brought the first event of the stream that the request resumes, empty without one
 }
 
 // ResponseInfo is the content of the headers of an upstream's response.
@@ -56,10 +57,11 @@
 // ForwardInfo is the content of the headers that the gateway sets on a request to
 // an upstream.
 type ForwardInfo struct {
-	Timeout     time.Duration        // time left for the complete response
-	Upstream    registrar.UpstreamID // the only instance that may run the request
-	Priority    int                  // 0 is admitted first
-	LastEventID int64                // id of the last event that the caller has received, negative without one
+	Timeout     time.Duration           // time left for the complete response
+	Upstream    registrar.UpstreamID    // the only instance that may run the request
+	Priority    int                     // 0 is admitted first
+	LastEventID int64                   // id of the last event that the caller has received, negative without one
+	Workspace   registrar.WorkspaceName // of the caller, empty without one
 }
 
 // HeaderCodec translates between HTTP headers and RequestInfo, ResponseInfo and
@@ -71,6 +73,10 @@
 	// Reserved reports whether a request header is removed from callers' requests
 	// because only the gateway may set it. The name is in canonical form.
 	Reserved(name string) bool
+	// Identifies reports whether a request header carries the caller's key or names its
+	// workspace, so that it is removed if the configuration has workspaces. The name is in
+	// canonical form.
+	Identifies(name string) bool
 	// SetForwardHeaders sets the gateway's headers of a request to an upstream; h
 	// holds the headers that are forwarded from the caller.
 	SetForwardHeaders(h http.Header, info ForwardInfo)
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -12,6 +12,7 @@
 
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/isolator"
+	"github.com/egretwall/egretwall/internal/registrar"
 )
 
 // Limits of sends.
@@ -23,13 +24,14 @@
 
 // callerRequest is a caller's request that has been read.
 type callerRequest struct {
-	info   RequestInfo
-	method string
-	target string // path and query of the request line, as the caller sent them
-	host   string
-	caller string      // IP address
-	header http.Header // end-to-end headers
-	body   []byte
+	info      RequestInfo
+	method    string
+	target    string // path and query of the request line, as the caller sent them
+	host      string
+	caller    string      // IP address
+	header    http.Header // end-to-end headers
+	body      []byte
+	workspace *registrar.Workspace // of the caller, nil without one
 }
 
 // traits returns what other requests may have in common with this one.
@@ -200,7 +202,11 @@
 	if out.lastEventID > lastEventID {
 		lastEventID = out.lastEventID
 	}
-	g.cfg.HeaderCodec.SetForwardHeaders(header, ForwardInfo{Timeout: e.Timeout, Upstream: e.Upstream, Priority: e.Priority, LastEventID: lastEventID})
+	forward := ForwardInfo{Timeout: e.Timeout, Upstream: e.Upstream, Priority: e.Priority, LastEventID: lastEventID}
+	if in.workspace != nil {
+		forward.Workspace = in.workspace.Name
+	}
+	g.cfg.HeaderCodec.SetForwardHeaders(header, forward)
 	writeResult := in.write(conn, header)
 	resp, info, err := g.readResponse(conn, in, e)
 	if err != nil {
