--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -90,6 +90,8 @@
 	search         originSearch         // for release
 	permitted      bool                 // the last send used a permit of an upstream with a limit
 	lastCause      string               // error text of the last send
+	firstBeganAt   time.Duration        // when a part of an answer first reached the caller, zero before
+	longestGap     time.Duration        // between two parts of the answer
 }
 
 // New returns a dispatcher without a configuration.
@@ -279,6 +281,9 @@
 	if !r.sendBegan {
 		r.sendBegan, r.beganAt = true, d.now
 	}
+	if !r.answerBegan {
+		r.firstBeganAt = d.now
+	}
 	r.answerBegan = true
 	if !ev.Resumed {
 		d.recordStart(r)
@@ -351,6 +356,14 @@
 	d.fail(r, kind, 0)
 }
 
+// timeToFirst returns the time from the arrival until an answer began, zero without one.
+func (r *request) timeToFirst() time.Duration {
+	if !r.answerBegan {
+		return 0
+	}
+	return r.firstBeganAt - r.arrivedAt
+}
+
 // timeToSend returns the time from the arrival to the last send, or to now before
 // the first send.
 func (r *request) timeToSend(now time.Duration) time.Duration {
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -80,6 +80,8 @@
 	Try     Try
 	Outcome Outcome
 	Cause   string // error text for the log
+	// LongestGap is the longest time between two parts of a stream that this send brought.
+	LongestGap time.Duration
 }
 
 // UpstreamNotice carries what an upstream's response says of new requests: that it wants
@@ -286,23 +288,25 @@
 
 // Log writes a line to the log.
 type Log struct {
-	Event      string
-	AttemptID  string
-	Model      string // "model" or "model/adapter", empty for plain services
-	Upstream   registrar.UpstreamID
-	Kind       classifier.Kind // of the error answer, empty without one
-	Cause      string
-	ReportAge  time.Duration // age of the upstream's last report, zero without one
-	Try        Try
-	Waiting    int           // requests waiting at this gateway
-	TimeToSend time.Duration // from the request's arrival to its last send
-	Elapsed    time.Duration // from its arrival to now
-	Pause      time.Duration // how long the upstream wants no requests, zero if it does not say
-	Release    registrar.Release
-	Resumes    string           // attempt that began the stream that the request resumes, empty without one
-	Limit      float64          // requests per second that the upstream takes from all gateways together, zero if it does not say
-	Analysts   int              // stewards that a crash is reported to
-	Traits     []isolator.Trait // of a request whose send was broken off, or the one that is isolated
+	Event       string
+	AttemptID   string
+	Model       string // "model" or "model/adapter", empty for plain services
+	Upstream    registrar.UpstreamID
+	Kind        classifier.Kind // of the error answer, empty without one
+	Cause       string
+	ReportAge   time.Duration // age of the upstream's last report, zero without one
+	Try         Try
+	Waiting     int           // requests waiting at this gateway
+	TimeToSend  time.Duration // from the request's arrival to its last send
+	Elapsed     time.Duration // from its arrival to now
+	TimeToFirst time.Duration // from its arrival until its answer began, zero without an answer
+	LongestGap  time.Duration // of a stream
+	Pause       time.Duration // how long the upstream wants no requests, zero if it does not say
+	Release     registrar.Release
+	Resumes     string           // attempt that began the stream that the request resumes, empty without one
+	Limit       float64          // requests per second that the upstream takes from all gateways together, zero if it does not say
+	Analysts    int              // stewards that a crash is reported to
+	Traits      []isolator.Trait // of a request whose send was broken off, or the one that is isolated
 }
 
 func (Send) effect()           {}
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -14,7 +14,7 @@
 		return
 	}
 	u := r.upstream
-	r.lastCause = ev.Cause
+	r.lastCause, r.longestGap = ev.Cause, max(r.longestGap, ev.LongestGap)
 	d.endSend(r)
 	d.recordAnswered(r, ev.Outcome == Completed)
 	if ev.Outcome != Completed && ev.Outcome != CallerClosed {
@@ -30,6 +30,7 @@
 		d.Counters.Completed++
 		entry := d.logEvent("request served", r, u)
 		entry.TimeToSend, entry.Elapsed = r.sentAt-r.arrivedAt, d.now-r.arrivedAt
+		entry.TimeToFirst, entry.LongestGap = r.timeToFirst(), r.longestGap
 		d.emit(entry)
 		u.consecutiveFailures = 0
 		u.recordResult(d.now, false)
--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -109,6 +109,9 @@
 		ev = ev.Int64("held", entry.TimeToSend.Milliseconds()).Int64("took", entry.Elapsed.Milliseconds())
 		g.timeToSend.Record(entry.TimeToSend)
 	}
+	if entry.TimeToFirst > 0 {
+		ev = ev.Int64("first", entry.TimeToFirst.Milliseconds()).Int64("gap", entry.LongestGap.Milliseconds())
+	}
 	if entry.Elapsed > 0 && entry.Kind == classifier.None {
 		g.timeToLastByte.Record(entry.Elapsed)
 	}
--- a/internal/relayer/callerresponse.go
+++ b/internal/relayer/callerresponse.go
@@ -17,6 +17,8 @@
 	lastEventID   int64            // id of the last event that the caller has received, negative before the first
 	failure       *failureResponse // the last 5xx response of an upstream, nil without one
 	closeAfter    func() bool      // whether to close the connection after the response
+	lastWriteAt   time.Time        // of the last events, zero before the first
+	longestGap    time.Duration    // between two writes of events
 }
 
 // failureResponse is a 5xx response of an upstream. The caller gets it if no other
@@ -81,6 +83,7 @@
 // first it writes the headers of resp.
 func (out *callerResponse) writeEvents(resp *http.Response, events []byte) error {
 	out.setWriteDeadline()
+	out.recordGap(time.Now())
 	if !out.headerWritten {
 		out.copyHeader(resp.Header)
 		out.w.Header().Del("Content-Length")
@@ -93,6 +96,14 @@
 	return out.controller.Flush()
 }
 
+// recordGap records that events are written at now.
+func (out *callerResponse) recordGap(now time.Time) {
+	if !out.lastWriteAt.IsZero() {
+		out.longestGap = max(out.longestGap, now.Sub(out.lastWriteAt))
+	}
+	out.lastWriteAt = now
+}
+
 // keepFailure keeps a 5xx response of an upstream for dispatcher.RelayFailure.
 func (out *callerResponse) keepFailure(resp *http.Response, body []byte) {
 	out.failure = &failureResponse{resp.StatusCode, resp.Header, body}
--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -221,7 +221,7 @@
 		switch e := mailbox.Next(ctx).(type) {
 		case dispatcher.Send:
 			outcome, cause := g.send(ctx, e, in, out, mailbox)
-			g.cfg.Dispatcher.Reduce(dispatcher.SendEnded{ID: id, Try: e.Try, Outcome: outcome, Cause: cause})
+			g.cfg.Dispatcher.Reduce(dispatcher.SendEnded{ID: id, Try: e.Try, Outcome: outcome, Cause: cause, LongestGap: out.longestGap})
 			if outcome == dispatcher.Completed {
 				return
 			}
