--- a/internal/registrar/workspace.go
+++ b/internal/registrar/workspace.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
+	"slices"
 )
 
 // WorkspaceName identifies a workspace, a customer of the deployment.
@@ -62,6 +63,19 @@
 	return k.workspace, true
 }
 
+// WorkspacesWithSharedKeys lists the workspaces that lack one of their keys, since a
+// workspace before them holds it too. It needs Install.
+func (c *Configuration) WorkspacesWithSharedKeys() []WorkspaceName {
+	var names []WorkspaceName
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		if slices.ContainsFunc(w.Keys, func(key KeyDigest) bool { return c.workspacesByKey[key].workspace != w }) {
+			names = append(names, w.Name)
+		}
+	}
+	return names
+}
+
 // workspaceKey is a key with the workspace that holds it.
 type workspaceKey struct {
 	digest    KeyDigest
