Refuse requests whose key is unknown, taken away or not confirmed

Cause: a denied request waited for its whole body, a waiting one was sent after its key had gone, and a flood of unknown keys could use up the log. Change: unknown keys get 401 from the headers on; waiting requests whose key a new version lacks are refused before they are sent, those that an upstream has and streams that have begun go on; with strict, keys that the store has not confirmed for the bound are refused as not run; counters, dump, bounded lines. Ruled out: ending answers under way, which would cut what was asked for while the key held; a confirmation from peers, which may be as late as this process.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -26,6 +26,7 @@
 	effects            []Effect
 	rng                *rand.Rand
 	configuration      *registrar.Configuration
+	keysUnconfirmed    bool // the keys in it may not be current
 	upstreams          map[registrar.UpstreamID]*upstream
 	upstreamsByService map[registrar.ServiceName][]*upstream // in the order of UpstreamsListed
 	holdersByModel     map[modelKey][]*upstream              // from reports and UpstreamsListed; nil when it must be rebuilt
@@ -59,6 +60,7 @@
 	Completed    int `json:"whole"`    // requests with a complete answer
 	Refused      int `json:"refused"`  // requests that no upstream ran, answered with an error
 	Isolated     int `json:"isolated"` // of these, like others that crash upstreams
+	Revoked      int `json:"revoked"`  // of these, since their key was not known to be valid any more
 	Lost         int `json:"lost"`     // requests that an upstream may have run, answered with an error
 	Retried      int `json:"repeated"` // retries after an upstream had received the request
 	Resumed      int `json:"resumed"`  // of these, after a part of a stream had reached the caller
@@ -125,7 +127,9 @@
 	case Tick:
 		d.handleTick()
 	case Configured:
-		d.configuration = ev.Configuration
+		d.handleConfigured(ev.Configuration)
+	case KeysConfirmed:
+		d.handleKeysConfirmed(ev.Confirmed)
 	case UpstreamsListed:
 		d.handleUpstreamsListed(ev.Upstreams)
 		d.sendWaiting()
@@ -202,6 +206,9 @@
 	r := &request{Request: req, arrivedAt: d.now}
 	r.stats = d.statsOf(r)
 	d.requests[r.ID] = r
+	if d.refuseForKey(r) {
+		return
+	}
 	if d.isolates(r) {
 		d.refuseIsolated(r)
 		return
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -43,6 +43,9 @@
 // Configured carries the configuration to apply.
 type Configured struct{ Configuration *registrar.Configuration }
 
+// KeysConfirmed says whether the keys in the configuration are known to be current.
+type KeysConfirmed struct{ Confirmed bool }
+
 // UpstreamsListed carries the live upstreams of all services.
 type UpstreamsListed struct{ Upstreams []*registrar.Upstream }
 
@@ -148,6 +151,7 @@
 	PromptTokens registrar.Tokens     // length of the prompt
 	OutputTokens registrar.Tokens     // expected length of the answer
 	Workspace    *registrar.Workspace // of the caller, nil without workspaces or a key
+	Key          registrar.KeyDigest  // that identified the workspace
 	Deadline     time.Duration        // when the caller stops waiting, on the clock of Reduce
 	Resumed      bool                 // the caller has received events of the stream
 	Resumes      string               // attempt that brought the first of them, empty if it is unknown
@@ -188,6 +192,7 @@
 
 func (Tick) event()               {}
 func (Configured) event()         {}
+func (KeysConfirmed) event()      {}
 func (Stopping) event()           {}
 func (UpstreamsListed) event()    {}
 func (Reported) event()           {}
--- a/internal/dispatcher/notice.go
+++ b/internal/dispatcher/notice.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
@@ -83,13 +84,14 @@
 
 // Sendable reports whether the upstream of a Send may still get the request. Opening a
 // connection takes time, and the process may have been paused meanwhile: the upstream may
-// have asked for no new requests or named a limit, and the deadline may have passed.
+// have asked for no new requests or named a limit, the deadline may have passed, and the key
+// may have been taken away.
 func (d *Dispatcher) Sendable(now time.Duration, id RequestID, try Try) bool {
 	r := d.requests[id]
 	if r == nil || r.try != try || r.upstream == nil || !r.upstream.accepting() || now < r.upstream.pausedUntil {
 		return false
 	}
-	if now >= r.Deadline-answerMargin || d.isolates(r) {
+	if now >= r.Deadline-answerMargin || d.isolates(r) || d.keyRefusal(r) != classifier.None {
 		return false
 	}
 	return d.limitOf(r.upstream) == 0 || r.permitted && now < r.sentAt+permitLifetime
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -79,6 +79,9 @@
 // another upstream. It refuses the request with kind if it was refused too often,
 // its deadline is near or the retry budget is spent.
 func (d *Dispatcher) retryRefused(r *request, u *upstream, kind classifier.Kind) {
+	if d.refuseForKey(r) {
+		return
+	}
 	if d.isolates(r) {
 		d.refuseIsolated(r)
 		return
@@ -102,6 +105,9 @@
 // retryUnsent queues a request that did not reach its upstream for another one. The
 // retry budget does not apply since no upstream has received the request.
 func (d *Dispatcher) retryUnsent(r *request, u *upstream) {
+	if d.refuseForKey(r) {
+		return
+	}
 	if d.isolates(r) {
 		d.refuseIsolated(r)
 		return
@@ -128,7 +134,7 @@
 	b.refill(d.now, d.cfg.RetryBudget, d.gatewayCount, 0)
 	timeLeft := r.Deadline - d.now
 	_, _, onTrial := d.onTrial(r)
-	if !r.Route.Repeatable() || r.runs >= max(1, r.Route.AttemptLimit) || timeLeft < minRunTime(r) || onTrial || d.isolates(r) || !r.retryPaid && !b.take() {
+	if !r.Route.Repeatable() || r.runs >= max(1, r.Route.AttemptLimit) || timeLeft < minRunTime(r) || onTrial || d.isolates(r) || d.keyRefusal(r) != classifier.None || !r.retryPaid && !b.take() {
 		d.failAfterRun(r, kind)
 		return
 	}
--- a/internal/driver/configuration_test.go
+++ b/internal/driver/configuration_test.go
@@ -89,7 +89,7 @@
 	for i := range simulatedGateways + simulatedStewards {
 		timing := stewardPollTiming
 		if i < simulatedGateways {
-			timing = gatewayPollTiming(maxDrainDelay, maxApplyDelay)
+			timing = gatewayPollTiming(maxDrainDelay, maxApplyDelay, 0)
 		}
 		store := &fleetStore{fleet: f}
 		s := newSyncer(store, zerolog.Nop(), timing)
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -34,8 +34,13 @@
 // a long poll begins, and answers only after the poll's timeout. Peers don't lengthen it:
 // what keeps a record from one process, such as connections that have gone silent, may
 // keep it from all.
-func gatewayPollTiming(maxDrainDelay, maxApplyDelay time.Duration) pollTiming {
-	return pollTiming{configurationTimeout: maxApplyDelay / 2, listDelay: maxDrainDelay / 2}
+func gatewayPollTiming(maxDrainDelay, maxApplyDelay, maxRevokeDelay time.Duration) pollTiming {
+	timing := pollTiming{configurationTimeout: maxApplyDelay / 2, listDelay: maxDrainDelay / 2, maxConfirmationAge: maxRevokeDelay}
+	if maxRevokeDelay > 0 {
+		// An answer confirms what was in force when its call began.
+		timing.configurationTimeout = min(timing.configurationTimeout, maxRevokeDelay/3)
+	}
+	return timing
 }
 
 // GatewayConfig configures a Gateway. Addresses have the form host:port.
@@ -48,14 +53,18 @@
 	GracePeriod   time.Duration        // from Stop until the platform kills the process
 	MaxDrainDelay time.Duration        // from an upstream's announcement that it drains until it gets no new requests
 	MaxApplyDelay time.Duration        // from the publication of a configuration until it is in force
-	MemoryMB      float64              // MiB that the process may use
-	RetryBudget   dispatcher.RetryBudget
-	Store         Store
-	Verdicts      VerdictStore
-	HeaderCodec   relayer.HeaderCodec
-	ReadinessPath string // URL path of health checks
-	AdminAddress  string // of the admin server
-	Log           *observer.BoundedLogger
+	// MaxRevokeDelay is the longest time from the publication of a configuration without a
+	// key until no request with that key is begun, also while the store can't be reached: keys
+	// that were not confirmed for that long are not accepted. Zero to accept them.
+	MaxRevokeDelay time.Duration
+	MemoryMB       float64 // MiB that the process may use
+	RetryBudget    dispatcher.RetryBudget
+	Store          Store
+	Verdicts       VerdictStore
+	HeaderCodec    relayer.HeaderCodec
+	ReadinessPath  string // URL path of health checks
+	AdminAddress   string // of the admin server
+	Log            *observer.BoundedLogger
 }
 
 // Gateway is the process that relays callers' requests to upstreams, as its dispatcher
@@ -67,6 +76,7 @@
 	dispatcher       *dispatcher.Dispatcher
 	mailboxes        map[dispatcher.RequestID]*relayer.Mailbox
 	lastID           dispatcher.RequestID
+	keysConfirmed    bool            // as the dispatcher was told
 	listReceived     bool            // the upstream list has been received once
 	verdictsRead     bool            // the verdicts in the store have been read
 	liveAddresses    map[string]bool // of the live upstreams of configured services
@@ -90,8 +100,8 @@
 // NewGateway returns a gateway that listens on all its addresses; Run serves them.
 func NewGateway(cfg GatewayConfig) (*Gateway, error) {
 	g := &Gateway{
-		cfg: cfg, syncer: newSyncer(cfg.Store, cfg.Log.Logger, gatewayPollTiming(cfg.MaxDrainDelay, cfg.MaxApplyDelay)), mailboxes: map[dispatcher.RequestID]*relayer.Mailbox{},
-		liveAddresses: map[string]bool{}, stopRequested: make(chan struct{}, 1),
+		cfg: cfg, syncer: newSyncer(cfg.Store, cfg.Log.Logger, gatewayPollTiming(cfg.MaxDrainDelay, cfg.MaxApplyDelay, cfg.MaxRevokeDelay)), mailboxes: map[dispatcher.RequestID]*relayer.Mailbox{},
+		keysConfirmed: true, liveAddresses: map[string]bool{}, stopRequested: make(chan struct{}, 1),
 		timeToSend: observer.NewLatencyHistogram(), timeToFirstByte: observer.NewLatencyHistogram(), timeToLastByte: observer.NewLatencyHistogram(),
 		arrivedAt: map[dispatcher.RequestID]time.Duration{},
 	}
@@ -227,6 +237,7 @@
 		g.syncer.mu.Lock()
 		now := g.syncer.now()
 		g.syncer.expire()
+		g.refreshKeys()
 		g.apply(dispatcher.Tick{})
 		var demands messenger.PackedDemands
 		demandsDue, sweepDue := now-demandsSentAt >= max(minDemandPeriod, time.Duration(len(g.stewardAddresses))*demandPeriodPerSteward), now-sweptAt >= idleSweepPeriod
@@ -330,6 +341,25 @@
 	return g.configuration.Load()
 }
 
+// KeysConfirmed reports whether the keys in the configuration are known to be current.
+func (g *Gateway) KeysConfirmed() bool {
+	g.syncer.mu.Lock()
+	defer g.syncer.mu.Unlock()
+	return g.syncer.confirmations.current()
+}
+
+// refreshKeys tells the dispatcher whether the keys in the configuration are known to be
+// current if that has changed. The caller holds syncer.mu.
+func (g *Gateway) refreshKeys() {
+	confirmed := g.syncer.confirmations.current()
+	if confirmed == g.keysConfirmed {
+		return
+	}
+	g.keysConfirmed = confirmed
+	g.cfg.Log.Logger.Warn().Bool("confirmed", confirmed).Int64("version", g.version()).Msg("keys confirmed or not")
+	g.apply(dispatcher.KeysConfirmed{Confirmed: confirmed})
+}
+
 // Now returns the time since the gateway was created, the clock of its dispatcher.
 func (g *Gateway) Now() time.Duration {
 	return g.syncer.now()
@@ -339,6 +369,7 @@
 func (g *Gateway) Sendable(id dispatcher.RequestID, try dispatcher.Try) bool {
 	g.syncer.mu.Lock()
 	defer g.syncer.mu.Unlock()
+	g.refreshKeys()
 	return g.dispatcher.Sendable(g.syncer.now(), id, try)
 }
 
@@ -347,6 +378,7 @@
 func (g *Gateway) Submit(req dispatcher.Request, mailbox *relayer.Mailbox) dispatcher.RequestID {
 	g.syncer.mu.Lock()
 	defer g.syncer.mu.Unlock()
+	g.refreshKeys()
 	g.lastID++
 	req.ID = g.lastID
 	req.Service = pickService(req.Route)
--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -13,6 +13,7 @@
 // milliseconds and measured from the arrival of a request.
 type GatewayMetrics struct {
 	dispatcher.Counters
+	Denied            int64                   `json:"denied"` // requests without a known key
 	OpenRequests      int                     `json:"open" metric:"gauge"`
 	WaitingRequests   int                     `json:"waiting" metric:"gauge"`
 	ConnectionsOpened int64                   `json:"connections"` // to upstreams, since the start
@@ -34,9 +35,17 @@
 // GatewayDump is the state of a gateway as its admin server shows it.
 type GatewayDump struct {
 	ProcessDump
+	KeysConfirmed bool            `json:"confirmed"` // the keys are known to be current
+	Workspaces    []WorkspaceDump `json:"workspaces,omitempty"`
 	dispatcher.Dump
 }
 
+// WorkspaceDump is a workspace of the configuration in force.
+type WorkspaceDump struct {
+	Name registrar.WorkspaceName `json:"name"`
+	Keys int                     `json:"keys"` // number of keys
+}
+
 // StewardDump is the state of a steward as its admin server shows it.
 type StewardDump struct {
 	ProcessDump
@@ -53,14 +62,26 @@
 	defer g.syncer.mu.Unlock()
 	p := g.syncer.dump("gateway", g.cfg.Name)
 	p.Draining = g.relayer.Draining()
-	return GatewayDump{p, g.dispatcher.Dump()}
+	return GatewayDump{p, g.syncer.confirmations.current(), dumpWorkspaces(g.configuration.Load()), g.dispatcher.Dump()}
+}
+
+// dumpWorkspaces lists the workspaces of a configuration, which may be nil.
+func dumpWorkspaces(c *registrar.Configuration) []WorkspaceDump {
+	if c == nil {
+		return nil
+	}
+	rows := make([]WorkspaceDump, 0, len(c.Workspaces))
+	for _, w := range c.Workspaces {
+		rows = append(rows, WorkspaceDump{w.Name, len(w.Keys)})
+	}
+	return rows
 }
 
 func (g *Gateway) metrics() any {
 	g.syncer.mu.Lock()
 	defer g.syncer.mu.Unlock()
 	return GatewayMetrics{
-		Counters: g.dispatcher.Counters, OpenRequests: g.dispatcher.Open(), WaitingRequests: g.dispatcher.Waiting(),
+		Counters: g.dispatcher.Counters, Denied: g.relayer.Denied(), OpenRequests: g.dispatcher.Open(), WaitingRequests: g.dispatcher.Waiting(),
 		ConnectionsOpened: g.connectionsOpened.Load(), DroppedLogLines: g.cfg.Log.Limiter.Dropped(),
 		TimeToSend: g.timeToSend.Summary(), TimeToFirstByte: g.timeToFirstByte.Summary(), TimeToLastByte: g.timeToLastByte.Summary(),
 	}
--- a/internal/driver/syncer.go
+++ b/internal/driver/syncer.go
@@ -52,6 +52,7 @@
 	onConfiguration func(*registrar.Configuration)
 	onList          func()
 
+	confirmations confirmations
 	currentRecord exchanger.Record        // of the configuration in force, zero before the first
 	behindSince   time.Duration           // when a peer first announced a newer version, zero when none has
 	nextFetchAt   time.Duration           // before it, no further fetch from a peer begins
@@ -63,13 +64,14 @@
 type pollTiming struct {
 	configurationTimeout time.Duration // long-poll timeout of reads of the configuration; a dead connection is noticed soon after it
 	listWarmup           time.Duration // time from the start in which that pause is short
+	maxConfirmationAge   time.Duration // for which keys count as current after the store has confirmed them, zero for ever
 	listDelay            time.Duration // pause between reads of the upstream list, which would otherwise return at each of the frequent heartbeats
 }
 
 func newSyncer(store Store, logger zerolog.Logger, timing pollTiming) *syncer {
 	return &syncer{
 		registrar: registrar.New(registrar.Config{OutageGrace: outageGrace}), store: store, fetch: exchanger.Fetch, logger: logger, start: time.Now(), timing: timing,
-		fetches: map[netip.AddrPort]bool{},
+		confirmations: newConfirmations(timing.maxConfirmationAge), fetches: map[netip.AddrPort]bool{},
 	}
 }
 
@@ -82,11 +84,18 @@
 	var g sync.WaitGroup
 	g.Go(func() {
 		var w *watcher.Watcher
+		var askedAt time.Duration
 		install := func(records []watcher.Record) { s.installConfigurations(records, fromStore, w.Idle()) }
 		w = watcher.New(watcher.Config{
 			Store: s.store, Topic: s.store.ConfigurationTopic(), PollTimeout: s.timing.configurationTimeout, Logger: s.logger,
 			// The configuration in force stays after a restore: only a higher version replaces it.
 			OnReplace: install, OnChange: install, OnRestored: func() {}, OnReachable: func(bool) {},
+			OnCall: func() { askedAt = s.confirmations.clock() },
+			OnCurrent: func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.confirmations.confirm(askedAt)
+			},
 		})
 		w.Run(ctx)
 	})
@@ -126,19 +135,23 @@
 	decoded := true
 	for _, r := range records {
 		c, err := s.store.DecodeConfiguration(r)
-		if err != nil {
-			s.logger.Warn().Str("key", r.Key).Err(err).Msg("cannot decode configuration")
-			decoded = false
-			continue
-		}
-		if c == nil {
+		if c == nil && err == nil {
 			continue
 		}
 		s.mu.Lock()
-		if s.registrar.Install(c) {
+		if source == fromStore {
+			s.confirmations.unusable = err != nil
+		}
+		if err != nil {
+			s.logger.Error().Str("key", r.Key).Str("source", string(source)).Err(err).Int64("version", int64(s.version())).Msg("cannot decode configuration, the one in force stays")
+			decoded = false
+		} else if s.registrar.Install(c) {
 			s.currentRecord, s.behindSince = exchanger.Record{Key: r.Key, Value: r.Value}, 0
-			s.logger.Info().Int64("version", int64(c.Version)).Int("routes", len(c.Routes)).
+			s.logger.Info().Int64("version", int64(c.Version)).Int("routes", len(c.Routes)).Int("workspaces", len(c.Workspaces)).
 				Str("source", string(source)).Int64("idle", idle.Milliseconds()).Msg("configuration in force")
+			if names := c.WorkspacesWithSharedKeys(); len(names) > 0 {
+				s.logger.Warn().Int64("version", int64(c.Version)).Any("workspaces", names).Msg("keys of these workspaces belong to others too")
+			}
 			s.onConfiguration(c)
 		}
 		s.mu.Unlock()
--- a/internal/driver/syncer_test.go
+++ b/internal/driver/syncer_test.go
@@ -77,7 +77,7 @@
 	for _, delay := range []time.Duration{time.Millisecond, 300 * time.Millisecond, 1900 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
 			store := &longPollStore{}
-			s := newSyncer(store, zerolog.Nop(), gatewayPollTiming(2*time.Second, 2*time.Second))
+			s := newSyncer(store, zerolog.Nop(), gatewayPollTiming(2*time.Second, 2*time.Second, 0))
 			inForce := time.Time{}
 			s.onConfiguration = func(*registrar.Configuration) { inForce = time.Now() }
 			s.onList = func() {}
@@ -112,7 +112,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error, 1)
 	go func() { done <- server.Run(ctx) }()
-	s := newSyncer(&undecodableStore{}, zerolog.Nop(), gatewayPollTiming(maxApplyDelay, maxApplyDelay))
+	s := newSyncer(&undecodableStore{}, zerolog.Nop(), gatewayPollTiming(maxApplyDelay, maxApplyDelay, 0))
 	peer := netip.MustParseAddrPort(server.Address())
 	fetching := func() bool {
 		s.mu.Lock()
@@ -137,7 +137,7 @@
 func TestLongPollsAreShortWhateverPeersAnnounce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &longPollStore{}
-		s := newSyncer(store, zerolog.Nop(), gatewayPollTiming(maxDrainDelay, maxApplyDelay))
+		s := newSyncer(store, zerolog.Nop(), gatewayPollTiming(maxDrainDelay, maxApplyDelay, 0))
 		s.onList, s.onConfiguration = func() {}, func(*registrar.Configuration) {}
 		ctx, cancel := context.WithCancel(t.Context())
 		var g sync.WaitGroup
@@ -157,7 +157,7 @@
 // A peer may have started again, without the version that it announced before.
 func TestOlderConfigurationOfOnePeerDoesNotDelayTheFetchFromAnother(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSyncer(&fleetStore{fleet: &fleet{}}, zerolog.Nop(), gatewayPollTiming(maxDrainDelay, maxApplyDelay))
+		s := newSyncer(&fleetStore{fleet: &fleet{}}, zerolog.Nop(), gatewayPollTiming(maxDrainDelay, maxApplyDelay, 0))
 		s.onConfiguration = func(*registrar.Configuration) {}
 		records := map[string]exchanger.Record{addressOf(1).String(): {Key: "k", Value: []byte{6}}, addressOf(2).String(): {Key: "k", Value: []byte{7}}}
 		s.fetch = func(_ context.Context, address string) (exchanger.Record, error) { return records[address], nil }
--- a/internal/loader/platform.go
+++ b/internal/loader/platform.go
@@ -8,20 +8,22 @@
 // GatewaySettings holds the settings of a gateway. Addresses are an IP address and a
 // port.
 type GatewaySettings struct {
-	Name          string              `json:"name"`
-	Domain        string              `json:"domain"`  // failure domain
-	CallerAddress string              `json:"callers"` // where callers connect
-	HealthAddress string              `json:"health"`  // where the load balancer checks health
-	PeerAddress   string              `json:"peer"`    // for datagrams (UDP) and fetches of the configuration (TCP); gateways and stewards use the same port
-	AdminAddress  string              `json:"admin"`   // for operators: health, metrics, dump
-	StoreAddress  string              `json:"store"`   // the platform's store
-	GracePeriod   configurator.Millis `json:"grace"`   // from SIGTERM to SIGKILL
-	MaxDrainDelay configurator.Millis `json:"drain"`   // longest time from an upstream's announcement that it drains until it gets no new requests
-	MaxApplyDelay configurator.Millis `json:"apply"`   // longest time from the publication of a configuration until it is in force
-	MemoryMB      float64             `json:"memory"`  // MiB that this process may use
-	RetryRatio    float64             `json:"ratio"`   // retries per request, over all gateways
-	RetrySlack    float64             `json:"slack"`   // retries per RetryWindow in addition to RetryRatio, over all gateways
-	RetryWindow   configurator.Millis `json:"window"`  // span over which retries are counted
+	Name           string              `json:"name"`
+	Domain         string              `json:"domain"`           // failure domain
+	CallerAddress  string              `json:"callers"`          // where callers connect
+	HealthAddress  string              `json:"health"`           // where the load balancer checks health
+	PeerAddress    string              `json:"peer"`             // for datagrams (UDP) and fetches of the configuration (TCP); gateways and stewards use the same port
+	AdminAddress   string              `json:"admin"`            // for operators: health, metrics, dump
+	StoreAddress   string              `json:"store"`            // the platform's store
+	GracePeriod    configurator.Millis `json:"grace"`            // from SIGTERM to SIGKILL
+	MaxDrainDelay  configurator.Millis `json:"drain"`            // longest time from an upstream's announcement that it drains until it gets no new requests
+	MaxApplyDelay  configurator.Millis `json:"apply"`            // longest time from the publication of a configuration until it is in force
+	StrictRevoke   bool                `json:"strict,omitempty"` // accept no keys that were not confirmed for MaxRevokeDelay
+	MaxRevokeDelay configurator.Millis `json:"revoke,omitempty"` // longest time from the publication of a configuration without a key until no request with that key is begun, if StrictRevoke is set
+	MemoryMB       float64             `json:"memory"`           // MiB that this process may use
+	RetryRatio     float64             `json:"ratio"`            // retries per request, over all gateways
+	RetrySlack     float64             `json:"slack"`            // retries per RetryWindow in addition to RetryRatio, over all gateways
+	RetryWindow    configurator.Millis `json:"window"`           // span over which retries are counted
 }
 
 // StewardSettings holds the settings of a steward. Addresses are an IP address and a
@@ -64,6 +66,9 @@
 			problems = append(problems, decoder.Problem{Path: path, Text: "expected more than zero milliseconds"})
 		}
 	}
+	if s.StrictRevoke != (s.MaxRevokeDelay > 0) {
+		problems = append(problems, decoder.Problem{Path: "$.revoke", Text: "expected more than zero milliseconds with \"strict\", and none without it"})
+	}
 	for path, retries := range map[string]float64{"$.slack": s.RetrySlack, "$.ratio": s.RetryRatio} {
 		if retries < 0 {
 			problems = append(problems, decoder.Problem{Path: path, Text: "expected zero or more retries"})
--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -45,6 +45,8 @@
 	server       *http.Server
 	draining     atomic.Bool
 	openRequests atomic.Int64 // requests without a complete response
+	denied       atomic.Int64 // requests without a known key
+	denials      denialLimit
 
 	responseMemory memoryBudget
 
@@ -149,52 +151,33 @@
 		panic(http.ErrAbortHandler)
 	}
 	out := &callerResponse{w: w, controller: http.NewResponseController(w), lastEventID: -1, closeAfter: g.draining.Load}
-	in, kind := g.readRequest(w, r, out)
-	if kind != classifier.None {
-		g.reject(out, in, kind, 0)
+	in, kind := g.readHeader(r)
+	if kind == classifier.None && g.denyBeforeBody(in, r, out) {
 		return
 	}
-	cfg := g.cfg.Dispatcher.Configuration()
-	if cfg == nil {
-		g.reject(out, in, classifier.Leaving, 0)
-		return
+	if kind == classifier.None {
+		kind = g.readBody(w, r, in, out)
 	}
-	path, _, _ := strings.Cut(in.target, "?")
-	route, ok := cfg.Route(registrar.HostName(hostOf(in.host)), path)
-	if !ok {
-		g.reject(out, in, classifier.Missing, cfg.Version)
+	if kind != classifier.None {
+		g.reject(out, in, kind, 0)
 		return
 	}
-	if !g.identify(in, cfg, route) {
-		g.reject(out, in, classifier.Denied, cfg.Version)
+	a := g.admit(in)
+	if a.kind != classifier.None {
+		g.reject(out, in, a.kind, a.version)
 		return
 	}
-	g.runEffects(r.Context(), in, out, route)
+	g.runEffects(r.Context(), in, out, a.route)
 }
 
-// identify sets the workspace of a request by its key and removes the headers that carry
-// it. It reports whether the request may use the route.
-func (g *Gateway) identify(in *callerRequest, cfg *registrar.Configuration, route *registrar.Route) bool {
-	if !cfg.HasWorkspaces() {
-		return true
-	}
-	for name := range in.header {
-		if g.cfg.HeaderCodec.Identifies(name) {
-			delete(in.header, name)
-		}
-	}
-	if route.Public {
-		return true
-	}
-	w, ok := cfg.Workspace(in.info.Key)
-	in.workspace = w
-	return ok
-}
-
-// reject writes an error response to a request that is not submitted to the
-// dispatcher. For classifier.Missing, version is that of the configuration that has
-// no route for the request; otherwise it is zero.
+// reject writes an error response to a request that is not submitted to the dispatcher.
+// The version is that of the configuration that decided, zero if none did.
 func (g *Gateway) reject(out *callerResponse, in *callerRequest, kind classifier.Kind, version registrar.Version) {
+	if kind == classifier.Denied {
+		g.logDenial(in, version)
+		g.writeError(out, in.info.AttemptID, kind, 0)
+		return
+	}
 	g.cfg.Logger.Warn().Str("request", in.info.AttemptID).Str("kind", string(kind)).Str("host", in.host).
 		Str("path", in.target).Int64("version", int64(version)).Msg("request rejected")
 	g.writeError(out, in.info.AttemptID, kind, 0)
@@ -214,7 +197,7 @@
 		AttemptID: in.info.AttemptID, Route: route, Model: in.info.Model, Adapter: in.info.Adapter,
 		PromptTokens: in.info.PromptTokens, OutputTokens: in.info.OutputTokens, Deadline: now + timeout,
 		Resumed: in.info.LastEventID >= 0 || in.info.Resumes != "", Resumes: in.info.Resumes,
-		Traits: in.traits(), Workspace: in.workspace,
+		Traits: in.traits(), Workspace: in.workspace, Key: in.info.Key,
 	}, mailbox)
 	out.lastEventID = in.info.LastEventID
 	for {
@@ -252,9 +235,9 @@
 	}
 }
 
-// readRequest reads a caller's request with its body and removes hop-by-hop and
-// reserved headers. The returned kind is None if the request is valid.
-func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request, out *callerResponse) (*callerRequest, classifier.Kind) {
+// readHeader reads the headers of a caller's request and removes hop-by-hop and reserved
+// ones. The returned kind is None if they are valid.
+func (g *Gateway) readHeader(r *http.Request) (*callerRequest, classifier.Kind) {
 	in := &callerRequest{method: r.Method, target: r.RequestURI, host: r.Host, caller: hostOf(r.RemoteAddr), header: http.Header{}}
 	info, err := g.cfg.HeaderCodec.ParseRequest(r.Header)
 	in.info = info
@@ -271,27 +254,33 @@
 		in.header.Del(strings.TrimSpace(name))
 	}
 	in.header.Del("Content-Length")
+	return in, classifier.None
+}
+
+// readBody reads the body of a caller's request. The returned kind is None if it is valid.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, in *callerRequest, out *callerResponse) classifier.Kind {
 	if r.ContentLength == 0 {
-		return in, classifier.None
+		return classifier.None
 	}
 	limit := int64(g.limits().BodyLimit)
 	if r.ContentLength > limit {
-		return in, classifier.Large
+		return classifier.Large
 	}
 	// The response writers of tests support no deadlines.
 	_ = out.controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	var err error
 	in.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	_ = out.controller.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
-		return in, classifier.Large
+		return classifier.Large
 	case isTimeout(err):
-		return in, classifier.Stalled
+		return classifier.Stalled
 	case err != nil:
-		return in, classifier.Invalid
+		return classifier.Invalid
 	}
-	return in, classifier.None
+	return classifier.None
 }
 
 // hostOf returns the value of a Host header in lower case without the port.
@@ -314,6 +303,9 @@
 	if resp.Retryable {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
+	if kind == classifier.Denied {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	out.finishHeader()
 	out.setWriteDeadline()
--- a/internal/relayer/gateway_test.go
+++ b/internal/relayer/gateway_test.go
@@ -66,18 +66,19 @@
 // fakeDispatcher tries each request at its addresses in order and fails it after
 // the last.
 type fakeDispatcher struct {
-	mu         sync.Mutex
-	cfg        *registrar.Configuration
-	addresses  []string
-	mailboxes  map[dispatcher.RequestID]*Mailbox
-	tries      map[dispatcher.RequestID]dispatcher.Try
-	endedSends []dispatcher.SendEnded
-	notices    []dispatcher.UpstreamNotice
-	withhold   bool          // the first send is not sendable
-	now        time.Duration // all sends are decided at zero
-	timeout    time.Duration // of sends
-	stalls     int           // of sends, which ended them
-	stall      time.Duration // FirstTimeout and GapTimeout of sends, whose stalls end them
+	mu          sync.Mutex
+	cfg         *registrar.Configuration
+	addresses   []string
+	mailboxes   map[dispatcher.RequestID]*Mailbox
+	tries       map[dispatcher.RequestID]dispatcher.Try
+	endedSends  []dispatcher.SendEnded
+	notices     []dispatcher.UpstreamNotice
+	withhold    bool          // the first send is not sendable
+	unconfirmed bool          // keys are
+	now         time.Duration // all sends are decided at zero
+	timeout     time.Duration // of sends
+	stalls      int           // of sends, which ended them
+	stall       time.Duration // FirstTimeout and GapTimeout of sends, whose stalls end them
 }
 
 func newFakeDispatcher(addresses ...string) *fakeDispatcher {
@@ -90,6 +91,7 @@
 }
 
 func (d *fakeDispatcher) Configuration() *registrar.Configuration { return d.cfg }
+func (d *fakeDispatcher) KeysConfirmed() bool                     { return !d.unconfirmed }
 func (d *fakeDispatcher) Now() time.Duration                      { return d.now }
 
 func (d *fakeDispatcher) Submit(_ dispatcher.Request, mailbox *Mailbox) dispatcher.RequestID {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -92,6 +92,9 @@
 type Dispatcher interface {
 	// Configuration returns the configuration in force, nil before the first.
 	Configuration() *registrar.Configuration
+	// KeysConfirmed reports whether the keys in the configuration are known to be current.
+	// If not, a key may be unknown only here.
+	KeysConfirmed() bool
 	// Submit reports a request that has been read completely; its effects go to
 	// mailbox. Submit sets the ID and the Service of the request and returns the ID.
 	Submit(req dispatcher.Request, mailbox *Mailbox) dispatcher.RequestID
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -31,7 +31,8 @@
 	caller    string      // IP address
 	header    http.Header // end-to-end headers
 	body      []byte
-	workspace *registrar.Workspace // of the caller, nil without one
+	withKey   bool                 // there are workspaces, so that headers may carry a key
+	workspace *registrar.Workspace // of the caller when the request was read, nil without one
 }
 
 // traits returns what other requests may have in common with this one.
@@ -197,16 +198,11 @@
 		conn.abort()
 		return dispatcher.Unsent, err.Error()
 	}
-	header := in.header.Clone()
 	lastEventID := in.info.LastEventID
 	if out.lastEventID > lastEventID {
 		lastEventID = out.lastEventID
 	}
-	forward := ForwardInfo{Timeout: e.Timeout, Upstream: e.Upstream, Priority: e.Priority, LastEventID: lastEventID}
-	if in.workspace != nil {
-		forward.Workspace = in.workspace.Name
-	}
-	g.cfg.HeaderCodec.SetForwardHeaders(header, forward)
+	header := g.forwardHeader(in, ForwardInfo{Timeout: e.Timeout, Upstream: e.Upstream, Priority: e.Priority, LastEventID: lastEventID})
 	writeResult := in.write(conn, header)
 	resp, info, err := g.readResponse(conn, in, e)
 	if err != nil {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -77,7 +77,11 @@
 	// OnReachable is called after the first call to the store, and then whenever calls
 	// begin to fail or to succeed.
 	OnReachable func(up bool)
-	Logger      zerolog.Logger
+	// OnCall is called before each call to the store, and OnCurrent when all records that
+	// were written before that call have been passed on. Both may be nil.
+	OnCall    func()
+	OnCurrent func()
+	Logger    zerolog.Logger
 }
 
 // Watcher follows one topic. It is not safe for concurrent use.
@@ -159,8 +163,18 @@
 	return w.synced && era != w.era
 }
 
+// reportCurrent reports that the records of the last answer have been passed on.
+func (w *Watcher) reportCurrent() {
+	if w.cfg.OnCurrent != nil {
+		w.cfg.OnCurrent()
+	}
+}
+
 // poll makes one call to the store and passes on the records.
 func (w *Watcher) poll(ctx context.Context) error {
+	if w.cfg.OnCall != nil {
+		w.cfg.OnCall()
+	}
 	if !w.synced {
 		return w.readLatest(ctx)
 	}
@@ -189,6 +203,7 @@
 	if len(batch.Records) > 0 {
 		w.cfg.OnChange(w.dropUnreadable(batch.Records))
 	}
+	w.reportCurrent()
 	return nil
 }
 
@@ -205,6 +220,7 @@
 	}
 	w.nextOffset, w.era, w.synced, w.everSynced = batch.NextOffset, batch.Era, true, true
 	w.cfg.OnReplace(w.dropUnreadable(batch.Records))
+	w.reportCurrent()
 	return nil
 }
 
