--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -307,11 +307,13 @@
 		h.Set("WWW-Authenticate", "Bearer")
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	text := string(kind) + ": " + resp.Message + "\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
 	out.finishHeader()
 	out.setWriteDeadline()
 	out.headerWritten = true
 	out.w.WriteHeader(resp.Status)
-	if _, err := io.WriteString(out.w, string(kind)+": "+resp.Message+"\n"); err != nil {
+	if _, err := io.WriteString(out.w, text); err != nil {
 		g.cfg.Logger.Debug().Str("request", attemptID).Err(err).Msg("error response not written")
 	}
 }
--- a/internal/relayer/gateway_test.go
+++ b/internal/relayer/gateway_test.go
@@ -36,6 +36,9 @@
 	if info.AttemptID == "" {
 		return info, errors.New("header Try is missing")
 	}
+	if len(h["Key"]) == 1 {
+		info.Key = registrar.DigestKey(h.Get("Key"))
+	}
 	if v := h.Get("After"); v != "" {
 		info.LastEventID, _ = strconv.ParseInt(v, 10, 64)
 	}
@@ -49,6 +52,9 @@
 func (testHeaderCodec) SetForwardHeaders(h http.Header, info ForwardInfo) {
 	h.Set("Inner", string(info.Upstream))
 	h.Set("Left", info.Timeout.String())
+	if info.Workspace != "" {
+		h.Set("Workspace", string(info.Workspace))
+	}
 	if info.LastEventID >= 0 {
 		h.Set("After", strconv.FormatInt(info.LastEventID, 10))
 	}
--- a/internal/relayer/identity.go
+++ b/internal/relayer/identity.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"io"
 	"maps"
 	"net/http"
 	"strings"
@@ -15,6 +16,10 @@
 // They must not use up the lines that other failures need.
 const maxDenialLines = 10
 
+// maxDeniedBody is the size of bodies that are read of requests without a known key, in
+// bytes, so that their connections can be used again.
+const maxDeniedBody = 256 << 10
+
 // admission is the decision whether a request may use its route.
 type admission struct {
 	kind    classifier.Kind // None if it may
@@ -64,12 +69,22 @@
 	if a.kind != classifier.Denied && a.kind != classifier.Stale {
 		return false
 	}
-	// The server reads the rest of the body after the response, so that the caller can use
-	// the connection again. The response writers of tests support neither.
+	// The server would read the body first. The response writers of tests support neither.
 	_ = out.controller.EnableFullDuplex()
 	_ = out.controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	readBody := r.ContentLength <= maxDeniedBody && r.Header.Get("Expect") == ""
+	if !readBody {
+		out.w.Header().Set("Connection", "close")
+	}
 	g.reject(out, in, a.kind, a.version)
 	_ = out.controller.Flush()
+	if !readBody {
+		return true
+	}
+	// What is left of the body must not be taken for the next request of the connection.
+	if n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDeniedBody)); err != nil || n == maxDeniedBody {
+		out.abort()
+	}
 	return true
 }
 
