--- a/internal/driver/configuration_test.go
+++ b/internal/driver/configuration_test.go
@@ -34,7 +34,8 @@
 // connections to which can go silent.
 type fleetStore struct {
 	*fleet
-	refuses bool        // this process
+	refuses bool // this process
+	process int
 	idle    []time.Time // when the idle connections were opened; guarded by fleet.mu
 }
 
@@ -76,7 +77,8 @@
 	silentAt  time.Time
 	processes []*syncer
 	stores    []*fleetStore
-	hangs     map[string]bool // addresses that take a connection and never answer
+	frozen    map[int]chan struct{} // processes that don't run, until the channel is closed
+	hangs     map[string]bool       // addresses that take a connection and never answer
 	inForceAt map[registrar.Version][]time.Time
 	// listReadAt is when each gateway last learned of a change of the upstream list.
 	listReadAt [simulatedGateways]time.Time
@@ -85,13 +87,13 @@
 
 // newFleet returns gateways, followed by stewards, that run until ctx ends.
 func newFleet(ctx context.Context, g *sync.WaitGroup) *fleet {
-	f := &fleet{version: 1, wakes: true, hangs: map[string]bool{}, inForceAt: map[registrar.Version][]time.Time{}, changed: make(chan struct{})}
+	f := &fleet{version: 1, wakes: true, frozen: map[int]chan struct{}{}, hangs: map[string]bool{}, inForceAt: map[registrar.Version][]time.Time{}, changed: make(chan struct{})}
 	for i := range simulatedGateways + simulatedStewards {
 		timing := stewardPollTiming
 		if i < simulatedGateways {
 			timing = gatewayPollTiming(maxDrainDelay, maxApplyDelay, 0)
 		}
-		store := &fleetStore{fleet: f}
+		store := &fleetStore{fleet: f, process: i}
 		s := newSyncer(store, zerolog.Nop(), timing)
 		s.fetch = f.fetch
 		s.onList = func() {
@@ -132,7 +134,7 @@
 		v := s.version()
 		s.mu.Unlock()
 		for to, peer := range f.processes {
-			if to == from || from < simulatedGateways && to < simulatedGateways {
+			if to == from || from < simulatedGateways && to < simulatedGateways || f.isFrozen(from) || f.isFrozen(to) {
 				continue
 			}
 			peer.mu.Lock()
@@ -161,6 +163,35 @@
 	return exchanger.Record{}, errStore
 }
 
+// freeze keeps a process from running until thaw.
+func (f *fleet) freeze(process int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.frozen[process] = make(chan struct{})
+}
+
+func (f *fleet) thaw(process int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.frozen[process])
+	delete(f.frozen, process)
+}
+
+func (f *fleet) isFrozen(process int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.frozen[process] != nil
+}
+
+// restart makes a process forget its configuration, as one that starts has none.
+func (f *fleet) restart(process int) {
+	s := f.processes[process]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registrar, s.currentRecord = registrar.New(registrar.Config{OutageGrace: outageGrace}), exchanger.Record{}
+	s.behindSince, s.nextFetchAt = 0, 0
+}
+
 func (f *fleet) publish(v registrar.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -192,7 +223,18 @@
 	return watcher.Batch{Records: []watcher.Record{{Key: "configuration", Value: []byte{byte(f.version)}}}, NextOffset: int64(f.version)}, f.changed, nil
 }
 
+// awaitThaw waits until the process runs.
+func (f *fleetStore) awaitThaw() {
+	f.mu.Lock()
+	thawed := f.frozen[f.process]
+	f.mu.Unlock()
+	if thawed != nil {
+		<-thawed
+	}
+}
+
 func (f *fleetStore) ReadLatest(ctx context.Context, topic string) (watcher.Batch, error) {
+	defer f.awaitThaw()
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
 	if err := f.answer(ctx, f.connect()); err != nil {
@@ -203,6 +245,7 @@
 }
 
 func (f *fleetStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (watcher.Batch, error) {
+	defer f.awaitThaw()
 	ctx, cancel := context.WithTimeout(ctx, wait+clientTimeout)
 	defer cancel()
 	openedAt := f.connect()
@@ -232,8 +275,15 @@
 func (*fleetStore) ConfigurationTopic() string { return "operator" }
 func (*fleetStore) UpstreamTopic() string      { return "list" }
 
+// revokedKey is a key that only the first version has.
+var revokedKey = registrar.DigestKey("k1")
+
 func (*fleetStore) DecodeConfiguration(r watcher.Record) (*registrar.Configuration, error) {
-	return &registrar.Configuration{Version: registrar.Version(r.Value[0])}, nil
+	c := &registrar.Configuration{Version: registrar.Version(r.Value[0]), Workspaces: []registrar.Workspace{{Name: "a"}}}
+	if c.Version == 1 {
+		c.Workspaces[0].Keys = []registrar.KeyDigest{revokedKey}
+	}
+	return c, nil
 }
 
 func (*fleetStore) DecodeUpstream(watcher.Record) (*registrar.Upstream, error) { return nil, nil }
