--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 		go test -run '^$$' -fuzz $$t'$$' -fuzztime 10s ./platform || exit 1; done
 
 mutants:
-	go test -count=1 -v -run 'Mutants|Chunks|LostOrders|Reverting|Forgetting|HistoryCheck' ./internal/reducer ./internal/follower ./internal/reserver ./internal/demonstrator ./internal/watcher ./internal/dispatcher ./platform
+	go test -count=1 -v -run 'Mutants|Chunks|LostOrders|Reverting|Forgetting|HistoryCheck' ./internal/reducer ./internal/follower ./internal/reserver ./internal/demonstrator ./internal/watcher ./internal/dispatcher ./internal/relayer ./platform
 
 bench:
 	go test -run '^$$' -bench 'Request|Keyed|Silence|Rolling' -benchtime 3s ./internal/demonstrator
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -341,25 +341,6 @@
 	return g.configuration.Load()
 }
 
-// KeysConfirmed reports whether the keys in the configuration are known to be current.
-func (g *Gateway) KeysConfirmed() bool {
-	g.syncer.mu.Lock()
-	defer g.syncer.mu.Unlock()
-	return g.syncer.confirmations.current()
-}
-
-// refreshKeys tells the dispatcher whether the keys in the configuration are known to be
-// current if that has changed. The caller holds syncer.mu.
-func (g *Gateway) refreshKeys() {
-	confirmed := g.syncer.confirmations.current()
-	if confirmed == g.keysConfirmed {
-		return
-	}
-	g.keysConfirmed = confirmed
-	g.cfg.Log.Logger.Warn().Bool("confirmed", confirmed).Int64("version", g.version()).Msg("keys confirmed or not")
-	g.apply(dispatcher.KeysConfirmed{Confirmed: confirmed})
-}
-
 // Now returns the time since the gateway was created, the clock of its dispatcher.
 func (g *Gateway) Now() time.Duration {
 	return g.syncer.now()
