--- a/internal/relayer/gateway_test.go
+++ b/internal/relayer/gateway_test.go
@@ -36,6 +36,9 @@
 	if info.AttemptID == "" {
 		return info, errors.New("header Try is missing")
 	}
+	if len(h["Key"]) == 1 {
+		info.Key = registrar.DigestKey(h.Get("Key"))
+	}
 	if v := h.Get("After"); v != "" {
 		info.LastEventID, _ = strconv.ParseInt(v, 10, 64)
 	}
@@ -49,6 +52,9 @@
 func (testHeaderCodec) SetForwardHeaders(h http.Header, info ForwardInfo) {
 	h.Set("Inner", string(info.Upstream))
 	h.Set("Left", info.Timeout.String())
+	if info.Workspace != "" {
+		h.Set("Workspace", string(info.Workspace))
+	}
 	if info.LastEventID >= 0 {
 		h.Set("After", strconv.FormatInt(info.LastEventID, 10))
 	}
@@ -66,18 +72,19 @@
 // fakeDispatcher tries each request at its addresses in order and fails it after
 // the last.
 type fakeDispatcher struct {
-	mu         sync.Mutex
-	cfg        *registrar.Configuration
-	addresses  []string
-	mailboxes  map[dispatcher.RequestID]*Mailbox
-	tries      map[dispatcher.RequestID]dispatcher.Try
-	endedSends []dispatcher.SendEnded
-	notices    []dispatcher.UpstreamNotice
-	withhold   bool          // the first send is not sendable
-	now        time.Duration // all sends are decided at zero
-	timeout    time.Duration // of sends
-	stalls     int           // of sends, which ended them
-	stall      time.Duration // FirstTimeout and GapTimeout of sends, whose stalls end them
+	mu          sync.Mutex
+	cfg         *registrar.Configuration
+	addresses   []string
+	mailboxes   map[dispatcher.RequestID]*Mailbox
+	tries       map[dispatcher.RequestID]dispatcher.Try
+	endedSends  []dispatcher.SendEnded
+	notices     []dispatcher.UpstreamNotice
+	withhold    bool          // the first send is not sendable
+	unconfirmed bool          // keys are
+	now         time.Duration // all sends are decided at zero
+	timeout     time.Duration // of sends
+	stalls      int           // of sends, which ended them
+	stall       time.Duration // FirstTimeout and GapTimeout of sends, whose stalls end them
 }
 
 func newFakeDispatcher(addresses ...string) *fakeDispatcher {
@@ -90,6 +97,7 @@
 }
 
 func (d *fakeDispatcher) Configuration() *registrar.Configuration { return d.cfg }
+func (d *fakeDispatcher) KeysConfirmed() bool                     { return !d.unconfirmed }
 func (d *fakeDispatcher) Now() time.Duration                      { return d.now }
 
 func (d *fakeDispatcher) Submit(_ dispatcher.Request, mailbox *Mailbox) dispatcher.RequestID {
