Keep workspaces' quotas over all gateways by tokens that one steward issues

Cause: quotas of workspaces were decoded, and nothing kept callers to them. Change: internal/apportioner with the issuer's Ledger, which every steward has, and a gateway's Account. The dispatcher takes a request's cost from the account after the check for isolated traits: at once, after a short wait for the issuer, or refuses it (limited). Tokens at gateways count as saved up, so that saved and held tokens are never more than the burst: no window sees more than rate times window plus burst. An issuer issues the part of the gateways that claim it; a gateway that no issuer can count has its own part. TestMalformedMessagesAreBorne: the steward that it builds by hand got a ledger.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/apportioner"
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/limiter"
@@ -16,6 +17,7 @@
 	Domain      registrar.DomainName // failure domain of the gateway
 	Seed        uint64               // seed of the random choices
 	RetryBudget RetryBudget
+	Epoch       int64 // of the gateway's process, higher than those of earlier ones
 }
 
 // Dispatcher decides on the requests of one gateway. It is not safe for concurrent
@@ -46,6 +48,8 @@
 	answeredSweptAt    time.Duration                    // when forgotten ones were last removed from it
 	trialTurn          float64                          // of this gateway among all, from 0 to 1
 	gatewayCount       int
+	account            *apportioner.Account // of workspaces' quotas
+	quotas             quotaState
 	refuseAt           time.Duration // of Stopping, zero before it
 
 	Counters Counters
@@ -90,6 +94,8 @@
 	search         originSearch         // for release
 	permitted      bool                 // the last send used a permit of an upstream with a limit
 	lastCause      string               // error text of the last send
+	quotaPending   bool                 // it waits for tokens of its workspace's quota
+	quotaPassedAt  time.Duration        // when it got them, zero without a quota
 }
 
 // New returns a dispatcher without a configuration.
@@ -112,6 +118,8 @@
 		answeredAt:         map[isolator.Trait]time.Duration{},
 		trialTurn:          rand.New(rand.NewPCG(cfg.Seed, 2)).Float64(),
 		gatewayCount:       defaultGatewayCount,
+		account:            apportioner.NewAccount(apportioner.Config{Epoch: cfg.Epoch, Seed: cfg.Seed}),
+		quotas:             quotaState{refusals: map[registrar.WorkspaceName]*refusalLog{}},
 	}
 }
 
@@ -126,6 +134,8 @@
 		d.handleTick()
 	case Configured:
 		d.configuration = ev.Configuration
+		d.account.Configure(ev.Configuration.Version, ev.Configuration.Workspaces)
+		d.settleQuotas()
 	case UpstreamsListed:
 		d.handleUpstreamsListed(ev.Upstreams)
 		d.sendWaiting()
@@ -161,6 +171,9 @@
 		d.handleProbe(ev)
 	case VerdictsReported:
 		d.handleVerdicts(ev.Verdicts)
+	case QuotaAnswered:
+		d.account.Receive(d.now, ev.Answer)
+		d.settleQuotas()
 	}
 	return d.effects
 }
@@ -206,6 +219,13 @@
 		d.refuseIsolated(r)
 		return
 	}
+	if d.passesQuota(r) {
+		d.takeIn(r)
+	}
+}
+
+// takeIn takes in a request that its workspace's quota has room for.
+func (d *Dispatcher) takeIn(r *request) {
 	d.recordDemand(r)
 	if d.waitingCount >= maxWaiting {
 		d.refuse(r, classifier.Busy, d.retryDelay(r))
@@ -314,6 +334,7 @@
 	if r.upstream == nil {
 		d.dequeue(r)
 	}
+	d.returnCost(r)
 	d.endSend(r)
 	delete(d.requests, r.ID)
 }
--- a/internal/dispatcher/dump.go
+++ b/internal/dispatcher/dump.go
@@ -4,17 +4,19 @@
 	"cmp"
 	"slices"
 
+	"github.com/egretwall/egretwall/internal/apportioner"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
 // Dump is a snapshot of a dispatcher for operators.
 type Dump struct {
-	Gateways  int            `json:"gateways"` // gateways that share the upstreams, this one included
-	Open      int            `json:"open"`     // requests without a final answer
-	Waiting   []DumpQueue    `json:"waiting"`
-	Upstreams []DumpUpstream `json:"upstreams"`
-	Demands   []Demand       `json:"demands"`
-	Counters  Counters       `json:"counters"`
+	Gateways  int                      `json:"gateways"` // gateways that share the upstreams, this one included
+	Open      int                      `json:"open"`     // requests without a final answer
+	Waiting   []DumpQueue              `json:"waiting"`
+	Upstreams []DumpUpstream           `json:"upstreams"`
+	Demands   []Demand                 `json:"demands"`
+	Counters  Counters                 `json:"counters"`
+	Quotas    *apportioner.AccountDump `json:"quotas,omitempty"` // nil without any
 }
 
 // DumpQueue is the number of requests that wait for the same upstreams.
@@ -42,7 +44,7 @@
 // Dump returns a snapshot as of the last event, with upstreams in the order of
 // their ids. Reports in it are shared with the dispatcher.
 func (d *Dispatcher) Dump() Dump {
-	dump := Dump{Gateways: d.gatewayCount, Open: len(d.requests), Demands: d.Demands(d.now), Counters: d.Counters}
+	dump := Dump{Gateways: d.gatewayCount, Open: len(d.requests), Demands: d.Demands(d.now), Counters: d.Counters, Quotas: d.account.Dump(d.now)}
 	for _, key := range d.queueOrder {
 		dump.Waiting = append(dump.Waiting, DumpQueue{key.service, key.model, key.adapter, key.release, len(d.queues[key])})
 	}
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -281,8 +281,11 @@
 	Crash     isolator.Crash
 }
 
-// UpstreamCrashed is the Event of a Log that has Analysts.
-const UpstreamCrashed = "upstream crashed"
+// Events of a Log with fields of their own.
+const (
+	UpstreamCrashed = "upstream crashed" // has Analysts
+	BeyondQuota     = "beyond quota"     // has the fields from Workspace to OwnPart
+)
 
 // Log writes a line to the log.
 type Log struct {
@@ -303,6 +306,13 @@
 	Limit      float64          // requests per second that the upstream takes from all gateways together, zero if it does not say
 	Analysts   int              // stewards that a crash is reported to
 	Traits     []isolator.Trait // of a request whose send was broken off, or the one that is isolated
+	Workspace  registrar.WorkspaceName
+	Cost       float64       // of the request
+	Balance    float64       // of the workspace at this gateway
+	BalanceAge time.Duration // since the issuer answered
+	RetryAfter time.Duration
+	Refusals   int  // of the workspace since the last line about it, this one included
+	OwnPart    bool // no issuer counts this gateway, which uses its own part of the quota
 }
 
 func (Send) effect()           {}
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -189,10 +189,14 @@
 // handleTick answers requests whose time is over, refuses waiting requests that
 // can't be served and sends those that upstreams can take.
 func (d *Dispatcher) handleTick() {
+	d.settleQuotas()
 	d.reportCrashes()
 	d.recordQueueLengths()
 	d.sortQueues()
 	for _, r := range d.requestsByID() {
+		if r.quotaPending {
+			continue
+		}
 		if r.search.until > 0 {
 			d.continueSearch(r)
 			continue
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -96,7 +96,7 @@
 		arrivedAt: map[dispatcher.RequestID]time.Duration{},
 	}
 	setMemoryLimit(cfg.MemoryMB)
-	g.dispatcher = dispatcher.New(dispatcher.Config{Domain: cfg.Domain, Seed: rand.Uint64(), RetryBudget: cfg.RetryBudget})
+	g.dispatcher = dispatcher.New(dispatcher.Config{Domain: cfg.Domain, Seed: rand.Uint64(), RetryBudget: cfg.RetryBudget, Epoch: time.Now().UnixMilli()})
 	g.syncer.onConfiguration = func(c *registrar.Configuration) {
 		g.configuration.Store(c)
 		g.apply(dispatcher.Configured{Configuration: c})
@@ -190,6 +190,7 @@
 	time.Sleep(drainDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(gracePeriod-shutdownMargin))
 	defer cancel()
+	defer g.leave()
 	if err := g.relayer.Shutdown(ctx); err != nil {
 		return fmt.Errorf("%d requests were open at the end of the grace period: %w", g.relayer.Open(), err)
 	}
@@ -295,6 +296,9 @@
 	if m.Permits != nil {
 		g.Reduce(dispatcher.PermitsIssued{Permits: *m.Permits})
 	}
+	if m.TokenAnswer != nil {
+		g.Reduce(dispatcher.QuotaAnswered{Answer: *m.TokenAnswer})
+	}
 }
 
 // refreshUpstreams passes the live upstreams of the configured services to the dispatcher
@@ -418,6 +422,8 @@
 			g.send(stewardAddress(ef.Address, g.peerPort), messenger.Message{RequestedAdapter: &ef.Adapter})
 		case dispatcher.RequestPermits:
 			g.send(stewardAddress(ef.Address, g.peerPort), messenger.Message{PermitRequest: &ef.Request, Version: g.syncer.version()})
+		case dispatcher.RequestTokens:
+			g.requestTokens(ef)
 		case dispatcher.RecordStream:
 			g.send(g.stewardsAt(ef.Addresses), messenger.Message{Origin: &ef.Origin, Version: g.syncer.version()})
 		case dispatcher.FindStream:
--- a/internal/driver/malformed_test.go
+++ b/internal/driver/malformed_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretwall/egretwall/internal/apportioner"
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/messenger"
@@ -54,7 +55,7 @@
 	configuration := &registrar.Configuration{Version: 1, Services: map[registrar.ServiceName]registrar.Service{"llm": {Name: "llm", Engine: &registrar.Engine{Slots: 8}}}}
 	s := &Steward{
 		cfg: StewardConfig{RunnerAddress: address, Service: "llm", Log: log}, syncer: newSyncer(&longPollStore{}, log.Logger, stewardPollTiming), messenger: m,
-		reconciler: reconciler.New(reconciler.Config{Address: address}), limits: limiter.NewTable(), origins: newOriginKeeper(nil, log.Logger), verdicts: newVerdictKeeper(nil),
+		reconciler: reconciler.New(reconciler.Config{Address: address}), limits: limiter.NewTable(), origins: newOriginKeeper(nil, log.Logger), verdicts: newVerdictKeeper(nil), quotas: apportioner.NewLedger(),
 		gatewaySeenAt: map[netip.AddrPort]time.Duration{},
 	}
 	s.issuer = limiter.NewIssuer(s.limits)
--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"github.com/egretwall/egretwall/internal/apportioner"
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/isolator"
@@ -13,6 +14,7 @@
 // milliseconds and measured from the arrival of a request.
 type GatewayMetrics struct {
 	dispatcher.Counters
+	apportioner.AccountCounters
 	OpenRequests      int                     `json:"open" metric:"gauge"`
 	WaitingRequests   int                     `json:"waiting" metric:"gauge"`
 	ConnectionsOpened int64                   `json:"connections"` // to upstreams, since the start
@@ -41,6 +43,7 @@
 type StewardDump struct {
 	ProcessDump
 	reconciler.Dump
+	Quotas *apportioner.LedgerDump `json:"quotas,omitempty"` // nil unless gateways ask this steward
 }
 
 // dump returns the common part of a dump. The caller holds mu.
@@ -60,7 +63,7 @@
 	g.syncer.mu.Lock()
 	defer g.syncer.mu.Unlock()
 	return GatewayMetrics{
-		Counters: g.dispatcher.Counters, OpenRequests: g.dispatcher.Open(), WaitingRequests: g.dispatcher.Waiting(),
+		Counters: g.dispatcher.Counters, AccountCounters: g.dispatcher.QuotaCounters(), OpenRequests: g.dispatcher.Open(), WaitingRequests: g.dispatcher.Waiting(),
 		ConnectionsOpened: g.connectionsOpened.Load(), DroppedLogLines: g.cfg.Log.Limiter.Dropped(),
 		TimeToSend: g.timeToSend.Summary(), TimeToFirstByte: g.timeToFirstByte.Summary(), TimeToLastByte: g.timeToLastByte.Summary(),
 	}
@@ -96,6 +99,9 @@
 	if entry.Event == dispatcher.UpstreamCrashed {
 		ev = ev.Int("analysts", entry.Analysts)
 	}
+	if entry.Event == dispatcher.BeyondQuota {
+		ev = addQuota(ev, entry)
+	}
 	if entry.Pause > 0 {
 		ev = ev.Int64("pause", entry.Pause.Milliseconds())
 	}
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/apportioner"
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/exchanger"
 	"github.com/egretwall/egretwall/internal/limiter"
@@ -60,7 +61,7 @@
 
 // Steward is the process beside a model runner that orders it to load and unload models,
 // as its reconciler decides, and reports the runner's state to gateways and other
-// stewards. The fields from reconciler to verdicts are guarded by syncer.mu.
+// stewards. The fields from reconciler to quotas are guarded by syncer.mu.
 type Steward struct {
 	cfg           StewardConfig
 	syncer        *syncer
@@ -77,6 +78,7 @@
 	limitsChanged bool            // since then
 	origins       *originKeeper
 	verdicts      *verdictKeeper
+	quotas        *apportioner.Ledger
 	orders        chan reconciler.Order
 	pollNow       chan struct{} // makes pollRunner poll without delay
 	stopRequested chan struct{}
@@ -96,6 +98,7 @@
 	s.issuer = limiter.NewIssuer(s.limits)
 	s.origins = newOriginKeeper(cfg.Origins, cfg.Log.Logger)
 	s.verdicts = newVerdictKeeper(cfg.Verdicts)
+	s.quotas = apportioner.NewLedger()
 	s.reconciler = reconciler.New(reconciler.Config{Address: cfg.RunnerAddress, Holder: cfg.Name, Window: cfg.LoadWindow})
 	s.syncer.onConfiguration = func(c *registrar.Configuration) { s.apply(reconciler.ConfigurationChanged{Configuration: c}) }
 	s.syncer.onList = s.refreshRunners
@@ -119,7 +122,7 @@
 func (s *Steward) dump() any {
 	s.syncer.mu.Lock()
 	defer s.syncer.mu.Unlock()
-	return StewardDump{s.syncer.dump("steward", s.cfg.Name), s.reconciler.Dump(s.syncer.now())}
+	return StewardDump{s.syncer.dump("steward", s.cfg.Name), s.reconciler.Dump(s.syncer.now()), s.quotas.Dump(s.syncer.now())}
 }
 
 func (s *Steward) metrics() any {
@@ -318,6 +321,7 @@
 		s.tellOrigin(from, m.Stream)
 	}
 	s.gatewaySeenAt[from] = s.syncer.now()
+	s.issueTokens(from, m)
 	if m.Demands != nil {
 		demands, err := m.Demands.Unpack(s.syncer.models())
 		if err != nil {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -24,6 +24,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/egretwall/egretwall/internal/apportioner"
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/limiter"
@@ -39,7 +40,8 @@
 )
 
 // Message is the content of a datagram. Exactly one of Demands, RequestedAdapter, Report,
-// PermitRequest, Permits, Origin, Stream, Absence, Crash, Answered and Suspects is set;
+// PermitRequest, Permits, Origin, Stream, Absence, Crash, Answered, Suspects, TokenRequest,
+// TokenAnswer and Leaving is set;
 // Verdicts may come alone too.
 type Message struct {
 	Sender           string               `json:"name" cbor:"1,keyasint"`                          // name of the sending process
@@ -57,6 +59,9 @@
 	Suspects         []isolator.Trait     `json:"suspects,omitempty" cbor:"13,keyasint,omitempty"` // from a steward that asks whether they have been answered
 	Answered         []isolator.Trait     `json:"answered,omitempty" cbor:"14,keyasint,omitempty"` // from a gateway, of Suspects
 	Verdicts         []isolator.Verdict   `json:"verdicts,omitempty" cbor:"15,keyasint,omitempty"` // from a steward, with some reports and with Suspects
+	TokenRequest     *apportioner.Request `json:"tokens,omitempty" cbor:"16,keyasint,omitempty"`   // from a gateway
+	TokenAnswer      *apportioner.Answer  `json:"issued,omitempty" cbor:"17,keyasint,omitempty"`   // from a steward, the answer to TokenRequest
+	Leaving          bool                 `json:"leaving,omitempty" cbor:"18,keyasint,omitempty"`  // from a gateway that shuts down
 }
 
 // Config configures a Messenger. Run calls Handle for each message that it receives.
