--- a/internal/apportioner/fleet_test.go
+++ b/internal/apportioner/fleet_test.go
@@ -45,8 +45,8 @@
 	asked     map[registrar.WorkspaceName]float64
 	owed      map[registrar.WorkspaceName]float64
 	central   map[registrar.WorkspaceName]*centralBucket
+	shareFrom time.Duration
 	waits     []time.Duration
-	bytes     int
 	datagrams int
 }
 
@@ -293,22 +293,20 @@
 	f.spent[name] = append(f.spent[name], spend{f.now, cost})
 }
 
-// forget begins a new measurement of shares; windows go on.
-func (f *fleet) forget() {
+// beginShare begins a measurement of the share served; windows go on.
+func (f *fleet) beginShare() {
 	clear(f.asked)
 	clear(f.owed)
-	for name := range f.spent {
-		f.spent[name] = nil
-	}
-	f.waits = nil
-	f.datagrams = 0
+	f.shareFrom, f.waits, f.datagrams = f.now, nil, 0
 }
 
-// total returns the tokens spent for a workspace.
+// total returns the tokens spent for a workspace since beginShare.
 func (f *fleet) total(name registrar.WorkspaceName) float64 {
 	sum := 0.0
 	for _, s := range f.spent[name] {
-		sum += s.cost
+		if s.at >= f.shareFrom {
+			sum += s.cost
+		}
 	}
 	return sum
 }
@@ -385,9 +383,8 @@
 						f := newFleet(t, n, w)
 						f.run(3 * time.Second)
 						f.demand = callers(w, load, share)
-						f.run(15 * time.Second)
-						f.requireWithin(w)
-						f.forget()
+						f.run(5 * time.Second)
+						f.beginShare()
 						f.run(25 * time.Second)
 						f.requireWithin(w)
 						f.requireServed(w, 25*time.Second, 0.9)
