Test quotas that change, and the dispatcher's part in them

Cause: a request beyond the burst waited for more than there can ever be, a cost that was admitted at time zero was not given back, and an added quota started empty. Change: an issuer names the time until its bucket is full for such a request; an issuer that has counted gateways for ten seconds starts the bucket of an added workspace full.

--- a/internal/apportioner/bucket.go
+++ b/internal/apportioner/bucket.go
@@ -71,7 +71,7 @@
 		case capacity > 0 && b.saved >= max(0, capacity-b.heldSum):
 			answer.Tokens = first // there will never be more; the debt delays the next request
 		default:
-			answer.Wait = b.wait(first, share)
+			answer.Wait = b.wait(min(first, max(0, capacity-b.heldSum)), share)
 			b.denied += row.Need
 		}
 	}
--- a/internal/apportioner/failures_test.go
+++ b/internal/apportioner/failures_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -129,3 +131,93 @@
 		f.run(10 * time.Second)
 	})
 }
+
+func TestLoweredQuotaBindsWithinASecond(t *testing.T) {
+	for _, n := range []int{6, 30} {
+		f := newFleet(t, n, workspace("w", 150_000, 300_000))
+		f.demand = callers(f.quotas[0], 1.5, func(time.Duration, int) float64 { return 1 / float64(n) })
+		f.run(12 * time.Second)
+		lowered := workspace("w", 15_000, 30_000)
+		f.configure(lowered)
+		f.run(time.Second)
+		f.spent = map[registrar.WorkspaceName][]spend{}
+		start := f.now
+		f.beginShare()
+		f.run(16 * time.Second)
+		f.requireWithin(lowered)
+		f.requireServed(lowered, f.now-start, 0.9)
+	}
+}
+
+// A gateway or an issuer that has not got the configuration yet must not bring the earlier
+// quota back.
+func TestLoweredQuotaBindsGatewaysWithAnOlderConfiguration(t *testing.T) {
+	f := newFleet(t, 6, workspace("w", 150_000, 300_000))
+	f.demand = callers(f.quotas[0], 1.5, func(time.Duration, int) float64 { return 1.0 / 6 })
+	f.run(12 * time.Second)
+	lowered := workspace("w", 15_000, 30_000)
+	f.version++
+	f.gateways[3].account.Configure(f.version, []registrar.Workspace{lowered})
+	f.run(time.Second)
+	f.spent = map[registrar.WorkspaceName][]spend{}
+	f.run(12 * time.Second)
+	f.requireWithin(lowered)
+}
+
+func TestRaisedAndAddedQuotasAreServedWithinASecond(t *testing.T) {
+	for _, n := range []int{6, 30} {
+		before, after := workspace("w", 15_000, 30_000), workspace("w", 150_000, 300_000)
+		added := workspace("added", 40_000, 80_000)
+		f := newFleet(t, n, before)
+		f.demand = func(_ time.Duration, _ int, name registrar.WorkspaceName) float64 {
+			return map[registrar.WorkspaceName]float64{"w": 200_000, "added": 60_000}[name] / testCost / float64(n)
+		}
+		f.run(12 * time.Second)
+		f.configure(after, added)
+		f.run(time.Second)
+		start := f.now
+		f.beginShare()
+		f.run(8 * time.Second)
+		for _, w := range []registrar.Workspace{after, added} {
+			f.requireWithin(w)
+			f.requireServed(w, f.now-start, 0.9)
+		}
+	}
+}
+
+func TestCallersOfAWorkspaceWhoseQuotaIsRemovedAreServed(t *testing.T) {
+	a := NewAccount(Config{Epoch: 1})
+	a.Configure(1, []registrar.Workspace{workspace("w", 1000, 1000)})
+	require.Equal(t, Pending, a.Take(0, 1, "w", 500).Outcome)
+	a.Configure(2, []registrar.Workspace{workspace("w", 0, 0)})
+	require.Equal(t, []Settled{{1, Decision{Outcome: Granted}}}, a.Settled(0))
+	require.Equal(t, Granted, a.Take(0, 2, "w", 1e9).Outcome)
+	require.False(t, a.Active())
+	_, _, ok := a.Poll(0, []string{"a"})
+	require.False(t, ok, "a deployment without quotas sends nothing")
+}
+
+// A request that costs more than the burst must not wait for ever.
+func TestRequestBeyondTheBurstIsServedAndLeavesADebt(t *testing.T) {
+	w := workspace("w", 1000, 2000)
+	f := newFleet(t, 6, w)
+	f.cost = func(*rand.Rand) float64 { return 5000 }
+	f.demand = func(_ time.Duration, g int, _ registrar.WorkspaceName) float64 { return float64(2 * (g % 2)) }
+	f.run(4 * time.Second)
+	f.beginShare()
+	f.run(50 * time.Second)
+	require.InDelta(t, 50_000, f.total("w"), 6000)
+}
+
+func TestReturnedCostIsSpentAgain(t *testing.T) {
+	w := workspace("w", 150_000, 300_000)
+	f := newFleet(t, 6, w)
+	f.demand = callers(w, 3, func(time.Duration, int) float64 { return 1.0 / 6 })
+	f.returned = 0.3
+	f.run(5 * time.Second)
+	f.beginShare()
+	start := f.now
+	f.run(15 * time.Second)
+	f.requireWithin(w)
+	f.requireServed(w, f.now-start, 0.95)
+}
--- a/internal/apportioner/fleet_test.go
+++ b/internal/apportioner/fleet_test.go
@@ -36,6 +36,7 @@
 	mail      []datagram
 	loss      float64
 	double    float64
+	returned  float64 // share of granted requests that don't run
 	delay     func(*rand.Rand) time.Duration
 	part      func(gateway int) int // of the network; stewards are in part index modulo parts
 	parts     int
@@ -259,7 +260,7 @@
 		g.nextID++
 		switch d := g.account.Take(f.now, g.nextID, name, cost); d.Outcome {
 		case Granted:
-			f.spend(name, cost)
+			f.spend(g, name, cost)
 			f.waits = append(f.waits, 0)
 		case Pending:
 			g.pending[g.nextID] = pendingRequest{name, cost, f.now}
@@ -283,13 +284,18 @@
 		require.True(f.t, ok)
 		delete(g.pending, s.ID)
 		if s.Outcome == Granted {
-			f.spend(p.workspace, p.cost)
+			f.spend(g, p.workspace, p.cost)
 			f.waits = append(f.waits, f.now-p.at)
 		}
 	}
 }
 
-func (f *fleet) spend(name registrar.WorkspaceName, cost float64) {
+// spend notes a request that runs, or returns its cost if it does not.
+func (f *fleet) spend(g *testGateway, name registrar.WorkspaceName, cost float64) {
+	if f.rng.Float64() < f.returned {
+		g.account.Return(name, cost)
+		return
+	}
 	f.spent[name] = append(f.spent[name], spend{f.now, cost})
 }
 
--- a/internal/apportioner/ledger.go
+++ b/internal/apportioner/ledger.go
@@ -18,6 +18,9 @@
 // sweepPeriod is the time between searches for what a ledger can forget.
 const sweepPeriod = 250 * time.Millisecond
 
+// steadyTime is the time after which an issuer has heard of all quotas.
+const steadyTime = 10 * time.Second
+
 // maxBuckets bounds the workspaces of a ledger.
 const maxBuckets = 10_000
 
@@ -29,6 +32,7 @@
 	customers  map[netip.AddrPort]*customer
 	buckets    map[registrar.WorkspaceName]*bucket
 	counted    int
+	countedAt  time.Duration // when counted last rose from zero
 	advancedAt time.Duration
 	sweptAt    time.Duration
 	served     float64 // integral of the share of gateways counted over time, in seconds
@@ -92,12 +96,16 @@
 }
 
 func (l *Ledger) recount(now time.Duration) {
+	before := l.counted
 	l.counted = 0
 	for _, c := range l.customers {
 		if now < c.claimedUntil {
 			l.counted++
 		}
 	}
+	if before == 0 {
+		l.countedAt = now
+	}
 }
 
 // sweep forgets gateways that don't ask any more, with the tokens that they held.
@@ -156,7 +164,7 @@
 	l.recount(now)
 	c.answer = Answer{Epoch: request.Epoch, Number: request.Number, Counted: now < c.claimedUntil, Gateways: l.roster.size}
 	for _, row := range request.Rows {
-		if b := l.bucketFor(row, request.Version); b != nil {
+		if b := l.bucketFor(now, row, request.Version); b != nil {
 			c.answer.Rows = append(c.answer.Rows, l.issue(b, gateway, row))
 		}
 	}
@@ -168,14 +176,20 @@
 }
 
 // bucketFor returns the bucket of a row's workspace with the quota of the latest
-// configuration that a gateway has told, nil if there is no room for another.
-func (l *Ledger) bucketFor(row RequestRow, version registrar.Version) *bucket {
+// configuration that a gateway has told, nil if there is no room for another. Gateways tell a
+// new issuer of all quotas at once; one that comes later has just been configured, so that
+// nothing has been issued of it.
+func (l *Ledger) bucketFor(now time.Duration, row RequestRow, version registrar.Version) *bucket {
 	b := l.buckets[row.Workspace]
 	if b == nil {
 		if len(l.buckets) >= maxBuckets {
 			return nil
 		}
 		b = &bucket{filledAt: l.served, held: map[netip.AddrPort]float64{}, version: -1}
+		if l.counted > 0 && now-l.countedAt >= steadyTime && valid(row.Rate) && valid(row.Burst) {
+			b.rate, b.burst = row.Rate, row.Burst
+			b.saved = b.capacity(l.share())
+		}
 		l.buckets[row.Workspace] = b
 	}
 	b.fill(l.served, l.share())
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -95,7 +95,8 @@
 	permitted      bool                 // the last send used a permit of an upstream with a limit
 	lastCause      string               // error text of the last send
 	quotaPending   bool                 // it waits for tokens of its workspace's quota
-	quotaPassedAt  time.Duration        // when it got them, zero without a quota
+	quotaPassed    bool                 // its workspace's quota had room for it
+	quotaPassedAt  time.Duration        // when it had
 }
 
 // New returns a dispatcher without a configuration.
--- a/internal/dispatcher/workspace.go
+++ b/internal/dispatcher/workspace.go
@@ -14,6 +14,7 @@
 // Timing of quotas.
 const (
 	costLifetime  = time.Second // after a request was admitted, for which its cost is given back if it is refused; later its tokens may have been issued anew
+	maxIssuers    = 8           // stewards from which a gateway chooses one; more than fail to answer at the same time
 	quotaLogDelay = time.Second // between log lines about refusals of one workspace's requests
 )
 
@@ -69,7 +70,7 @@
 		d.refuseByQuota(r, decision)
 		return false
 	}
-	r.quotaPassedAt = d.now
+	r.quotaPassed, r.quotaPassedAt = true, d.now
 	return true
 }
 
@@ -88,7 +89,7 @@
 			d.refuseByQuota(r, s.Decision)
 			continue
 		}
-		r.quotaPassedAt = d.now
+		r.quotaPassed, r.quotaPassedAt = true, d.now
 		d.takeIn(r)
 	}
 	d.requestTokens()
@@ -110,17 +111,23 @@
 	if d.quotas.issuers != nil && d.now < d.quotas.issuersListedAt+issuerPeriod {
 		return d.quotas.issuers
 	}
-	d.quotas.issuersListedAt = d.now
-	d.quotas.issuers = d.quotas.issuers[:0]
+	type candidate struct {
+		address string
+		score   uint64
+	}
+	var candidates []candidate
 	for _, u := range d.upstreams {
 		if u.reported && d.now-u.reportedAt < reportTimeout {
-			d.quotas.issuers = append(d.quotas.issuers, u.info.Address)
+			candidates = append(candidates, candidate{u.info.Address, placer.Score("quotas", u.info.Address)})
 		}
 	}
-	slices.SortFunc(d.quotas.issuers, func(a, b string) int {
-		return cmp.Or(cmp.Compare(placer.Score("quotas", b), placer.Score("quotas", a)), cmp.Compare(a, b))
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.address, b.address))
 	})
-	d.quotas.issuers = slices.Compact(d.quotas.issuers)
+	d.quotas.issuersListedAt, d.quotas.issuers = d.now, d.quotas.issuers[:0]
+	for _, c := range candidates[:min(len(candidates), maxIssuers)] {
+		d.quotas.issuers = append(d.quotas.issuers, c.address)
+	}
 	return d.quotas.issuers
 }
 
@@ -152,10 +159,10 @@
 	case r.Workspace == nil || !d.account.Active() || r.mayHaveRun || r.upstream != nil:
 	case r.quotaPending:
 		d.account.Cancel(r.Workspace.Name, uint64(r.ID))
-	case r.quotaPassedAt > 0 && d.now-r.quotaPassedAt < costLifetime:
+	case r.quotaPassed && d.now-r.quotaPassedAt < costLifetime:
 		d.account.Return(r.Workspace.Name, costOf(r))
 	}
-	r.quotaPending, r.quotaPassedAt = false, 0
+	r.quotaPending, r.quotaPassed = false, false
 }
 
 // QuotaCounters returns the counters of requests of workspaces with a quota.
