--- a/internal/dispatcher/workspace_test.go
+++ b/internal/dispatcher/workspace_test.go
@@ -19,13 +19,15 @@
 }
 
 func newQuotaHarness(t *testing.T, q registrar.Quota) *quotaHarness {
-	h := &quotaHarness{harness: newHarness(t), workspace: registrar.Workspace{Name: "w", Quota: q}}
+	h := &quotaHarness{harness: newHarness(t), workspace: registrar.Workspace{Name: "w", Keys: []registrar.KeyDigest{{}}, Quota: q}}
 	engine := &registrar.Engine{Slots: 64, Models: map[registrar.ModelName]registrar.Model{"m": {Name: "m"}}}
 	h.listUpstreams(runnerService, 2, "m")
-	h.play(Configured{&registrar.Configuration{
+	c := &registrar.Configuration{
 		Version: 1, Workspaces: []registrar.Workspace{h.workspace},
 		Services: map[registrar.ServiceName]registrar.Service{plainService: {Name: plainService}, runnerService: {Name: runnerService, Engine: engine}},
-	}})
+	}
+	registrar.New(registrar.Config{}).Install(c)
+	h.play(Configured{c})
 	h.report()
 	return h
 }
