Give workspaces fair shares of the room, and mark requests beyond them

Cause: gateways ordered waiting requests by priority and arrival only, so that one workspace's flood took the others' room. A Clock gives tags by virtual time (weighted fair queueing), which go before arrival in the queues of a service and priority; places in the queue follow that order, so that estimates refuse the flood's requests and not those behind them. A Meter marks requests beyond a max-min fair share while less is served than arrives; they are sent with the next lower priority. When no more requests may wait, one of the workspace with the largest part of the room yields. Ruled out: tags alone. Without workspaces in the configuration nothing changes.

--- a/internal/dispatcher/backlog.go
+++ b/internal/dispatcher/backlog.go
@@ -153,5 +153,8 @@
 // recordStart records that the answer to a send began.
 func (d *Dispatcher) recordStart(r *request) {
 	r.upstream.backlog.begin(r.ID, d.now, r.startLimit())
+	if r.share.beyond {
+		return // it waits for others
+	}
 	r.stats.startDelay += (d.now - r.sentAt - r.stats.startDelay) / startDelaySamples
 }
--- a/internal/dispatcher/batch_test.go
+++ b/internal/dispatcher/batch_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"slices"
 	"testing"
 	"time"
@@ -34,6 +35,17 @@
 	asked, onTime, late        int // requests, those complete and begun within the target, and those complete and begun later
 	failed, refused            int // requests that were sent and not completed, and the others
 	open                       int // requests without an answer at the end
+	workspace                  *registrar.Workspace
+	gateways                   int           // that its callers use, all if zero
+	from, patience             time.Duration // when its callers begin, and after which time they leave, zero for never
+	retries                    int           // of a refused request, at once
+	left                       int           // requests whose caller left before they began
+}
+
+// served returns the share of the requests that were completed, counting retries of one
+// request once.
+func (c *batchClass) served() float64 {
+	return float64(c.onTime+c.late) / float64(c.asked-c.open)
 }
 
 // Parameters of the simulated engines.
@@ -58,6 +70,7 @@
 	arrivedAt time.Duration
 	begunAt   time.Duration // zero before the answer has begun
 	sent      bool
+	retries   int // left
 }
 
 // nextPrompt returns the waiting stream that the engine admits next, nil without one.
@@ -135,6 +148,9 @@
 		switch ef := effect.(type) {
 		case Send:
 			r := s.open[ef.ID]
+			if r == nil {
+				continue // its caller has left
+			}
 			r.sent = true
 			s.schedule(networkDelay, func() {
 				s.engine.waiting = append(s.engine.waiting, &batchStream{g, ef, r.class, r.class.promptTokens, r.class.outputTokens})
@@ -144,12 +160,15 @@
 			s.drop(ef.ID)
 		case Fail:
 			if r := s.open[ef.ID]; r != nil {
-				if r.sent {
+				delete(s.open, ef.ID)
+				switch {
+				case r.retries > 0:
+					s.schedule(networkDelay, func() { s.request(g, r.class, r.retries-1) })
+				case r.sent:
 					r.class.failed++
-				} else {
+				default:
 					r.class.refused++
 				}
-				delete(s.open, ef.ID)
 			}
 		}
 	}
@@ -158,31 +177,50 @@
 // arrive schedules the next request of a class at a gateway.
 func (s *batchSimulation) arrive(g int, c *batchClass, rate float64) {
 	s.schedule(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() {
-		s.lastID++
-		id := s.lastID
 		c.asked++
-		s.open[id] = &batchRequest{class: c, arrivedAt: s.now}
-		streaming := &registrar.Route{
-			Kind: registrar.Streaming, AttemptLimit: 2, TargetLatency: c.target, TargetGap: 400 * time.Millisecond, Timeout: c.timeout, Resumable: true, Priority: c.priority,
-		}
-		s.handle(g, s.gateways[g].Reduce(s.now, Arrived{Request{
-			ID: id, Route: streaming, Service: runnerService, Model: "m0", PromptTokens: registrar.Tokens(c.promptTokens), OutputTokens: registrar.Tokens(c.outputTokens), Deadline: s.now + c.timeout,
-		}}))
+		s.request(g, c, c.retries)
 		s.arrive(g, c, rate)
 	})
 }
 
+// request passes a request of a class to a gateway. Its caller repeats a refused one at once
+// up to retries times.
+func (s *batchSimulation) request(g int, c *batchClass, retries int) {
+	s.lastID++
+	id := s.lastID
+	s.open[id] = &batchRequest{class: c, arrivedAt: s.now, retries: retries}
+	streaming := &registrar.Route{
+		Kind: registrar.Streaming, AttemptLimit: 2, TargetLatency: c.target, TargetGap: 400 * time.Millisecond, Timeout: c.timeout, Resumable: true, Priority: c.priority,
+	}
+	if c.patience > 0 {
+		s.schedule(c.patience, func() {
+			if r := s.open[id]; r != nil && r.begunAt == 0 {
+				delete(s.open, id)
+				c.left++
+				s.drop(id)
+				s.handle(g, s.gateways[g].Reduce(s.now, CallerDisconnected{id}))
+			}
+		})
+	}
+	s.handle(g, s.gateways[g].Reduce(s.now, Arrived{Request{
+		ID: id, Route: streaming, Service: runnerService, Model: "m0", PromptTokens: registrar.Tokens(c.promptTokens), OutputTokens: registrar.Tokens(c.outputTokens),
+		Workspace: c.workspace, Deadline: s.now + c.timeout,
+	}}))
+}
+
 // runBatch plays a load of so many requests a second on one engine and returns the
 // classes with their counts.
 func runBatch(requestRate float64, seed uint64) []*batchClass {
-	const gateways, slots = 5, 64
-	s := &batchSimulation{
-		simulation: newSimulation(seed), engine: &batchEngine{}, open: map[RequestID]*batchRequest{},
-		classes: []*batchClass{
-			{share: 0.75, priority: 1, promptTokens: 1800, outputTokens: 22, target: 800 * time.Millisecond, timeout: 5 * time.Second},
-			{share: 0.25, priority: 0, promptTokens: 1110, outputTokens: 172, target: 2 * time.Second, timeout: 15 * time.Second},
-		},
-	}
+	return runClasses(requestRate, seed, 5, nil, []*batchClass{
+		{share: 0.75, priority: 1, promptTokens: 1800, outputTokens: 22, target: 800 * time.Millisecond, timeout: 5 * time.Second},
+		{share: 0.25, priority: 0, promptTokens: 1110, outputTokens: 172, target: 2 * time.Second, timeout: 15 * time.Second},
+	})
+}
+
+// runClasses plays classes whose shares are of requestRate on so many gateways and one engine.
+func runClasses(requestRate float64, seed uint64, gateways int, workspaces []registrar.Workspace, classes []*batchClass) []*batchClass {
+	const slots = 64
+	s := &batchSimulation{simulation: newSimulation(seed), engine: &batchEngine{}, open: map[RequestID]*batchRequest{}, classes: classes}
 	engine := &registrar.Engine{Slots: slots, Models: map[registrar.ModelName]registrar.Model{"m0": {Name: "m0", StoreLoadTime: 8 * time.Second}}}
 	u := &registrar.Upstream{
 		ID: "u0", Service: runnerService, Address: "10.0.0.1:80", Domain: "a", State: registrar.Ready, Residents: []registrar.ResidentModel{{Model: "m0"}},
@@ -190,11 +228,15 @@
 	for g := range gateways {
 		d := New(Config{Domain: "a", Seed: seed + uint64(g), RetryBudget: RetryBudget{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}})
 		s.gateways = append(s.gateways, d)
-		s.handle(g, d.Reduce(0, Configured{&registrar.Configuration{Services: map[registrar.ServiceName]registrar.Service{runnerService: {Name: runnerService, Engine: engine}}}}))
+		s.handle(g, d.Reduce(0, Configured{&registrar.Configuration{Workspaces: workspaces, Services: map[registrar.ServiceName]registrar.Service{runnerService: {Name: runnerService, Engine: engine}}}}))
 		s.handle(g, d.Reduce(0, UpstreamsListed{[]*registrar.Upstream{u}}))
 		s.schedulePeriodic(time.Duration(s.rng.Int64N(int64(TickPeriod))), TickPeriod, func() { s.handle(g, d.Reduce(s.now, Tick{})) })
 		for _, c := range s.classes {
-			s.arrive(g, c, requestRate*c.share/gateways)
+			n := cmp.Or(c.gateways, gateways)
+			if g >= n {
+				continue
+			}
+			s.schedule(c.from, func() { s.arrive(g, c, requestRate*c.share/float64(n)) })
 		}
 	}
 	s.schedulePeriodic(reportPeriod, reportPeriod, func() {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -47,6 +47,7 @@
 	trialTurn          float64                          // of this gateway among all, from 0 to 1
 	gatewayCount       int
 	refuseAt           time.Duration // of Stopping, zero before it
+	shares             shares
 
 	Counters Counters
 }
@@ -63,6 +64,8 @@
 	Retried      int `json:"repeated"` // retries after an upstream had received the request
 	Resumed      int `json:"resumed"`  // of these, after a part of a stream had reached the caller
 	Disconnected int `json:"left"`     // requests whose caller closed its connection
+	Yielded      int `json:"yielded"`  // refused requests that other workspaces' shares went before
+	Beyond       int `json:"beyond"`   // sends of requests beyond the share of their workspace
 }
 
 // request is a request without a final answer.
@@ -90,6 +93,7 @@
 	search         originSearch         // for release
 	permitted      bool                 // the last send used a permit of an upstream with a limit
 	lastCause      string               // error text of the last send
+	share          shareState
 }
 
 // New returns a dispatcher without a configuration.
@@ -126,6 +130,7 @@
 		d.handleTick()
 	case Configured:
 		d.configuration = ev.Configuration
+		d.shares.configure(ev.Configuration)
 	case UpstreamsListed:
 		d.handleUpstreamsListed(ev.Upstreams)
 		d.sendWaiting()
@@ -207,7 +212,7 @@
 		return
 	}
 	d.recordDemand(r)
-	if d.waitingCount >= maxWaiting {
+	if d.waitingCount >= maxWaiting && !d.makeRoom(r) {
 		d.refuse(r, classifier.Busy, d.retryDelay(r))
 		return
 	}
@@ -244,6 +249,10 @@
 	if r.Model != "" {
 		u.backlog.add(pendingStart{r.ID, d.now, d.priority(r)})
 	}
+	d.shares.serve(r)
+	if r.share.beyond {
+		d.Counters.Beyond++
+	}
 	stats := d.statsOf(r)
 	stats.sendRate.add(d.now, 1)
 	if !r.onTime(d.now) {
@@ -265,7 +274,11 @@
 	if !r.onTime(d.now) {
 		return latePriority
 	}
-	return min(r.Priority(), maxOnTimePriority)
+	p := min(r.Priority(), maxOnTimePriority)
+	if r.share.beyond {
+		p++ // upstreams know nothing of shares
+	}
+	return p
 }
 
 func (d *Dispatcher) handleAnswerBegan(ev AnswerBegan) {
@@ -275,6 +288,7 @@
 	}
 	if !r.answerBegan {
 		d.recordOrigin(r)
+		d.shares.begin(d.now, r)
 	}
 	if !r.sendBegan {
 		r.sendBegan, r.beganAt = true, d.now
@@ -313,6 +327,7 @@
 func (d *Dispatcher) forget(r *request) {
 	if r.upstream == nil {
 		d.dequeue(r)
+		d.shares.refund(r)
 	}
 	d.endSend(r)
 	delete(d.requests, r.ID)
@@ -336,6 +351,9 @@
 		return
 	}
 	d.Counters.Refused++
+	if kind == classifier.Busy || kind == classifier.Late {
+		d.countYield(r)
+	}
 	d.fail(r, kind, max(retryAfter, minRetryAfter))
 }
 
@@ -364,6 +382,7 @@
 func (d *Dispatcher) fail(r *request, kind classifier.Kind, retryAfter time.Duration) {
 	entry := d.logEvent("request failed", r, r.upstream)
 	entry.Kind, entry.Cause, entry.TimeToSend, entry.Elapsed = kind, r.lastCause, r.timeToSend(d.now), d.now-r.arrivedAt
+	entry.Workspace, entry.YieldedTo = r.workspaceName(), r.share.yieldedTo
 	d.emit(entry)
 	d.emit(Fail{ID: r.ID, Kind: kind, RetryAfter: retryAfter})
 	d.forget(r)
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -299,10 +299,12 @@
 	Elapsed    time.Duration // from its arrival to now
 	Pause      time.Duration // how long the upstream wants no requests, zero if it does not say
 	Release    registrar.Release
-	Resumes    string           // attempt that began the stream that the request resumes, empty without one
-	Limit      float64          // requests per second that the upstream takes from all gateways together, zero if it does not say
-	Analysts   int              // stewards that a crash is reported to
-	Traits     []isolator.Trait // of a request whose send was broken off, or the one that is isolated
+	Resumes    string                  // attempt that began the stream that the request resumes, empty without one
+	Limit      float64                 // requests per second that the upstream takes from all gateways together, zero if it does not say
+	Analysts   int                     // stewards that a crash is reported to
+	Traits     []isolator.Trait        // of a request whose send was broken off, or the one that is isolated
+	Workspace  registrar.WorkspaceName // of a request that failed, empty without one
+	YieldedTo  registrar.WorkspaceName // whose share went before the request's, empty without one
 }
 
 func (Send) effect()           {}
--- a/internal/dispatcher/queue.go
+++ b/internal/dispatcher/queue.go
@@ -69,7 +69,7 @@
 }
 
 // compareUrgency orders waiting requests: first those that can still meet their
-// target, then the others, each by priority and arrival.
+// target, then the others, each by priority, the shares of workspaces and arrival.
 func (d *Dispatcher) compareUrgency(a, b *request) int {
 	if aOnTime, bOnTime := a.onTime(d.now), b.onTime(d.now); aOnTime != bOnTime {
 		if aOnTime {
@@ -77,7 +77,7 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(a.Priority(), b.Priority()), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(a.Priority(), b.Priority()), compareShares(a, b), cmp.Compare(a.ID, b.ID))
 }
 
 // enqueue inserts a request into its queue by urgency.
@@ -86,13 +86,14 @@
 	if _, ok := d.queues[key]; !ok {
 		d.queueOrder = append(d.queueOrder, key)
 	}
+	d.shares.enqueue(d.now, r)
 	i, _ := slices.BinarySearchFunc(d.queues[key], r, d.compareUrgency)
 	d.queues[key] = slices.Insert(d.queues[key], i, r)
 	d.waitingCount++
 	stats := d.statsOf(r)
 	stats.waiting++
 	stats.waitingCountFor(r, d.now).add(d.now, 1)
-	r.queuePosition, r.sendsAtEnqueue = stats.waiting, stats.sends
+	r.queuePosition, r.sendsAtEnqueue = d.rankArrival(r), stats.sends
 }
 
 // sortQueues restores the order of the queues, in which requests have become late since
@@ -115,6 +116,7 @@
 	}
 	d.queues[key] = slices.Delete(d.queues[key], i, i+1)
 	d.waitingCount--
+	d.shares.dequeue(r)
 	stats := d.statsOf(r)
 	stats.waiting--
 	stats.waitingCountFor(r, d.now).add(d.now, -1)
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -192,6 +192,8 @@
 	d.reportCrashes()
 	d.recordQueueLengths()
 	d.sortQueues()
+	d.rankWaiting()
+	d.shares.update(d.now)
 	for _, r := range d.requestsByID() {
 		if r.search.until > 0 {
 			d.continueSearch(r)
@@ -230,6 +232,6 @@
 		return
 	}
 	if kind, retryAfter := d.unservable(r); kind != classifier.None {
-		d.refuse(r, kind, retryAfter)
+		d.refuse(r, kind, d.spreadShared(r, retryAfter))
 	}
 }
--- a/internal/dispatcher/selection.go
+++ b/internal/dispatcher/selection.go
@@ -244,7 +244,7 @@
 		wait = time.Duration(float64(ahead) / rate * float64(time.Second))
 	}
 	if !r.onTime(d.now) {
-		return max(wait, stats.estimateLateWait(d.now))
+		return max(wait, d.estimateLateWaitOf(r))
 	}
 	if ahead <= queueAllowance {
 		return wait
@@ -257,11 +257,16 @@
 // target. Requests that can are sent first, so only the send rate of late ones
 // counts.
 func (m *modelStats) estimateLateWait(now time.Duration) time.Duration {
-	if m.lateWaiting.current <= lateQueueAllowance {
+	return m.lateWait(now, m.lateWaiting.current)
+}
+
+// lateWait estimates the wait of the last of count such requests.
+func (m *modelStats) lateWait(now time.Duration, count float64) time.Duration {
+	if count <= lateQueueAllowance {
 		return 0
 	}
 	m.lateSendRate.decay(now)
-	return time.Duration((m.lateWaiting.current - lateQueueAllowance) / max(m.lateSendRate.value, minSendRate) * float64(time.Second))
+	return time.Duration((count - lateQueueAllowance) / max(m.lateSendRate.value, minSendRate) * float64(time.Second))
 }
 
 // loadTime returns the time that a load of the request's model from the weight store
--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -87,6 +87,12 @@
 	if entry.Resumes != "" {
 		ev = ev.Str("resumes", entry.Resumes)
 	}
+	if entry.Workspace != "" {
+		ev = ev.Str("workspace", string(entry.Workspace))
+	}
+	if entry.YieldedTo != "" {
+		ev = ev.Str("yielded", string(entry.YieldedTo))
+	}
 	if entry.Cause != "" {
 		ev = ev.Str("cause", entry.Cause)
 	}
