--- a/internal/dispatcher/batch_test.go
+++ b/internal/dispatcher/batch_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -70,6 +72,7 @@
 	arrivedAt time.Duration
 	begunAt   time.Duration // zero before the answer has begun
 	sent      bool
+	content   isolator.Trait
 	retries   int // left
 }
 
@@ -163,7 +166,7 @@
 				delete(s.open, ef.ID)
 				switch {
 				case r.retries > 0:
-					s.schedule(networkDelay, func() { s.request(g, r.class, r.retries-1) })
+					s.schedule(networkDelay, func() { s.request(g, r.class, r.content, r.retries-1) })
 				case r.sent:
 					r.class.failed++
 				default:
@@ -178,17 +181,17 @@
 func (s *batchSimulation) arrive(g int, c *batchClass, rate float64) {
 	s.schedule(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() {
 		c.asked++
-		s.request(g, c, c.retries)
+		s.request(g, c, isolator.Trait(fmt.Sprint("request:", s.lastID)), c.retries)
 		s.arrive(g, c, rate)
 	})
 }
 
 // request passes a request of a class to a gateway. Its caller repeats a refused one at once
 // up to retries times.
-func (s *batchSimulation) request(g int, c *batchClass, retries int) {
+func (s *batchSimulation) request(g int, c *batchClass, content isolator.Trait, retries int) {
 	s.lastID++
 	id := s.lastID
-	s.open[id] = &batchRequest{class: c, arrivedAt: s.now, retries: retries}
+	s.open[id] = &batchRequest{class: c, arrivedAt: s.now, content: content, retries: retries}
 	streaming := &registrar.Route{
 		Kind: registrar.Streaming, AttemptLimit: 2, TargetLatency: c.target, TargetGap: 400 * time.Millisecond, Timeout: c.timeout, Resumable: true, Priority: c.priority,
 	}
@@ -204,7 +207,7 @@
 	}
 	s.handle(g, s.gateways[g].Reduce(s.now, Arrived{Request{
 		ID: id, Route: streaming, Service: runnerService, Model: "m0", PromptTokens: registrar.Tokens(c.promptTokens), OutputTokens: registrar.Tokens(c.outputTokens),
-		Workspace: c.workspace, Deadline: s.now + c.timeout,
+		Workspace: c.workspace, Traits: []isolator.Trait{content}, Deadline: s.now + c.timeout,
 	}}))
 }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -65,6 +65,7 @@
 	Resumed      int `json:"resumed"`  // of these, after a part of a stream had reached the caller
 	Disconnected int `json:"left"`     // requests whose caller closed its connection
 	Yielded      int `json:"yielded"`  // refused requests that other workspaces' shares went before
+	Promoted     int `json:"promoted"` // requests that went before more urgent ones, since those of their priority were served too seldom
 	Beyond       int `json:"beyond"`   // sends of requests beyond the share of their workspace
 }
 
@@ -274,8 +275,8 @@
 	if !r.onTime(d.now) {
 		return latePriority
 	}
-	p := min(r.Priority(), maxOnTimePriority)
-	if r.share.beyond {
+	p := min(max(0, r.urgency()), maxOnTimePriority)
+	if r.share.beyond && !r.share.promoted {
 		p++ // upstreams know nothing of shares
 	}
 	return p
@@ -327,8 +328,8 @@
 func (d *Dispatcher) forget(r *request) {
 	if r.upstream == nil {
 		d.dequeue(r)
-		d.shares.refund(r)
 	}
+	d.shares.end(r)
 	d.endSend(r)
 	delete(d.requests, r.ID)
 }
@@ -352,7 +353,7 @@
 	}
 	d.Counters.Refused++
 	if kind == classifier.Busy || kind == classifier.Late {
-		d.countYield(r)
+		d.recordNoRoom(r, retryAfter)
 	}
 	d.fail(r, kind, max(retryAfter, minRetryAfter))
 }
--- a/internal/dispatcher/queue.go
+++ b/internal/dispatcher/queue.go
@@ -77,7 +77,7 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(a.Priority(), b.Priority()), compareShares(a, b), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(a.urgency(), b.urgency()), compareShares(a, b), cmp.Compare(a.ID, b.ID))
 }
 
 // enqueue inserts a request into its queue by urgency.
@@ -134,6 +134,10 @@
 	}
 	keys := slices.Clone(d.queueOrder)
 	slices.SortStableFunc(keys, func(a, b queueKey) int { return d.compareUrgency(d.queues[a][0], d.queues[b][0]) })
+	if d.shares.enabled {
+		d.sendByShares(keys)
+		return
+	}
 	for _, key := range keys {
 		d.sendFromQueue(key)
 	}
@@ -141,13 +145,18 @@
 
 // sendFromQueue sends requests from the head of a queue while upstreams have room.
 func (d *Dispatcher) sendFromQueue(key queueKey) {
-	for len(d.queues[key]) > 0 {
-		r := d.queues[key][0]
-		u := d.chooseUpstream(r)
-		if u == nil {
-			return
-		}
-		d.dequeue(r)
-		d.send(r, u)
+	for len(d.queues[key]) > 0 && d.sendHead(key) {
+	}
+}
+
+// sendHead sends the first request of a queue and reports whether an upstream had room.
+func (d *Dispatcher) sendHead(key queueKey) bool {
+	r := d.queues[key][0]
+	u := d.chooseUpstream(r)
+	if u == nil {
+		return false
 	}
+	d.dequeue(r)
+	d.send(r, u)
+	return true
 }
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -28,6 +28,9 @@
 	switch ev.Outcome {
 	case Completed:
 		d.Counters.Completed++
+		if !r.answerBegan {
+			d.shares.begin(d.now, r)
+		}
 		entry := d.logEvent("request served", r, u)
 		entry.TimeToSend, entry.Elapsed = r.sentAt-r.arrivedAt, d.now-r.arrivedAt
 		d.emit(entry)
@@ -191,9 +194,9 @@
 func (d *Dispatcher) handleTick() {
 	d.reportCrashes()
 	d.recordQueueLengths()
+	d.updateShares()
 	d.sortQueues()
 	d.rankWaiting()
-	d.shares.update(d.now)
 	for _, r := range d.requestsByID() {
 		if r.search.until > 0 {
 			d.continueSearch(r)
--- a/internal/dispatcher/share.go
+++ b/internal/dispatcher/share.go
@@ -24,6 +24,8 @@
 	weights   map[registrar.WorkspaceName]float64 // of workspaces with a quota, 1 on average
 	classes   map[shareKey]*shareClass
 	waiting   map[registrar.WorkspaceName]float64 // work of the waiting requests of all services
+	returns   returns
+	loads     map[registrar.ServiceName]*serviceLoad
 	updatedAt time.Duration
 }
 
@@ -31,12 +33,16 @@
 type shareClass struct {
 	clock sharer.Clock
 	meter sharer.Meter
+	floor sharer.Floor
+	load  *serviceLoad
+	due   *request // the next that the floor makes due, while requests are promoted
 }
 
 // shareState is the part of a request in the shares.
 type shareState struct {
 	tag         sharer.Tag
 	class       *shareClass             // nil without a tag
+	promoted    bool                    // the floor of its class puts it before all others
 	beyond      bool                    // it lies beyond the share of its workspace
 	queued      bool                    // it counts as waiting
 	weight      float64                 // of its workspace
@@ -55,10 +61,12 @@
 	}
 	if s.classes == nil {
 		s.classes, s.waiting = map[shareKey]*shareClass{}, map[registrar.WorkspaceName]float64{}
+		s.loads = map[registrar.ServiceName]*serviceLoad{}
 	}
 	for key := range s.classes {
 		if _, ok := cfg.Services[key.service]; !ok {
 			delete(s.classes, key)
+			delete(s.loads, key.service)
 		}
 	}
 	type sum struct{ rate, count float64 }
@@ -90,7 +98,7 @@
 func (s *shares) class(key shareKey) *shareClass {
 	c := s.classes[key]
 	if c == nil {
-		c = &shareClass{}
+		c = &shareClass{load: s.load(key.service)}
 		s.classes[key] = c
 	}
 	return c
@@ -125,7 +133,12 @@
 	r.share.weight = s.weight(w)
 	r.share.class = s.class(shareKey{r.Service, r.Priority()})
 	r.share.tag = r.share.class.clock.Join(w, r.share.weight, work)
+	if s.returns.early(now, r) {
+		r.share.beyond = true
+		return
+	}
 	r.share.beyond = r.share.class.meter.Arrive(now, w, r.share.weight, work)
+	r.share.class.arrive(now)
 }
 
 // dequeue records that a request no longer waits.
@@ -152,12 +165,21 @@
 func (s *shares) begin(now time.Duration, r *request) {
 	if r.share.class != nil {
 		r.share.class.meter.Serve(now, r.shareWork())
+		r.share.class.begin(now, r.share.promoted)
+		r.share.promoted = false
 	}
 }
 
-// refund takes back the charge for a request that ends without a send.
-func (s *shares) refund(r *request) {
-	if r.share.class == nil || r.try > 0 {
+// end takes back the charge for a request that ends without a send, or without the answer
+// for which it was promoted.
+func (s *shares) end(r *request) {
+	if r.share.class == nil {
+		return
+	}
+	if r.share.promoted {
+		r.share.class.floor.Withdraw()
+	}
+	if r.try > 0 {
 		return
 	}
 	w, work := r.workspaceName(), r.shareWork()
@@ -167,14 +189,31 @@
 	}
 }
 
-// update computes the shares anew when they are due.
-func (s *shares) update(now time.Duration) {
-	if !s.enabled || now < s.updatedAt+sharePeriod {
+// updateShares computes the shares anew when they are due, and promotes requests.
+func (d *Dispatcher) updateShares() {
+	if !d.shares.enabled || d.now < d.shares.updatedAt+sharePeriod {
 		return
 	}
-	s.updatedAt = now
-	for _, c := range s.classes {
-		c.meter.Update(now)
+	d.shares.updatedAt = d.now
+	for _, c := range d.shares.classes {
+		c.meter.Update(d.now)
+	}
+	d.promote()
+}
+
+// sendByShares sends from the queue with the most urgent head while upstreams have room, so
+// that the order holds over all queues. The keys are in the order of the queues' heads.
+func (d *Dispatcher) sendByShares(keys []queueKey) {
+	for len(keys) > 0 {
+		key := keys[0]
+		if !d.sendHead(key) || len(d.queues[key]) == 0 {
+			keys = keys[1:]
+			continue
+		}
+		head := d.queues[key][0]
+		for i := 1; i < len(keys) && d.compareUrgency(d.queues[keys[i]][0], head) < 0; i++ {
+			keys[i-1], keys[i] = keys[i], key
+		}
 	}
 }
 
@@ -204,8 +243,12 @@
 	}
 	byModel := map[modelKey][]*request{}
 	for _, key := range d.queueOrder {
-		model := modelKey{key.service, key.model}
-		byModel[model] = append(byModel[model], d.queues[key]...)
+		model, queue := modelKey{key.service, key.model}, d.queues[key]
+		if len(queue) == 1 && queue[0].stats.waiting == 1 {
+			d.rankModel(queue)
+			continue
+		}
+		byModel[model] = append(byModel[model], queue...)
 	}
 	for _, waiting := range byModel {
 		slices.SortStableFunc(waiting, d.compareUrgency)
@@ -281,8 +324,15 @@
 	return last
 }
 
-// compareShares orders requests of the same urgency by the shares of their workspaces.
+// compareShares orders requests of the same urgency by the shares of their workspaces, those
+// beyond a share last.
 func compareShares(a, b *request) int {
+	if a.share.beyond != b.share.beyond {
+		if b.share.beyond {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Compare(a.share.tag, b.share.tag)
 }
 
@@ -306,11 +356,14 @@
 	return d.spread(retryAfter, r.Route.TargetLatency/2)
 }
 
-// countYield records that a request is refused while others go before it.
-func (d *Dispatcher) countYield(r *request) {
-	if r.share.overtakenBy == "" {
+// recordNoRoom records that a request is refused for want of room.
+func (d *Dispatcher) recordNoRoom(r *request, retryAfter time.Duration) {
+	if !d.shares.enabled {
 		return
 	}
-	d.Counters.Yielded++
-	r.share.yieldedTo = r.share.overtakenBy
+	d.shares.returns.refuse(d.now, r, retryAfter)
+	if r.share.overtakenBy != "" {
+		d.Counters.Yielded++
+		r.share.yieldedTo = r.share.overtakenBy
+	}
 }
--- a/internal/dispatcher/timing.go
+++ b/internal/dispatcher/timing.go
@@ -21,7 +21,9 @@
 	failureRateTimeConstant = 4 * time.Second        // over which a failure rate decays
 	sendRateTimeConstant    = time.Second            // over which send rates are averaged
 	sharePeriod             = 100 * time.Millisecond // between computations of workspaces' shares
+	classTimeConstant       = 8 * time.Second        // over which the share of a service's requests that are served is averaged
 	queueTimeConstant       = 300 * time.Millisecond // over which queue lengths are averaged; two report periods
+	returnsSweepPeriod      = time.Second            // between searches for refused requests that need not be remembered
 )
 
 // Callers give up a stream that is silent for the longest of these times.
@@ -61,6 +63,9 @@
 	defaultGatewayCount = 8     // assumed until a report gives the number; deployments have fewer
 	maxOnTimePriority   = 5     // larger priority numbers of routes are sent as this one
 	failureCost         = 60.0  // cost of an upstream that always fails, in requests of load; about a full batch
+	promoteWaitShare    = 0.5   // share of its target latency that a request waits before it may be promoted
+	earlyReturnShare    = 0.5   // share of its Retry-After before which a refused request returns too early
+	maxReturns          = 4096  // refused requests that are remembered
 	minShareWork        = 100.0 // work of a request that names less, such as those for plain services
 	minShareWeight      = 0.05  // of a workspace, relative to the mean of those with a quota
 	lastSendWeight      = 0.2   // weight of the last send in the failure rate
--- a/internal/sharer/meter.go
+++ b/internal/sharer/meter.go
@@ -29,6 +29,7 @@
 	flows  map[registrar.WorkspaceName]*meterFlow
 	served rate
 	level  float64 // work per second and weight of the workspaces with a full share, +Inf if there is room for all
+	part   float64 // of the arriving work that is served
 	rows   []meterRow
 }
 
@@ -74,11 +75,11 @@
 	f.weight = weight
 	f.arrived.add(now, work)
 	f.largest = max(work, f.largest*math.Exp(-float64(now-f.at)/float64(rateTime)))
-	most := max(m.level*weight*burstTime.Seconds(), burstWork*f.largest)
+	most := max(m.share(f)*burstTime.Seconds(), burstWork*f.largest)
 	if math.IsInf(m.level, 1) {
 		f.credit = burstWork * f.largest
 	} else {
-		f.credit = min(f.credit+m.level*weight*(now-f.at).Seconds(), most)
+		f.credit = min(f.credit+m.share(f)*(now-f.at).Seconds(), most)
 	}
 	f.at = now
 	if math.IsInf(m.level, 1) {
@@ -91,6 +92,11 @@
 	return false
 }
 
+// share returns the work per second that a workspace gets of the room.
+func (m *Meter) share(f *meterFlow) float64 {
+	return max(m.level*f.weight, FloorShare*m.part*f.arrived.value)
+}
+
 // Refund takes back the use of the share by a request that was not served.
 func (m *Meter) Refund(w registrar.WorkspaceName, work float64) {
 	if f := m.flows[w]; f != nil {
@@ -125,10 +131,11 @@
 		total += row.rate
 		weight += row.weight
 	}
-	m.level = math.Inf(1)
-	if m.served.value >= servedShare*total {
+	m.level, m.part = math.Inf(1), 1
+	if len(m.rows) < 2 || m.served.value >= servedShare*total {
 		return
 	}
+	m.part = m.served.value / total
 	left := m.served.value
 	for _, row := range m.rows {
 		if row.rate*weight > left*row.weight {
