Let patient requests take the room that others leave

Change: where there are workspaces, requests with 2 s of slack or more draw from the slots that others leave, like late ones, and delays of starts are kept by priority.

--- a/internal/dispatcher/backlog.go
+++ b/internal/dispatcher/backlog.go
@@ -156,5 +156,6 @@
 	if r.share.beyond {
 		return // it waits for others
 	}
-	r.stats.startDelay += (d.now - r.sentAt - r.stats.startDelay) / startDelaySamples
+	delay := r.startDelay()
+	*delay += (d.now - r.sentAt - *delay) / startDelaySamples
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -239,7 +239,7 @@
 	r.sendBegan = false
 	u.inFlight++
 	u.quota.remaining--
-	if !r.onTime(d.now) {
+	if r.takesLeftovers(d.now) {
 		u.quota.remainingLate--
 	}
 	d.Counters.Sent++
--- a/internal/dispatcher/floor.go
+++ b/internal/dispatcher/floor.go
@@ -51,6 +51,17 @@
 	return r.Priority()
 }
 
+// patient reports whether the request can wait much longer and still meet its target, so
+// that more urgent ones of all gateways may go first.
+func (r *request) patient(now time.Duration) bool {
+	return r.share.class != nil && !r.share.promoted && r.onTime(now+patientSlack)
+}
+
+// takesLeftovers reports whether the request gets only the room that others leave.
+func (r *request) takesLeftovers(now time.Duration) bool {
+	return !r.onTime(now) || r.patient(now)
+}
+
 // promote puts a waiting request of each class whose requests are served much more seldom
 // than all before the more urgent ones. It takes the oldest that can still be in time.
 func (d *Dispatcher) promote() {
--- a/internal/dispatcher/queue.go
+++ b/internal/dispatcher/queue.go
@@ -25,13 +25,16 @@
 
 // modelStats holds statistics on the requests for a model of a service.
 type modelStats struct {
-	sendRate      decayingRate  // sends per second
-	lateSendRate  decayingRate  // sends per second of requests that could no longer meet their target
-	sends         int           // since the dispatcher was created
-	waiting       int           // requests in queues
-	onTimeWaiting averagedCount // waiting requests that can still meet their target
-	lateWaiting   averagedCount // waiting requests that can't
-	startDelay    time.Duration // mean time from a send until its answer begins
+	sendRate       decayingRate  // sends per second
+	lateSendRate   decayingRate  // sends per second of requests that could no longer meet their target
+	sends          int           // since the dispatcher was created
+	waiting        int           // requests in queues
+	onTimeWaiting  averagedCount // waiting requests that can still meet their target
+	lateWaiting    averagedCount // waiting requests that can't
+	patientWaiting averagedCount // of onTimeWaiting apart: those that can wait much longer
+	// startDelays is the mean time from a send until its answer begins, by priority where
+	// workspaces have shares, and otherwise of all as the first.
+	startDelays [maxOnTimePriority + 1]time.Duration
 }
 
 // statsOf returns the statistics of the request's model.
@@ -47,10 +50,13 @@
 
 // waitingCountFor returns the count that a waiting request belongs to.
 func (m *modelStats) waitingCountFor(r *request, now time.Duration) *averagedCount {
-	if r.onTime(now) {
-		return &m.onTimeWaiting
+	switch {
+	case !r.onTime(now):
+		return &m.lateWaiting
+	case r.patient(now):
+		return &m.patientWaiting
 	}
-	return &m.lateWaiting
+	return &m.onTimeWaiting
 }
 
 func modelKeyOf(r *request) modelKey {
@@ -64,7 +70,7 @@
 // onTime reports whether the request can still meet its target latency, counting
 // the time that an upstream takes to begin an answer. Other requests are late.
 func (r *request) onTime(now time.Duration) bool {
-	startTime := max(min(r.stats.startDelay, r.startLimit()), time.Duration(float64(r.Route.TargetLatency)*startTimeShare))
+	startTime := max(min(*r.startDelay(), r.startLimit()), time.Duration(float64(r.Route.TargetLatency)*startTimeShare))
 	return now < r.arrivedAt+r.Route.TargetLatency-startTime
 }
 
--- a/internal/dispatcher/quota.go
+++ b/internal/dispatcher/quota.go
@@ -14,7 +14,7 @@
 // to have as many as this one had on average lately.
 type sendQuota struct {
 	remaining     int
-	remainingLate int  // of these, for requests that can no longer meet their target
+	remainingLate int  // of these, for requests that take what others leave: late ones, and patient ones where workspaces have shares
 	drawn         bool // the quota has been drawn since the last report
 }
 
@@ -42,12 +42,12 @@
 }
 
 // quotaAllows reports whether the quota for a runner with a fresh report allows
-// another request. Late requests get only the room that those on time leave.
+// another request. Late and patient requests get only the room that the others leave.
 func (d *Dispatcher) quotaAllows(r *request, u *upstream) bool {
 	if !u.quota.drawn {
 		u.quota = d.drawQuota(u)
 	}
-	if !r.onTime(d.now) {
+	if r.takesLeftovers(d.now) {
 		return u.quota.remaining > 0 && u.quota.remainingLate > 0
 	}
 	return u.quota.remaining > 0
@@ -59,6 +59,10 @@
 	free := float64(d.slots(u) - u.report.Running - u.report.Waiting - (u.inFlight - u.inFlightAtReport))
 	own, others := d.waitingFor(u, func(m *modelStats) *averagedCount { return &m.onTimeWaiting })
 	ownLate, othersLate := d.waitingFor(u, func(m *modelStats) *averagedCount { return &m.lateWaiting })
+	if d.shares.enabled {
+		ownPatient, othersPatient := d.waitingFor(u, func(m *modelStats) *averagedCount { return &m.patientWaiting })
+		ownLate, othersLate = ownLate+ownPatient, othersLate+othersPatient
+	}
 	// Gateways with an empty queue may get requests too before the next report, so no
 	// gateway takes more than an equal part.
 	limit := max(minQuotaLimit, int(free/float64(max(1, d.gatewayCount))))
@@ -97,18 +101,21 @@
 }
 
 // recordQueueLengths counts the waiting requests of each model that can and can't
-// meet their target, since requests become late while they wait.
+// meet their target, and the patient ones, since requests become late while they wait.
 func (d *Dispatcher) recordQueueLengths() {
-	type count struct{ onTime, late float64 }
+	type count struct{ onTime, late, patient float64 }
 	counts := map[*modelStats]count{}
 	for _, waiting := range d.queues {
 		for _, r := range waiting {
 			stats := d.statsOf(r)
 			c := counts[stats]
-			if r.onTime(d.now) {
-				c.onTime++
-			} else {
+			switch {
+			case !r.onTime(d.now):
 				c.late++
+			case r.patient(d.now):
+				c.patient++
+			default:
+				c.onTime++
 			}
 			counts[stats] = c
 		}
@@ -116,6 +123,7 @@
 	for _, stats := range d.statsByModel {
 		stats.onTimeWaiting.set(d.now, counts[stats].onTime)
 		stats.lateWaiting.set(d.now, counts[stats].late)
+		stats.patientWaiting.set(d.now, counts[stats].patient)
 	}
 }
 
--- a/internal/dispatcher/share.go
+++ b/internal/dispatcher/share.go
@@ -179,13 +179,8 @@
 	if r.share.promoted {
 		r.share.class.floor.Withdraw()
 	}
-	if r.try > 0 {
-		return
-	}
-	w, work := r.workspaceName(), r.shareWork()
-	r.share.class.clock.Refund(w, work)
-	if !r.share.beyond {
-		r.share.class.meter.Refund(w, work)
+	if r.try == 0 {
+		r.share.class.clock.Refund(r.workspaceName(), r.shareWork())
 	}
 }
 
@@ -201,6 +196,15 @@
 	d.promote()
 }
 
+// startDelay returns the mean time until answers to requests like r begin. Less urgent ones
+// wait longer at upstreams.
+func (r *request) startDelay() *time.Duration {
+	if r.share.class == nil {
+		return &r.stats.startDelays[0]
+	}
+	return &r.stats.startDelays[min(max(0, r.Priority()), maxOnTimePriority)]
+}
+
 // sendByShares sends from the queue with the most urgent head while upstreams have room, so
 // that the order holds over all queues. The keys are in the order of the queues' heads.
 func (d *Dispatcher) sendByShares(keys []queueKey) {
--- a/internal/dispatcher/timing.go
+++ b/internal/dispatcher/timing.go
@@ -20,6 +20,7 @@
 	minRetryAfter           = 200 * time.Millisecond // shortest Retry-After of a refusal
 	failureRateTimeConstant = 4 * time.Second        // over which a failure rate decays
 	sendRateTimeConstant    = time.Second            // over which send rates are averaged
+	patientSlack            = 2 * time.Second        // that a patient request has left at least
 	sharePeriod             = 100 * time.Millisecond // between computations of workspaces' shares
 	classTimeConstant       = 8 * time.Second        // over which the share of a service's requests that are served is averaged
 	queueTimeConstant       = 300 * time.Millisecond // over which queue lengths are averaged; two report periods
--- a/internal/sharer/meter.go
+++ b/internal/sharer/meter.go
@@ -97,13 +97,6 @@
 	return max(m.level*f.weight, FloorShare*m.part*f.arrived.value)
 }
 
-// Refund takes back the use of the share by a request that was not served.
-func (m *Meter) Refund(w registrar.WorkspaceName, work float64) {
-	if f := m.flows[w]; f != nil {
-		f.credit += work
-	}
-}
-
 // Serve records that a request was served.
 func (m *Meter) Serve(now time.Duration, work float64) {
 	m.served.add(now, work)
--- a/internal/sharer/meter_test.go
+++ b/internal/sharer/meter_test.go
@@ -68,6 +68,26 @@
 	require.Zero(t, offers["flood"].beyond+offers["a"].beyond)
 }
 
+// The largest flood is still served about a third as often as all.
+func TestFloodIsNotStarved(t *testing.T) {
+	offers := map[registrar.WorkspaceName]*offer{"flood": {perSecond: 200, weight: 1}}
+	names := []registrar.WorkspaceName{"flood"}
+	for i := range 15 {
+		name := registrar.WorkspaceName(rune('a' + i))
+		offers[name] = &offer{perSecond: 2, weight: 1}
+		names = append(names, name)
+	}
+	playMeter(30, offers, names...)
+	flood := offers["flood"]
+	require.GreaterOrEqual(t, float64(flood.asked-flood.beyond)/float64(flood.asked), 0.25*30/230)
+}
+
+func TestOneWorkspaceAloneIsNeverBeyondItsShare(t *testing.T) {
+	offers := map[registrar.WorkspaceName]*offer{"a": {perSecond: 60, weight: 1}}
+	playMeter(30, offers, "a")
+	require.Zero(t, offers["a"].beyond)
+}
+
 func TestMeterForgetsIdleWorkspaces(t *testing.T) {
 	var m Meter
 	for i := range 1000 {
