--- a/internal/dispatcher/bench_test.go
+++ b/internal/dispatcher/bench_test.go
@@ -11,9 +11,18 @@
 // BenchmarkRequest dispatches a request and handles the end of its send, with 600
 // runners that hold three models each.
 func BenchmarkRequest(b *testing.B) {
+	benchmarkRequest(b, nil)
+}
+
+// BenchmarkRequestOfWorkspaces is BenchmarkRequest with shares of 16 workspaces.
+func BenchmarkRequestOfWorkspaces(b *testing.B) {
+	benchmarkRequest(b, namedWorkspaces(16))
+}
+
+func benchmarkRequest(b *testing.B, workspaces []registrar.Workspace) {
 	const runnerCount, modelCount = 600, 840
 	d := New(Config{Domain: "a", Seed: 1, RetryBudget: RetryBudget{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}})
-	d.Reduce(0, Configured{&registrar.Configuration{Services: map[registrar.ServiceName]registrar.Service{runnerService: {Engine: &registrar.Engine{Slots: 64}}}}})
+	d.Reduce(0, Configured{&registrar.Configuration{Workspaces: workspaces, Services: map[registrar.ServiceName]registrar.Service{runnerService: {Engine: &registrar.Engine{Slots: 64}}}}})
 	var all []*registrar.Upstream
 	for i := range runnerCount {
 		u := &registrar.Upstream{ID: registrar.UpstreamID(fmt.Sprint("u", i)), Service: runnerService, Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), State: registrar.Ready}
@@ -34,7 +43,11 @@
 	for b.Loop() {
 		id++
 		now += time.Millisecond
-		d.Reduce(now, Arrived{Request{ID: id, Route: r, Service: runnerService, Model: models[int(id)%modelCount], PromptTokens: 800, OutputTokens: 300, Deadline: now + time.Second}})
+		var w *registrar.Workspace
+		if workspaces != nil {
+			w = &workspaces[int(id)%len(workspaces)]
+		}
+		d.Reduce(now, Arrived{Request{Workspace: w, ID: id, Route: r, Service: runnerService, Model: models[int(id)%modelCount], PromptTokens: 800, OutputTokens: 300, Deadline: now + time.Second}})
 		d.Reduce(now, SendEnded{ID: id, Try: 1, Outcome: Completed})
 	}
 }
--- a/internal/dispatcher/dump.go
+++ b/internal/dispatcher/dump.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"time"
 
 	"github.com/egretwall/egretwall/internal/registrar"
 )
@@ -14,6 +16,7 @@
 	Waiting   []DumpQueue    `json:"waiting"`
 	Upstreams []DumpUpstream `json:"upstreams"`
 	Demands   []Demand       `json:"demands"`
+	Shares    []DumpShare    `json:"shares,omitempty"`
 	Counters  Counters       `json:"counters"`
 }
 
@@ -26,6 +29,18 @@
 	Requests int                   `json:"requests"`
 }
 
+// DumpShare is a workspace's part of the room for a service and priority, in units of work.
+type DumpShare struct {
+	Service   registrar.ServiceName   `json:"service"`
+	Priority  int                     `json:"priority"`
+	Workspace registrar.WorkspaceName `json:"workspace"`
+	Weight    float64                 `json:"weight"`
+	Rate      float64                 `json:"rate"`            // arriving per second
+	Share     float64                 `json:"share,omitempty"` // per second that it gets of the room, zero if there is room for all
+	Waiting   float64                 `json:"waiting"`         // of its waiting requests
+	Debt      float64                 `json:"debt"`            // that others are served first
+}
+
 // DumpUpstream is the gateway's view of an upstream.
 type DumpUpstream struct {
 	ID              registrar.UpstreamID  `json:"id"`
@@ -46,6 +61,7 @@
 	for _, key := range d.queueOrder {
 		dump.Waiting = append(dump.Waiting, DumpQueue{key.service, key.model, key.adapter, key.release, len(d.queues[key])})
 	}
+	dump.Shares = d.shares.dump(d.now)
 	for _, u := range d.upstreams {
 		row := DumpUpstream{
 			ID: u.info.ID, Service: u.info.Service, Accepting: u.accepting(), Open: u.inFlight, Failures: u.consecutiveFailures,
@@ -59,3 +75,20 @@
 	slices.SortFunc(dump.Upstreams, func(a, b DumpUpstream) int { return cmp.Compare(a.ID, b.ID) })
 	return dump
 }
+
+// dump returns the parts of workspaces that sent requests lately.
+func (s *shares) dump(now time.Duration) []DumpShare {
+	var rows []DumpShare
+	for key, c := range s.classes {
+		for _, l := range c.meter.Loads(now) {
+			rows = append(rows, DumpShare{
+				Service: key.service, Priority: key.priority, Workspace: l.Workspace, Weight: s.weight(l.Workspace), Rate: math.Round(l.Rate),
+				Share: math.Round(l.Share), Waiting: c.clock.Waiting(l.Workspace), Debt: math.Round(c.clock.Debt(l.Workspace)),
+			})
+		}
+	}
+	slices.SortFunc(rows, func(a, b DumpShare) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	return rows
+}
--- a/internal/dispatcher/share_test.go
+++ b/internal/dispatcher/share_test.go
@@ -182,6 +182,23 @@
 	require.Zero(t, c.clock.Waiting(ws[2].Name))
 }
 
+func TestDumpShowsShares(t *testing.T) {
+	ws := namedWorkspaces(2)
+	h := newShareHarness(t, ws)
+	all := h.listUpstreams(runnerService, 1, "m")
+	h.reduce(Reported{fullReport(all[0], "m")})
+	for range 3 {
+		h.submitFrom(&ws[0], patientRoute(), "m")
+	}
+	h.submitFrom(&ws[1], patientRoute(), "m")
+	shares := h.d.Dump().Shares
+	require.Len(t, shares, 2)
+	require.Equal(t, ws[0].Name, shares[0].Workspace)
+	require.Equal(t, 3*shares[1].Waiting, shares[0].Waiting)
+	require.Equal(t, 3*shares[1].Debt, shares[0].Debt)
+	require.NotContains(t, fmt.Sprint(shares), "NaN")
+}
+
 func TestWeightsFollowQuotas(t *testing.T) {
 	ws := namedWorkspaces(5)
 	ws[0].Quota = registrar.Quota{Unit: registrar.UnitTokens, Rate: 3000}
--- a/internal/sharer/meter.go
+++ b/internal/sharer/meter.go
@@ -15,7 +15,7 @@
 	burstTime    = time.Second     // over which a share that was not used may be used later
 	burstWork    = 3.0             // requests that may always be within a share at once
 	servedShare  = 0.9             // of the arriving work; while more is served, there is room for all
-	forgetFactor = 1e-3            // of a request's work; a workspace with a lower rate is forgotten
+	forgetFactor = 1e-3            // of a request; a workspace that sends fewer per second is forgotten
 )
 
 // Meter tells which requests lie beyond the share of their workspace while less work is
@@ -102,6 +102,28 @@
 	m.served.add(now, work)
 }
 
+// Load is what a Meter knows of a workspace.
+type Load struct {
+	Workspace registrar.WorkspaceName
+	Rate      float64 // arriving work per second
+	Share     float64 // work per second that it gets of the room, zero if there is room for all
+}
+
+// Loads returns the workspaces that sent requests lately, in the order of their names.
+func (m *Meter) Loads(now time.Duration) []Load {
+	all := make([]Load, 0, len(m.flows))
+	for w, f := range m.flows {
+		f.arrived.decay(now)
+		l := Load{Workspace: w, Rate: f.arrived.value}
+		if !math.IsInf(m.level, 1) {
+			l.Share = m.share(f)
+		}
+		all = append(all, l)
+	}
+	slices.SortFunc(all, func(a, b Load) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	return all
+}
+
 // Update computes the shares from the rates of the last seconds. It is called
 // periodically.
 func (m *Meter) Update(now time.Duration) {
--- a/internal/sharer/meter_test.go
+++ b/internal/sharer/meter_test.go
@@ -88,6 +88,18 @@
 	require.Zero(t, offers["a"].beyond)
 }
 
+func TestLoadsTellRatesAndShares(t *testing.T) {
+	var m Meter
+	for range 20 {
+		m.Arrive(0, "b", 1, 100)
+	}
+	m.Arrive(0, "a", 1, 100)
+	m.Update(0)
+	require.Equal(t, []registrar.WorkspaceName{"a", "b"}, []registrar.WorkspaceName{m.Loads(0)[0].Workspace, m.Loads(0)[1].Workspace})
+	require.InDelta(t, 500, m.Loads(0)[1].Rate, 1, "over 4 s")
+	require.Zero(t, m.Loads(0)[1].Share-m.Loads(0)[0].Share, "nothing was served")
+}
+
 func TestMeterForgetsIdleWorkspaces(t *testing.T) {
 	var m Meter
 	for i := range 1000 {
