--- a/internal/dispatcher/share_test.go
+++ b/internal/dispatcher/share_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -328,3 +329,29 @@
 	}
 	require.Zero(t, h.d.Counters.Beyond)
 }
+
+// A hot key must not bind its requests to one of the upstreams that can run them.
+func TestHotKeyIsSharedByAllHolders(t *testing.T) {
+	ws := namedWorkspaces(2)
+	h := newShareHarness(t, ws)
+	all := h.listUpstreams(runnerService, 4, "m")
+	for _, u := range all {
+		h.reduce(Reported{Report{Address: u.Address, Gateways: 1, Residents: []registrar.ResidentModel{{Model: "m"}}}})
+	}
+	hot := map[registrar.UpstreamID]int{}
+	for i := range 32 {
+		h.lastID++
+		part := isolator.Trait("part:hot")
+		if i%4 != 0 {
+			part = isolator.Trait(fmt.Sprint("part:", i))
+		}
+		send := h.requireSend(h.reduce(Arrived{Request{
+			ID: h.lastID, Route: patientRoute(), Service: runnerService, Model: "m", PromptTokens: 800, OutputTokens: 300, Workspace: &ws[i%2], Traits: []isolator.Trait{isolator.Trait(fmt.Sprint("request:", i)), part},
+			Deadline: h.now + 20*time.Second,
+		}}))
+		if i%4 == 0 {
+			hot[send.Upstream]++
+		}
+	}
+	require.Len(t, hot, 4)
+}
