--- a/internal/dispatcher/backlog.go
+++ b/internal/dispatcher/backlog.go
@@ -153,5 +153,9 @@
 // recordStart records that the answer to a send began.
 func (d *Dispatcher) recordStart(r *request) {
 	r.upstream.backlog.begin(r.ID, d.now, r.startLimit())
-	r.stats.startDelay += (d.now - r.sentAt - r.stats.startDelay) / startDelaySamples
+	if r.share.beyond {
+		return // it waits for others
+	}
+	delay := r.startDelay()
+	*delay += (d.now - r.sentAt - *delay) / startDelaySamples
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -52,6 +52,7 @@
 	account            *apportioner.Account // of workspaces' quotas
 	quotas             quotaState
 	refuseAt           time.Duration // of Stopping, zero before it
+	shares             shares
 
 	Counters Counters
 }
@@ -69,6 +70,9 @@
 	Retried      int `json:"repeated"` // retries after an upstream had received the request
 	Resumed      int `json:"resumed"`  // of these, after a part of a stream had reached the caller
 	Disconnected int `json:"left"`     // requests whose caller closed its connection
+	Yielded      int `json:"yielded"`  // refused requests that other workspaces' shares went before
+	Promoted     int `json:"promoted"` // requests that went before more urgent ones, since those of their priority were served too seldom
+	Beyond       int `json:"beyond"`   // sends of requests beyond the share of their workspace
 }
 
 // request is a request without a final answer.
@@ -101,6 +105,7 @@
 	quotaPending   bool                 // it waits for tokens of its workspace's quota
 	quotaPassed    bool                 // its workspace's quota had room for it
 	quotaPassedAt  time.Duration        // when it had
+	share          shareState
 }
 
 // New returns a dispatcher without a configuration.
@@ -138,6 +143,7 @@
 	case Tick:
 		d.handleTick()
 	case Configured:
+		d.shares.configure(ev.Configuration)
 		d.handleConfigured(ev.Configuration)
 		d.account.Configure(ev.Configuration.Version, ev.Configuration.Workspaces)
 		d.settleQuotas()
@@ -237,7 +243,7 @@
 // takeIn takes in a request that its workspace's quota has room for.
 func (d *Dispatcher) takeIn(r *request) {
 	d.recordDemand(r)
-	if d.waitingCount >= maxWaiting {
+	if d.waitingCount >= maxWaiting && !d.makeRoom(r) {
 		d.refuse(r, classifier.Busy, d.retryDelay(r))
 		return
 	}
@@ -263,7 +269,7 @@
 	r.sendBegan = false
 	u.inFlight++
 	u.quota.remaining--
-	if !r.onTime(d.now) {
+	if r.takesLeftovers(d.now) {
 		u.quota.remainingLate--
 	}
 	d.Counters.Sent++
@@ -274,6 +280,10 @@
 	if r.Model != "" {
 		u.backlog.add(pendingStart{r.ID, d.now, d.priority(r)})
 	}
+	d.shares.serve(r)
+	if r.share.beyond {
+		d.Counters.Beyond++
+	}
 	stats := d.statsOf(r)
 	stats.sendRate.add(d.now, 1)
 	if !r.onTime(d.now) {
@@ -295,7 +305,11 @@
 	if !r.onTime(d.now) {
 		return latePriority
 	}
-	return min(r.Priority(), maxOnTimePriority)
+	p := min(max(0, r.urgency()), maxOnTimePriority)
+	if r.share.beyond && !r.share.promoted {
+		p++ // upstreams know nothing of shares
+	}
+	return p
 }
 
 func (d *Dispatcher) handleAnswerBegan(ev AnswerBegan) {
@@ -305,6 +319,7 @@
 	}
 	if !r.answerBegan {
 		d.recordOrigin(r)
+		d.shares.begin(d.now, r)
 	}
 	if !r.sendBegan {
 		r.sendBegan, r.beganAt = true, d.now
@@ -348,6 +363,7 @@
 		d.dequeue(r)
 	}
 	d.returnCost(r)
+	d.shares.end(r)
 	d.endSend(r)
 	delete(d.requests, r.ID)
 }
@@ -370,6 +386,9 @@
 		return
 	}
 	d.Counters.Refused++
+	if kind == classifier.Busy || kind == classifier.Late {
+		d.recordNoRoom(r, retryAfter)
+	}
 	d.fail(r, kind, max(retryAfter, minRetryAfter))
 }
 
@@ -406,6 +425,7 @@
 func (d *Dispatcher) fail(r *request, kind classifier.Kind, retryAfter time.Duration) {
 	entry := d.logEvent("request failed", r, r.upstream)
 	entry.Kind, entry.Cause, entry.TimeToSend, entry.Elapsed = kind, r.lastCause, r.timeToSend(d.now), d.now-r.arrivedAt
+	entry.Workspace, entry.YieldedTo = r.workspaceName(), r.share.yieldedTo
 	d.emit(entry)
 	d.emit(Fail{ID: r.ID, Kind: kind, RetryAfter: retryAfter})
 	d.forget(r)
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -320,8 +320,9 @@
 	Balance     float64       // of the workspace at this gateway
 	BalanceAge  time.Duration // since the issuer answered
 	RetryAfter  time.Duration
-	Refusals    int  // of the workspace since the last line about it, this one included
-	OwnPart     bool // no issuer counts this gateway, which uses its own part of the quota
+	Refusals    int                     // of the workspace since the last line about it, this one included
+	OwnPart     bool                    // no issuer counts this gateway, which uses its own part of the quota
+	YieldedTo   registrar.WorkspaceName // whose share went before the request's, empty without one
 }
 
 func (Send) effect()           {}
--- a/internal/dispatcher/queue.go
+++ b/internal/dispatcher/queue.go
@@ -25,13 +25,16 @@
 
 // modelStats holds statistics on the requests for a model of a service.
 type modelStats struct {
-	sendRate      decayingRate  // sends per second
-	lateSendRate  decayingRate  // sends per second of requests that could no longer meet their target
-	sends         int           // since the dispatcher was created
-	waiting       int           // requests in queues
-	onTimeWaiting averagedCount // waiting requests that can still meet their target
-	lateWaiting   averagedCount // waiting requests that can't
-	startDelay    time.Duration // mean time from a send until its answer begins
+	sendRate       decayingRate  // sends per second
+	lateSendRate   decayingRate  // sends per second of requests that could no longer meet their target
+	sends          int           // since the dispatcher was created
+	waiting        int           // requests in queues
+	onTimeWaiting  averagedCount // waiting requests that can still meet their target
+	lateWaiting    averagedCount // waiting requests that can't
+	patientWaiting averagedCount // of onTimeWaiting apart: those that can wait much longer
+	// startDelays is the mean time from a send until its answer begins, by priority where
+	// workspaces have shares, and otherwise of all as the first.
+	startDelays [maxOnTimePriority + 1]time.Duration
 }
 
 // statsOf returns the statistics of the request's model.
@@ -47,10 +50,13 @@
 
 // waitingCountFor returns the count that a waiting request belongs to.
 func (m *modelStats) waitingCountFor(r *request, now time.Duration) *averagedCount {
-	if r.onTime(now) {
-		return &m.onTimeWaiting
+	switch {
+	case !r.onTime(now):
+		return &m.lateWaiting
+	case r.patient(now):
+		return &m.patientWaiting
 	}
-	return &m.lateWaiting
+	return &m.onTimeWaiting
 }
 
 func modelKeyOf(r *request) modelKey {
@@ -64,12 +70,12 @@
 // onTime reports whether the request can still meet its target latency, counting
 // the time that an upstream takes to begin an answer. Other requests are late.
 func (r *request) onTime(now time.Duration) bool {
-	startTime := max(min(r.stats.startDelay, r.startLimit()), time.Duration(float64(r.Route.TargetLatency)*startTimeShare))
+	startTime := max(min(*r.startDelay(), r.startLimit()), time.Duration(float64(r.Route.TargetLatency)*startTimeShare))
 	return now < r.arrivedAt+r.Route.TargetLatency-startTime
 }
 
 // compareUrgency orders waiting requests: first those that can still meet their
-// target, then the others, each by priority and arrival.
+// target, then the others, each by priority, the shares of workspaces and arrival.
 func (d *Dispatcher) compareUrgency(a, b *request) int {
 	if aOnTime, bOnTime := a.onTime(d.now), b.onTime(d.now); aOnTime != bOnTime {
 		if aOnTime {
@@ -77,7 +83,7 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(a.Priority(), b.Priority()), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(a.urgency(), b.urgency()), compareShares(a, b), cmp.Compare(a.ID, b.ID))
 }
 
 // enqueue inserts a request into its queue by urgency.
@@ -86,13 +92,14 @@
 	if _, ok := d.queues[key]; !ok {
 		d.queueOrder = append(d.queueOrder, key)
 	}
+	d.shares.enqueue(d.now, r)
 	i, _ := slices.BinarySearchFunc(d.queues[key], r, d.compareUrgency)
 	d.queues[key] = slices.Insert(d.queues[key], i, r)
 	d.waitingCount++
 	stats := d.statsOf(r)
 	stats.waiting++
 	stats.waitingCountFor(r, d.now).add(d.now, 1)
-	r.queuePosition, r.sendsAtEnqueue = stats.waiting, stats.sends
+	r.queuePosition, r.sendsAtEnqueue = d.rankArrival(r), stats.sends
 }
 
 // sortQueues restores the order of the queues, in which requests have become late since
@@ -115,6 +122,7 @@
 	}
 	d.queues[key] = slices.Delete(d.queues[key], i, i+1)
 	d.waitingCount--
+	d.shares.dequeue(r)
 	stats := d.statsOf(r)
 	stats.waiting--
 	stats.waitingCountFor(r, d.now).add(d.now, -1)
@@ -132,6 +140,10 @@
 	}
 	keys := slices.Clone(d.queueOrder)
 	slices.SortStableFunc(keys, func(a, b queueKey) int { return d.compareUrgency(d.queues[a][0], d.queues[b][0]) })
+	if d.shares.enabled {
+		d.sendByShares(keys)
+		return
+	}
 	for _, key := range keys {
 		d.sendFromQueue(key)
 	}
@@ -139,13 +151,18 @@
 
 // sendFromQueue sends requests from the head of a queue while upstreams have room.
 func (d *Dispatcher) sendFromQueue(key queueKey) {
-	for len(d.queues[key]) > 0 {
-		r := d.queues[key][0]
-		u := d.chooseUpstream(r)
-		if u == nil {
-			return
-		}
-		d.dequeue(r)
-		d.send(r, u)
+	for len(d.queues[key]) > 0 && d.sendHead(key) {
+	}
+}
+
+// sendHead sends the first request of a queue and reports whether an upstream had room.
+func (d *Dispatcher) sendHead(key queueKey) bool {
+	r := d.queues[key][0]
+	u := d.chooseUpstream(r)
+	if u == nil {
+		return false
 	}
+	d.dequeue(r)
+	d.send(r, u)
+	return true
 }
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -28,6 +28,9 @@
 	switch ev.Outcome {
 	case Completed:
 		d.Counters.Completed++
+		if !r.answerBegan {
+			d.shares.begin(d.now, r)
+		}
 		entry := d.logEvent("request served", r, u)
 		entry.TimeToSend, entry.Elapsed = r.sentAt-r.arrivedAt, d.now-r.arrivedAt
 		entry.TimeToFirst, entry.LongestGap = r.timeToFirst(), r.longestGap
@@ -199,7 +202,9 @@
 	d.settleQuotas()
 	d.reportCrashes()
 	d.recordQueueLengths()
+	d.updateShares()
 	d.sortQueues()
+	d.rankWaiting()
 	for _, r := range d.requestsByID() {
 		if r.quotaPending {
 			continue
@@ -241,6 +246,6 @@
 		return
 	}
 	if kind, retryAfter := d.unservable(r); kind != classifier.None {
-		d.refuse(r, kind, retryAfter)
+		d.refuse(r, kind, d.spreadShared(r, retryAfter))
 	}
 }
