Plan copies by what models cost their engines

Gateways now report the median time between events of the last answers for each model with its demand, and stewards divide them by the mean, weighted by demand. Models of about equal pace cost 1, so the plan is as before. Ruled out: the longest answer asked for as the divisor, since answers end earlier; per-steward observation, since a steward sees no answer. Served lines tell first and pace.

--- a/internal/dispatcher/demand.go
+++ b/internal/dispatcher/demand.go
@@ -57,6 +57,7 @@
 	RecentWorkRate float64             `json:"recent"`            // the same, averaged over less than a second
 	RecentRequests float64             `json:"sample"`            // requests that count towards RecentWorkRate
 	WaitingWork    float64             `json:"waiting,omitempty"` // work of the requests that wait at the gateway
+	Pace           time.Duration       `json:"pace,omitempty"`    // median time between events of the last answers, zero if it is unknown
 }
 
 // outputTokenCost is the work of an output token: one request's share in a decoding
@@ -116,6 +117,7 @@
 	}
 	all := make([]Demand, 0, len(byModel))
 	for _, demand := range byModel {
+		demand.Pace, _ = d.paces.Pace(now, demand.Model)
 		all = append(all, *demand)
 	}
 	slices.SortFunc(all, func(a, b Demand) int { return cmp.Compare(a.Model, b.Model) })
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/estimator"
 	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
@@ -35,6 +36,7 @@
 	waitingCount       int                     // requests in all queues
 	retryBuckets       map[registrar.ServiceName]*tokenBucket
 	demandByModel      map[registrar.ModelName]*demandRate
+	paces              *estimator.Paces
 	statsByModel       map[modelKey]*modelStats
 	restrictions       map[registrar.UpstreamID]restriction
 	limits             *limiter.Table
@@ -102,6 +104,7 @@
 		queues:             map[queueKey][]*request{},
 		retryBuckets:       map[registrar.ServiceName]*tokenBucket{},
 		demandByModel:      map[registrar.ModelName]*demandRate{},
+		paces:              estimator.NewPaces(),
 		statsByModel:       map[modelKey]*modelStats{},
 		restrictions:       map[registrar.UpstreamID]restriction{},
 		limits:             limiter.NewTable(),
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -80,6 +80,7 @@
 	Try     Try
 	Outcome Outcome
 	Cause   string // error text for the log
+	Events  int    // numbered events of the answer that reached the caller
 }
 
 // UpstreamNotice carries what an upstream's response says of new requests: that it wants
@@ -297,6 +298,8 @@
 	Waiting    int           // requests waiting at this gateway
 	TimeToSend time.Duration // from the request's arrival to its last send
 	Elapsed    time.Duration // from its arrival to now
+	StartDelay time.Duration // from the last send to the beginning of its answer
+	Pace       time.Duration // mean time between the events of the answer, zero if it has too few
 	Pause      time.Duration // how long the upstream wants no requests, zero if it does not say
 	Release    registrar.Release
 	Resumes    string           // attempt that began the stream that the request resumes, empty without one
--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -109,6 +109,12 @@
 		ev = ev.Int64("held", entry.TimeToSend.Milliseconds()).Int64("took", entry.Elapsed.Milliseconds())
 		g.timeToSend.Record(entry.TimeToSend)
 	}
+	if entry.StartDelay > 0 {
+		ev = ev.Int64("first", entry.StartDelay.Milliseconds())
+	}
+	if entry.Pace > 0 {
+		ev = ev.Int64("pace", entry.Pace.Milliseconds())
+	}
 	if entry.Elapsed > 0 && entry.Kind == classifier.None {
 		g.timeToLastByte.Record(entry.Elapsed)
 	}
--- a/internal/messenger/demands.go
+++ b/internal/messenger/demands.go
@@ -5,6 +5,7 @@
 	"hash/crc32"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/registrar"
@@ -14,14 +15,14 @@
 // models and stewards, model names alone would saturate a gateway's network link.
 type PackedDemands struct {
 	NamesChecksum uint32      `json:"names" cbor:"1,keyasint"` // CRC-32 of the sorted model names of the sender's configuration
-	Rows          [][]float64 `json:"rows" cbor:"2,keyasint"`  // per model: index of its name, WorkRate, RecentWorkRate, RecentRequests and, if not zero, WaitingWork
+	Rows          [][]float64 `json:"rows" cbor:"2,keyasint"`  // per model: index of its name, WorkRate, RecentWorkRate, RecentRequests and, up to the last that is not zero, WaitingWork and Pace in milliseconds
 }
 
 // significantDigits is the precision of the numbers in a row. The placement of models
 // distinguishes demands only by larger differences.
 const significantDigits = 3
 
-// minRowLength is the length of a row without WaitingWork.
+// minRowLength is the length of a row without WaitingWork and Pace.
 const minRowLength = 4
 
 // Pack packs demands for a receiver with the same sorted names. It leaves out models that
@@ -34,9 +35,12 @@
 			continue
 		}
 		row := []float64{float64(index), round(demand.WorkRate), round(demand.RecentWorkRate), round(demand.RecentRequests)}
-		if demand.WaitingWork > 0 {
+		if demand.WaitingWork > 0 || demand.Pace > 0 {
 			row = append(row, round(demand.WaitingWork))
 		}
+		if demand.Pace > 0 {
+			row = append(row, round(demand.Pace.Seconds()*1000))
+		}
 		d.Rows = append(d.Rows, row)
 	}
 	return d
@@ -58,6 +62,9 @@
 		if len(row) > minRowLength {
 			demand.WaitingWork = row[minRowLength]
 		}
+		if len(row) > minRowLength+1 {
+			demand.Pace = time.Duration(row[minRowLength+1] * float64(time.Millisecond))
+		}
 		all = append(all, demand)
 	}
 	return all, nil
--- a/internal/reconciler/dump.go
+++ b/internal/reconciler/dump.go
@@ -8,23 +8,24 @@
 
 // Dump is the state of a reconciler, for operators.
 type Dump struct {
-	Upstream       registrar.UpstreamID  `json:"upstream"` // empty while the runner is not listed
-	Fence          int64                 `json:"fence"`    // fencing token, zero before it is acquired
-	State          State                 `json:"state"`
-	Loading        registrar.ModelName   `json:"loading"`
-	Evicting       registrar.ModelName   `json:"leaving"`
-	Planned        []registrar.ModelName `json:"planned"` // models assigned to the runner
-	PlanAgeMs      int64                 `json:"age"`
-	PeerStoreLoads int                   `json:"stored"`   // loads from the weight store that other runners began within the window
-	Gateways       int                   `json:"gateways"` // heard from lately
-	Counters       Counters              `json:"counters"`
+	Upstream       registrar.UpstreamID            `json:"upstream"` // empty while the runner is not listed
+	Fence          int64                           `json:"fence"`    // fencing token, zero before it is acquired
+	State          State                           `json:"state"`
+	Loading        registrar.ModelName             `json:"loading"`
+	Evicting       registrar.ModelName             `json:"leaving"`
+	Planned        []registrar.ModelName           `json:"planned"` // models assigned to the runner
+	PlanAgeMs      int64                           `json:"age"`
+	PeerStoreLoads int                             `json:"stored"`          // loads from the weight store that other runners began within the window
+	Gateways       int                             `json:"gateways"`        // heard from lately
+	Costs          map[registrar.ModelName]float64 `json:"costs,omitempty"` // of a unit of work, relative to the mean; learned from answers
+	Counters       Counters                        `json:"counters"`
 }
 
 // Dump returns the reconciler's state at time now.
 func (r *Reconciler) Dump(now time.Duration) Dump {
 	dump := Dump{
 		Fence: r.fence, State: r.state, Loading: r.loading, Evicting: r.evicting, PeerStoreLoads: r.peerStoreLoads(false),
-		Gateways: r.GatewayCount(), Counters: r.Counters,
+		Gateways: r.GatewayCount(), Costs: r.modelCosts(), Counters: r.Counters,
 	}
 	if r.self != nil {
 		dump.Upstream = r.self.ID
--- a/internal/reconciler/view.go
+++ b/internal/reconciler/view.go
@@ -11,7 +11,7 @@
 type serviceView struct {
 	holders map[registrar.ModelName][]registrar.UpstreamID // runners with the model resident, without peers that evict it
 	loading map[registrar.ModelName]int                    // number of runners that are loading the model or have announced it
-	demand  map[registrar.ModelName]float64                // forecast work rate, in prompt tokens a second
+	demand  map[registrar.ModelName]float64                // forecast work rate times the cost of the model, in prompt tokens a second of a model of mean cost
 	plan    *allocator.Plan
 }
 
@@ -53,8 +53,12 @@
 			totals[m.Model] = d
 		}
 	}
+	costs := r.modelCosts()
 	for m, d := range totals {
 		v.demand[m] = d.forecast()
+		if cost, ok := costs[m]; ok {
+			v.demand[m] *= cost
+		}
 	}
 	var runners []allocator.Runner
 	for _, u := range r.runners {
--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -220,8 +220,9 @@
 	for {
 		switch e := mailbox.Next(ctx).(type) {
 		case dispatcher.Send:
+			lastEventID := out.lastEventID
 			outcome, cause := g.send(ctx, e, in, out, mailbox)
-			g.cfg.Dispatcher.Reduce(dispatcher.SendEnded{ID: id, Try: e.Try, Outcome: outcome, Cause: cause})
+			g.cfg.Dispatcher.Reduce(dispatcher.SendEnded{ID: id, Try: e.Try, Outcome: outcome, Cause: cause, Events: int(out.lastEventID - lastEventID)})
 			if outcome == dispatcher.Completed {
 				return
 			}
