Serve callers of plain services within short budgets

Refusals named a Retry-After of 200 ms or more, a third of the whole budget, which callers don't wait for.

For plain requests that come with at most three times minRetryAfter: an upstream that answers nothing for two target latencies counts as failed, and repeatable requests move on at that moment; a request that waits for a third of its time is refused; Retry-After is at most 0.3 of the time left. Ruled out: a failure for each expired send, as slow requests at a lively upstream would count too; the time-out of stalls, which is longer than the budget; repeatable requests only for a silent upstream, which saved nothing more in the test. Requests with more time are served as before.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -339,7 +339,7 @@
 		return
 	}
 	d.Counters.Refused++
-	d.fail(r, kind, max(retryAfter, minRetryAfter))
+	d.fail(r, kind, r.usableRetryAfter(d.now, retryAfter))
 }
 
 // failAfterRun answers a request that may have run, with the kept answer of an
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -17,6 +17,9 @@
 	r.lastCause = ev.Cause
 	d.endSend(r)
 	d.recordAnswered(r, ev.Outcome == Completed)
+	if ev.Outcome == Completed || ev.Outcome == Failed || ev.Outcome == NotRun {
+		u.answeredAt = d.now
+	}
 	if ev.Outcome != Completed && ev.Outcome != CallerClosed {
 		entry := d.logEvent("send failed", r, u)
 		entry.Cause = string(ev.Outcome) + ": " + ev.Cause
@@ -151,25 +154,10 @@
 		return
 	}
 	u := r.upstream
-	if !r.Route.Repeatable() || r.runs+1 >= max(1, r.Route.AttemptLimit) || r.Deadline-d.now < minRunTime(r) || !r.answerBegan && !d.answerOverdue(u) {
+	if !d.mayRunAgain(r) || !r.answerBegan && !d.answerOverdue(u) {
 		return
 	}
-	previous := r.avoidUpstream
-	r.avoidUpstream = u.info.ID
-	other := d.chooseUpstream(r)
-	if other == nil || other == u {
-		r.avoidUpstream = previous
-		return
-	}
-	b := d.retryBucket(r.Service)
-	b.refill(d.now, d.cfg.RetryBudget, d.gatewayCount, 0)
-	if !b.take() {
-		return
-	}
-	r.retryPaid = true
-	r.lastCause = "upstream stalled"
-	d.emit(d.logEvent("upstream stalled", r, u))
-	d.emit(Failover{r.ID})
+	d.failOver(r, "upstream stalled")
 }
 
 // answerOverdue reports whether a request at the upstream should have begun by now:
@@ -202,6 +190,9 @@
 		if r.upstream == nil && !r.answerBegan {
 			limit = d.waitDeadline(r)
 		}
+		if r.upstream != nil {
+			d.avoidSilent(r)
+		}
 		if d.now < limit-answerMargin {
 			if r.upstream == nil {
 				d.refuseIfUnservable(r)
--- a/internal/dispatcher/selection.go
+++ b/internal/dispatcher/selection.go
@@ -215,6 +215,8 @@
 		}
 	}
 	switch {
+	case r.waitsTooLong(d.now):
+		return classifier.Busy, d.retryDelay(r)
 	case holders > 0 && pause > minRetryAfter && loadRemaining < 0:
 		return classifier.Busy, d.spread(pause, r.Route.TargetLatency)
 	case holders > 0 && (loadRemaining < 0 || loadRemaining > timeLeft):
--- a/internal/dispatcher/upstream.go
+++ b/internal/dispatcher/upstream.go
@@ -13,6 +13,7 @@
 	info                registrar.Upstream
 	inFlight            int           // sends of this gateway under way
 	consecutiveFailures int           // failed sends since an answer last began or completed
+	answeredAt          time.Duration // when it last answered a request completely
 	avoidUntil          time.Duration // after failed sends; until then it is used only if there is no other upstream
 	fullUntil           time.Duration // after it refused a request; until then it gets no requests
 	report              Report
