Rank runners by their learned speed and keep busy models on fast ones

A third of the runners of an uneven deployment take 2.4 times as long for a token.

Gateways tell the steward of each runner, with their demand, how the pace of its answers compares with that of other answers of the model; the steward takes the median and reports it as slowness. Gateways multiply a runner's load by it, and the plan places models with a single copy on slow runners first, which leaves fast ones to busy models. Runners of about equal speed have slowness 1, and everything is as before.

--- a/internal/allocator/allocator.go
+++ b/internal/allocator/allocator.go
@@ -43,6 +43,7 @@
 	Memory      registrar.Megabytes
 	Resident    []registrar.ModelName // in accelerator memory or being loaded
 	Cached      []registrar.ModelName // weights in host memory or on host disk, quick to load
+	Slowness    float64               // time that it takes for a unit of work, of that of others; zero or 1 for the usual speed
 	Schedulable bool                  // may get models that are not resident, because its steward reports or is presumed to
 }
 
@@ -92,6 +93,7 @@
 	Runner
 	freeMemory     registrar.Megabytes
 	singleCopies   int     // assigned models that have a single copy
+	maxSingle      int     // bound of singleCopies, except for models that fit nowhere else
 	assignedDemand float64 // sum of the demand per copy of the assigned models
 }
 
@@ -122,8 +124,8 @@
 			singleCopies++
 		}
 	}
-	maxPerRunner := (singleCopies + len(states) - 1) / len(states)
-	a.placeSingleCopies(p, states, all, maxPerRunner)
+	shareSingleCopies(states, singleCopies, largestOf(models))
+	a.placeSingleCopies(p, states, all)
 	a.placeReplicated(p, states, all)
 	a.placeRemaining(p, states, all)
 	return p
@@ -151,10 +153,10 @@
 // planCopies decides on the number of copies of each model and returns the models
 // by descending demand. It counts every copy as large as the largest model.
 func (a *Allocator) planCopies(states []*runnerState, models []Model) []*plannedModel {
-	var totalMemory, largest registrar.Megabytes
+	var totalMemory registrar.Megabytes
+	largest := largestOf(models)
 	all := make([]*plannedModel, 0, len(models))
 	for _, m := range models {
-		largest = max(largest, m.WeightSize)
 		all = append(all, &plannedModel{Model: m, copies: 1})
 	}
 	for _, s := range states {
@@ -220,10 +222,10 @@
 	return s.freeMemory >= m.WeightSize && !p.Assigns(s.ID, m.Name) && (s.Schedulable || slices.Contains(s.Resident, m.Name))
 }
 
-// placeSingleCopies places the models with a single copy, at most maxPerRunner on a
+// placeSingleCopies places the models with a single copy, at most maxSingle on a
 // runner. The first pass keeps models on runners where they are resident, the second
 // places the others.
-func (a *Allocator) placeSingleCopies(p *Plan, states []*runnerState, all []*plannedModel, maxPerRunner int) {
+func (a *Allocator) placeSingleCopies(p *Plan, states []*runnerState, all []*plannedModel) {
 	// Models resident on the fewest runners come first, because they have the
 	// fewest runners to stay on.
 	byResidentCopies := slices.Clone(all)
@@ -234,8 +236,8 @@
 				continue
 			}
 			best := a.cheapestRunner(p, states, m, func(s *runnerState) bool {
-				return s.singleCopies < maxPerRunner && (!residentOnly || slices.Contains(s.Resident, m.Name))
-			}, func(s *runnerState) float64 { return float64(s.singleCopies) + m.storeLoadCountCost(s) })
+				return s.singleCopies < s.maxSingle && (!residentOnly || slices.Contains(s.Resident, m.Name))
+			}, func(s *runnerState) float64 { return float64(s.singleCopies-s.maxSingle) + m.storeLoadCountCost(s) })
 			if best != nil {
 				p.assign(best, m)
 			}
@@ -254,7 +256,7 @@
 			for len(p.runnersByModel[m.Name]) < m.copies {
 				best := a.cheapestRunner(p, states, m, func(s *runnerState) bool {
 					return !residentOnly || slices.Contains(s.Resident, m.Name)
-				}, func(s *runnerState) float64 { return s.assignedDemand + m.storeLoadDemandCost(s) })
+				}, func(s *runnerState) float64 { return s.workTime(m) + m.storeLoadDemandCost(s) })
 				if best == nil {
 					break
 				}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -37,6 +37,7 @@
 	retryBuckets       map[registrar.ServiceName]*tokenBucket
 	demandByModel      map[registrar.ModelName]*demandRate
 	paces              *estimator.Paces
+	runnerPaces        []RunnerPace // since the last TakeRunnerPaces
 	statsByModel       map[modelKey]*modelStats
 	restrictions       map[registrar.UpstreamID]restriction
 	limits             *limiter.Table
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/estimator"
 	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
@@ -185,6 +186,7 @@
 	Gateways       int                       `json:"gateways,omitempty" cbor:"15,keyasint,omitempty"` // gateways that the steward has heard from lately
 	LoadQueued     bool                      `json:"claimed,omitempty" cbor:"16,keyasint,omitempty"`  // the load of Loading is announced but waits for the weight store's rate limit
 	SinceStoreLoad time.Duration             `json:"stored,omitempty" cbor:"17,keyasint"`             // time since the last load from the weight store began, negative before the first
+	Slowness       estimator.Percent         `json:"slowness,omitempty" cbor:"18,keyasint,omitempty"` // time that the runner takes for a token, of that of others; zero if it is unknown
 }
 
 func (Tick) event()               {}
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -33,7 +33,7 @@
 		d.Counters.Completed++
 		entry := d.logEvent("request served", r, u)
 		entry.TimeToSend, entry.Elapsed = r.sentAt-r.arrivedAt, d.now-r.arrivedAt
-		entry.StartDelay, entry.Pace = r.startDelay(), d.recordPace(r, ev.Events)
+		entry.StartDelay, entry.Pace = r.startDelay(), d.recordPace(r, u, ev.Events)
 		d.emit(entry)
 		u.consecutiveFailures = 0
 		u.recordResult(d.now, false)
--- a/internal/dispatcher/selection.go
+++ b/internal/dispatcher/selection.go
@@ -125,7 +125,9 @@
 // load. Lower is better.
 func (d *Dispatcher) cost(u *upstream) float64 {
 	all, waiting := u.estimateLoad(d.now, d.gatewayCount)
-	cost := all + waitingCost*waiting + failureCost*u.currentFailureRate(d.now)
+	// A further request waits for those before it, as long as the runner is slow.
+	slowness := u.slowness(d.now)
+	cost := (all+waitingCost*waiting)*slowness + (slowness - 1) + failureCost*u.currentFailureRate(d.now)
 	if u.info.Domain != d.cfg.Domain {
 		cost += remoteDomainCost
 	}
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -229,15 +229,17 @@
 		g.syncer.expire()
 		g.apply(dispatcher.Tick{})
 		var demands messenger.PackedDemands
+		var paces messenger.PackedPaces
 		demandsDue, sweepDue := now-demandsSentAt >= max(minDemandPeriod, time.Duration(len(g.stewardAddresses))*demandPeriodPerSteward), now-sweptAt >= idleSweepPeriod
 		if demandsDue {
 			demandsSentAt = now
 			demands = messenger.Pack(g.syncer.models(), g.dispatcher.Demands(now))
+			paces = messenger.PackPaces(g.dispatcher.TakeRunnerPaces())
 		}
 		to, live, version := g.stewardAddresses, g.liveAddresses, g.syncer.version()
 		g.syncer.mu.Unlock()
 		if demandsDue {
-			g.send(to, messenger.Message{Demands: &demands, Version: version})
+			g.send(to, messenger.Message{Demands: &demands, Paces: paces, Version: version})
 		}
 		if sweepDue {
 			sweptAt = now
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/estimator"
 	"github.com/egretwall/egretwall/internal/exchanger"
 	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/messenger"
@@ -18,9 +19,10 @@
 
 // Timing of stewards.
 const (
-	statePollPeriod = 150 * time.Millisecond // of the runner's state, which the runner itself reports with a delay of the same length
-	gatewayTTL      = 3 * time.Second        // a gateway that has sent nothing for this time gets no more reports
-	fenceRetryDelay = 300 * time.Millisecond // after a failure to acquire a fencing token
+	minSlownessChange = 20                     // percent, between two "runner speed learned"
+	statePollPeriod   = 150 * time.Millisecond // of the runner's state, which the runner itself reports with a delay of the same length
+	gatewayTTL        = 3 * time.Second        // a gateway that has sent nothing for this time gets no more reports
+	fenceRetryDelay   = 300 * time.Millisecond // after a failure to acquire a fencing token
 )
 
 // stewardPollTiming polls more slowly than gatewayPollTiming, since loads take seconds,
@@ -62,24 +64,25 @@
 // as its reconciler decides, and reports the runner's state to gateways and other
 // stewards. The fields from reconciler to verdicts are guarded by syncer.mu.
 type Steward struct {
-	cfg           StewardConfig
-	syncer        *syncer
-	reconciler    *reconciler.Reconciler
-	gatewaySeenAt map[netip.AddrPort]time.Duration // time of the last message from each gateway
-	peerStewards  []netip.AddrPort                 // other stewards of the service
-	peerPort      uint16                           // of PeerAddress
-	pausedUntil   time.Duration                    // until then, the runner wants no calls
-	runner        registrar.UpstreamID             // the newest one listed at RunnerAddress, empty without one
-	incarnation   int64                            // of runner
-	limits        *limiter.Table
-	issuer        *limiter.Issuer // of permits for upstreams with a limit
-	limitsSentAt  time.Duration   // when limits were last sent to gateways and peers
-	limitsChanged bool            // since then
-	origins       *originKeeper
-	verdicts      *verdictKeeper
-	orders        chan reconciler.Order
-	pollNow       chan struct{} // makes pollRunner poll without delay
-	stopRequested chan struct{}
+	cfg            StewardConfig
+	syncer         *syncer
+	reconciler     *reconciler.Reconciler
+	gatewaySeenAt  map[netip.AddrPort]time.Duration // time of the last message from each gateway
+	peerStewards   []netip.AddrPort                 // other stewards of the service
+	peerPort       uint16                           // of PeerAddress
+	pausedUntil    time.Duration                    // until then, the runner wants no calls
+	runner         registrar.UpstreamID             // the newest one listed at RunnerAddress, empty without one
+	incarnation    int64                            // of runner
+	limits         *limiter.Table
+	issuer         *limiter.Issuer // of permits for upstreams with a limit
+	limitsSentAt   time.Duration   // when limits were last sent to gateways and peers
+	limitsChanged  bool            // since then
+	origins        *originKeeper
+	verdicts       *verdictKeeper
+	loggedSlowness estimator.Percent // in the last "runner speed learned"
+	orders         chan reconciler.Order
+	pollNow        chan struct{} // makes pollRunner poll without delay
+	stopRequested  chan struct{}
 
 	messenger *messenger.Messenger
 	exchanger *exchanger.Server
@@ -318,6 +321,10 @@
 		s.tellOrigin(from, m.Stream)
 	}
 	s.gatewaySeenAt[from] = s.syncer.now()
+	if ratios := m.Paces.Of(s.cfg.RunnerAddress); len(ratios) > 0 {
+		s.apply(reconciler.PaceObserved{Ratios: ratios})
+		s.logSlowness()
+	}
 	if m.Demands != nil {
 		demands, err := m.Demands.Unpack(s.syncer.models())
 		if err != nil {
@@ -331,6 +338,16 @@
 	}
 }
 
+// logSlowness logs the learned speed of the runner when it has changed. The caller holds
+// syncer.mu.
+func (s *Steward) logSlowness() {
+	slowness := s.reconciler.Slowness()
+	if change := slowness - s.loggedSlowness; max(change, -change) >= minSlownessChange {
+		s.loggedSlowness = slowness
+		s.cfg.Log.Logger.Info().Int("slowness", int(slowness)).Msg("runner speed learned")
+	}
+}
+
 // reduce passes an event to the reconciler and carries out the effects.
 func (s *Steward) reduce(e reconciler.Event) {
 	s.syncer.mu.Lock()
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -57,6 +57,7 @@
 	Suspects         []isolator.Trait     `json:"suspects,omitempty" cbor:"13,keyasint,omitempty"` // from a steward that asks whether they have been answered
 	Answered         []isolator.Trait     `json:"answered,omitempty" cbor:"14,keyasint,omitempty"` // from a gateway, of Suspects
 	Verdicts         []isolator.Verdict   `json:"verdicts,omitempty" cbor:"15,keyasint,omitempty"` // from a steward, with some reports and with Suspects
+	Paces            PackedPaces          `json:"paces,omitempty" cbor:"16,keyasint,omitempty"`    // from a gateway, with Demands
 }
 
 // Config configures a Messenger. Run calls Handle for each message that it receives.
--- a/internal/reconciler/cost.go
+++ b/internal/reconciler/cost.go
@@ -19,3 +19,24 @@
 	}
 	return estimator.Costs(all)
 }
+
+// slownessOf returns how long a runner takes for a unit of work relative to others, 1 if
+// that is not known.
+func (r *Reconciler) slownessOf(u *registrar.Upstream) float64 {
+	slowness := estimator.Percent(0)
+	if u == r.self {
+		slowness = r.slowness.Value(r.now)
+	} else if p := r.recentPeer(u); p != nil {
+		slowness = p.report.Slowness
+	}
+	if slowness <= 0 {
+		return 1
+	}
+	return float64(slowness) / 100
+}
+
+// Slowness returns how long the runner takes for a unit of work relative to others, zero
+// if that is not known.
+func (r *Reconciler) Slowness() estimator.Percent {
+	return r.slowness.Value(r.now)
+}
--- a/internal/reconciler/dump.go
+++ b/internal/reconciler/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/egretwall/egretwall/internal/estimator"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -15,9 +16,10 @@
 	Evicting       registrar.ModelName             `json:"leaving"`
 	Planned        []registrar.ModelName           `json:"planned"` // models assigned to the runner
 	PlanAgeMs      int64                           `json:"age"`
-	PeerStoreLoads int                             `json:"stored"`          // loads from the weight store that other runners began within the window
-	Gateways       int                             `json:"gateways"`        // heard from lately
-	Costs          map[registrar.ModelName]float64 `json:"costs,omitempty"` // of a unit of work, relative to the mean; learned from answers
+	PeerStoreLoads int                             `json:"stored"`             // loads from the weight store that other runners began within the window
+	Gateways       int                             `json:"gateways"`           // heard from lately
+	Costs          map[registrar.ModelName]float64 `json:"costs,omitempty"`    // of a unit of work, relative to the mean; learned from answers
+	Slowness       estimator.Percent               `json:"slowness,omitempty"` // time that the runner takes for a token, of that of others; zero if it is unknown
 	Counters       Counters                        `json:"counters"`
 }
 
@@ -25,7 +27,7 @@
 func (r *Reconciler) Dump(now time.Duration) Dump {
 	dump := Dump{
 		Fence: r.fence, State: r.state, Loading: r.loading, Evicting: r.evicting, PeerStoreLoads: r.peerStoreLoads(false),
-		Gateways: r.GatewayCount(), Costs: r.modelCosts(), Counters: r.Counters,
+		Gateways: r.GatewayCount(), Costs: r.modelCosts(), Slowness: r.slowness.Value(now), Counters: r.Counters,
 	}
 	if r.self != nil {
 		dump.Upstream = r.self.ID
--- a/internal/reconciler/event.go
+++ b/internal/reconciler/event.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"github.com/egretwall/egretwall/internal/dispatcher"
+	"github.com/egretwall/egretwall/internal/estimator"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -124,6 +125,10 @@
 // AdapterRequested reports that a gateway has a request that waits for an adapter.
 type AdapterRequested struct{ Adapter registrar.AdapterID }
 
+// PaceObserved carries how long the runner's answers take between events, relative to
+// those of the same models at other runners, as a gateway saw them.
+type PaceObserved struct{ Ratios []estimator.Percent }
+
 // FenceAcquired carries the fencing token for all later orders.
 type FenceAcquired struct{ Fence int64 }
 
@@ -141,6 +146,7 @@
 func (DemandReported) event()       {}
 func (PeerReported) event()         {}
 func (AdapterRequested) event()     {}
+func (PaceObserved) event()         {}
 func (FenceAcquired) event()        {}
 func (OrderAnswered) event()        {}
 
--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -7,6 +7,7 @@
 
 	"github.com/egretwall/egretwall/internal/allocator"
 	"github.com/egretwall/egretwall/internal/dispatcher"
+	"github.com/egretwall/egretwall/internal/estimator"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -55,6 +56,7 @@
 	adapterRequests          []adapterRequest
 	consecutiveAdapterOrders int                                   // reset by a decision that orders none
 	adapterUsedAt            map[registrar.AdapterID]time.Duration // last request for each adapter, for LRU eviction
+	slowness                 estimator.Slowness
 	Counters                 Counters
 }
 
@@ -163,6 +165,10 @@
 	case AdapterRequested:
 		r.requestAdapter(ev.Adapter)
 		r.decide()
+	case PaceObserved:
+		for _, ratio := range ev.Ratios {
+			r.slowness.Add(now, ratio)
+		}
 	case FenceAcquired:
 		r.fence = ev.Fence
 	case OrderAnswered:
@@ -188,6 +194,7 @@
 	r.unresolved = slices.DeleteFunc(r.unresolved, func(u unresolvedOrder) bool { return r.now-u.since > maxOrderDelay })
 	if st.Incarnation != r.state.Incarnation {
 		r.evicting, r.loading = "", ""
+		r.slowness.Reset()
 	}
 	r.state, r.stateFresh, r.unreachable = st, true, false
 	if !r.holds(r.evicting) {
@@ -244,6 +251,7 @@
 		Address: r.cfg.Address, Incarnation: r.state.Incarnation, Sequence: r.state.Sequence, Loading: r.loading,
 		LoadRemaining: max(0, r.loadDoneAt-r.now), Running: r.state.Running, Waiting: r.state.Waiting, SinceStoreLoad: -1,
 		KVUsed: r.state.KVUsed, KVTotal: r.state.KVTotal, Draining: r.state.Draining, Busy: r.state.Busy, Unreachable: r.unreachable, Gateways: r.GatewayCount(),
+		Slowness: r.slowness.Value(r.now),
 	}
 	if r.storeLoaded {
 		report.SinceStoreLoad = r.now - r.storeLoadAt
--- a/internal/reconciler/view.go
+++ b/internal/reconciler/view.go
@@ -67,7 +67,7 @@
 		}
 		// Until the reports of all peers have had time to arrive after the start, their
 		// stewards are presumed to run.
-		runner := allocator.Runner{ID: u.ID, Memory: e.WeightMemory, Cached: slices.Concat(u.InHostMemory, u.OnHostDisk), Schedulable: r.schedulable(u)}
+		runner := allocator.Runner{ID: u.ID, Memory: e.WeightMemory, Cached: slices.Concat(u.InHostMemory, u.OnHostDisk), Schedulable: r.schedulable(u), Slowness: r.slownessOf(u)}
 		for _, resident := range r.residentsOf(u) {
 			runner.Resident = append(runner.Resident, resident.Model)
 			v.holders[resident.Model] = append(v.holders[resident.Model], u.ID)
