Log the longest pause of streams that were served

Most late answers of an uneven deployment were streams that paused, which no line of the log told. Served lines have gap beside first and pace.

--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -77,11 +77,12 @@
 
 // SendEnded reports how a send ended.
 type SendEnded struct {
-	ID      RequestID
-	Try     Try
-	Outcome Outcome
-	Cause   string // error text for the log
-	Events  int    // numbered events of the answer that reached the caller
+	ID           RequestID
+	Try          Try
+	Outcome      Outcome
+	Cause        string        // error text for the log
+	Events       int           // numbered events of the answer that reached the caller
+	LongestPause time.Duration // between two parts of a stream
 }
 
 // UpstreamNotice carries what an upstream's response says of new requests: that it wants
@@ -289,25 +290,26 @@
 
 // Log writes a line to the log.
 type Log struct {
-	Event      string
-	AttemptID  string
-	Model      string // "model" or "model/adapter", empty for plain services
-	Upstream   registrar.UpstreamID
-	Kind       classifier.Kind // of the error answer, empty without one
-	Cause      string
-	ReportAge  time.Duration // age of the upstream's last report, zero without one
-	Try        Try
-	Waiting    int           // requests waiting at this gateway
-	TimeToSend time.Duration // from the request's arrival to its last send
-	Elapsed    time.Duration // from its arrival to now
-	StartDelay time.Duration // from the last send to the beginning of its answer
-	Pace       time.Duration // mean time between the events of the answer, zero if it has too few
-	Pause      time.Duration // how long the upstream wants no requests, zero if it does not say
-	Release    registrar.Release
-	Resumes    string           // attempt that began the stream that the request resumes, empty without one
-	Limit      float64          // requests per second that the upstream takes from all gateways together, zero if it does not say
-	Analysts   int              // stewards that a crash is reported to
-	Traits     []isolator.Trait // of a request whose send was broken off, or the one that is isolated
+	Event        string
+	AttemptID    string
+	Model        string // "model" or "model/adapter", empty for plain services
+	Upstream     registrar.UpstreamID
+	Kind         classifier.Kind // of the error answer, empty without one
+	Cause        string
+	ReportAge    time.Duration // age of the upstream's last report, zero without one
+	Try          Try
+	Waiting      int           // requests waiting at this gateway
+	TimeToSend   time.Duration // from the request's arrival to its last send
+	Elapsed      time.Duration // from its arrival to now
+	StartDelay   time.Duration // from the last send to the beginning of its answer
+	LongestPause time.Duration // between two parts of the stream
+	Pace         time.Duration // mean time between the events of the answer, zero if it has too few
+	Pause        time.Duration // how long the upstream wants no requests, zero if it does not say
+	Release      registrar.Release
+	Resumes      string           // attempt that began the stream that the request resumes, empty without one
+	Limit        float64          // requests per second that the upstream takes from all gateways together, zero if it does not say
+	Analysts     int              // stewards that a crash is reported to
+	Traits       []isolator.Trait // of a request whose send was broken off, or the one that is isolated
 }
 
 func (Send) effect()           {}
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -34,6 +34,7 @@
 		entry := d.logEvent("request served", r, u)
 		entry.TimeToSend, entry.Elapsed = r.sentAt-r.arrivedAt, d.now-r.arrivedAt
 		entry.StartDelay, entry.Pace = r.startDelay(), d.recordPace(r, u, ev.Events)
+		entry.LongestPause = ev.LongestPause
 		d.emit(entry)
 		u.consecutiveFailures = 0
 		u.recordResult(d.now, false)
--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -112,6 +112,9 @@
 	if entry.StartDelay > 0 {
 		ev = ev.Int64("first", entry.StartDelay.Milliseconds())
 	}
+	if entry.LongestPause > 0 {
+		ev = ev.Int64("gap", entry.LongestPause.Milliseconds())
+	}
 	if entry.Pace > 0 {
 		ev = ev.Int64("pace", entry.Pace.Milliseconds())
 	}
--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -222,7 +222,9 @@
 		case dispatcher.Send:
 			lastEventID := out.lastEventID
 			outcome, cause := g.send(ctx, e, in, out, mailbox)
-			g.cfg.Dispatcher.Reduce(dispatcher.SendEnded{ID: id, Try: e.Try, Outcome: outcome, Cause: cause, Events: int(out.lastEventID - lastEventID)})
+			g.cfg.Dispatcher.Reduce(dispatcher.SendEnded{
+				ID: id, Try: e.Try, Outcome: outcome, Cause: cause, Events: int(out.lastEventID - lastEventID), LongestPause: out.longestPause,
+			})
 			if outcome == dispatcher.Completed {
 				return
 			}
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -192,7 +192,10 @@
 	clearCancel := mailbox.OnCancel(conn.abort)
 	defer clearCancel()
 	stall := newStallTimer(e, func() { g.cfg.Dispatcher.Reduce(dispatcher.SendStalled{ID: e.ID, Try: e.Try}) })
-	defer stall.stop()
+	defer func() {
+		stall.stop()
+		out.longestPause = stall.pause()
+	}()
 	if err := conn.SetDeadline(time.Now().Add(e.Timeout + responseGrace)); err != nil {
 		conn.abort()
 		return dispatcher.Unsent, err.Error()
--- a/internal/relayer/stall.go
+++ b/internal/relayer/stall.go
@@ -15,6 +15,9 @@
 	timer      *time.Timer // nil if the send has no FirstTimeout
 	gapTimeout time.Duration
 	stopped    bool
+
+	eventAt      time.Time     // of the last reset, zero before the first
+	longestPause time.Duration // between two resets
 }
 
 // newStallTimer starts a timer with the timeouts of e.
@@ -27,13 +30,32 @@
 	defer s.mu.Unlock()
 	s.timer = time.AfterFunc(e.FirstTimeout, func() {
 		onStall()
-		s.reset()
+		s.restart()
 	})
 	return s
 }
 
-// reset restarts the timer with gapTimeout; it does nothing after stop.
+// reset records that a part of the response has come, and restarts the timer.
 func (s *stallTimer) reset() {
+	s.mu.Lock()
+	now := time.Now()
+	if !s.eventAt.IsZero() {
+		s.longestPause = max(s.longestPause, now.Sub(s.eventAt))
+	}
+	s.eventAt = now
+	s.mu.Unlock()
+	s.restart()
+}
+
+// pause returns the longest time between two parts of the response.
+func (s *stallTimer) pause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.longestPause
+}
+
+// restart restarts the timer with gapTimeout; it does nothing after stop.
+func (s *stallTimer) restart() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.timer != nil && !s.stopped {
--- a/internal/relayer/stall_test.go
+++ b/internal/relayer/stall_test.go
@@ -29,3 +29,19 @@
 		require.EqualValues(t, 2, stalls.Load())
 	})
 }
+
+// Guards against pauses of an upstream that nobody learns of because they are shorter than
+// the timeout of a stall.
+func TestStallTimerTellsTheLongestPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStallTimer(dispatcher.Send{FirstTimeout: 500 * time.Millisecond, GapTimeout: 300 * time.Millisecond}, func() {})
+		defer s.stop()
+		time.Sleep(900 * time.Millisecond) // before the first part; no pause
+		for _, pause := range []time.Duration{40, 700, 90} {
+			s.reset()
+			time.Sleep(pause * time.Millisecond)
+		}
+		s.reset()
+		require.Equal(t, 700*time.Millisecond, s.pause())
+	})
+}
