Bound the paces in demand reports and ignore invalid ones

With the pace of each of 100 models, reports to 100 stewards took more than 30% of a link of 10 Mbit/s; the test of that bound now includes paces. They are told for the 32 models with the most work, in half milliseconds, which CBOR writes in two bytes. Paces that are no number, negative or beyond 1000 s are taken for unknown. Tests that a runner's slowness ends with the runner and with its steward's reports.

--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -95,8 +95,12 @@
 }
 
 // damp returns the cost for a ratio of paces: 1 near 1, and continuous, so that small
-// changes of the ratio don't move copies.
+// changes of the ratio don't move copies. It is 1 if the ratio is none, which reports with
+// invalid numbers lead to.
 func damp(ratio float64) float64 {
+	if math.IsNaN(ratio) {
+		return 1
+	}
 	same, distinct := math.Log(sameCostRatio), math.Log(distinctCostRatio)
 	distance := math.Log(min(max(ratio, minCost), maxCost))
 	share := (math.Abs(distance) - same) / (distinct - same)
--- a/internal/estimator/estimator_test.go
+++ b/internal/estimator/estimator_test.go
@@ -1,6 +1,7 @@
 package estimator
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -46,4 +47,6 @@
 	require.Empty(t, Costs(nil))
 	require.Empty(t, Costs([]Observation{{"a", 0, 1000}, {"b", time.Millisecond, 0}}))
 	require.Equal(t, 1.0, Costs([]Observation{{"a", time.Millisecond, 1000}})["a"])
+	invalid := Costs([]Observation{{"a", time.Millisecond, math.Inf(1)}, {"b", 9 * time.Millisecond, 1000}})
+	require.Equal(t, 1.0, invalid["a"])
 }
--- a/internal/messenger/demands.go
+++ b/internal/messenger/demands.go
@@ -22,6 +22,12 @@
 // distinguishes demands only by larger differences.
 const significantDigits = 3
 
+// maxPaces is the number of models whose paces are told.
+const maxPaces = 32
+
+// maxPaceMillis is the pace from which on a row tells none.
+const maxPaceMillis = 1e6
+
 // minRowLength is the length of a row without WaitingWork and Pace.
 const minRowLength = 4
 
@@ -29,7 +35,11 @@
 // are not among them and rounds numbers to significantDigits.
 func Pack(names []registrar.ModelName, all []dispatcher.Demand) PackedDemands {
 	d := PackedDemands{NamesChecksum: checksum(names), Rows: [][]float64{}}
+	leastPaced := leastWorkWithPace(all)
 	for _, demand := range all {
+		if demand.WorkRate < leastPaced {
+			demand.Pace = 0
+		}
 		index, ok := slices.BinarySearch(names, demand.Model)
 		if !ok {
 			continue
@@ -39,7 +49,7 @@
 			row = append(row, round(demand.WaitingWork))
 		}
 		if demand.Pace > 0 {
-			row = append(row, round(demand.Pace.Seconds()*1000))
+			row = append(row, packPace(demand.Pace))
 		}
 		d.Rows = append(d.Rows, row)
 	}
@@ -62,7 +72,7 @@
 		if len(row) > minRowLength {
 			demand.WaitingWork = row[minRowLength]
 		}
-		if len(row) > minRowLength+1 {
+		if len(row) > minRowLength+1 && row[minRowLength+1] > 0 && row[minRowLength+1] < maxPaceMillis {
 			demand.Pace = time.Duration(row[minRowLength+1] * float64(time.Millisecond))
 		}
 		all = append(all, demand)
@@ -70,6 +80,26 @@
 	return all, nil
 }
 
+// leastWorkWithPace returns the work rate from which on the pace of a model is told: that of
+// the maxPaces models with the most work. The plan depends little on the others.
+func leastWorkWithPace(all []dispatcher.Demand) float64 {
+	if len(all) <= maxPaces {
+		return 0
+	}
+	rates := make([]float64, 0, len(all))
+	for _, demand := range all {
+		rates = append(rates, demand.WorkRate)
+	}
+	slices.Sort(rates)
+	return rates[len(rates)-maxPaces]
+}
+
+// packPace returns a pace in milliseconds, rounded to a half, which a CBOR float of two
+// bytes represents up to 1 s.
+func packPace(pace time.Duration) float64 {
+	return math.Round(max(1, 2*pace.Seconds()*1000)) / 2
+}
+
 // checksum returns the CRC-32 of the names, each followed by a zero byte.
 func checksum(names []registrar.ModelName) uint32 {
 	sum := crc32.NewIEEE()
--- a/internal/messenger/demands_test.go
+++ b/internal/messenger/demands_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -20,6 +22,15 @@
 	require.Equal(t, []dispatcher.Demand{
 		{Model: "a", WorkRate: 123000, RecentWorkRate: 0.5, RecentRequests: 1.2}, {Model: "c", WorkRate: 1000, WaitingWork: 4320},
 	}, all)
+	paced := []dispatcher.Demand{{Model: "a", WorkRate: 1000, Pace: 41 * time.Millisecond}, {Model: "b", WorkRate: 1000, WaitingWork: 50, Pace: 7 * time.Millisecond}}
+	all, err = Pack(names, paced).Unpack(names)
+	require.NoError(t, err)
+	require.Equal(t, paced, all)
+	for _, pace := range []float64{math.NaN(), math.Inf(1), -4, 1e300} {
+		all, err = PackedDemands{NamesChecksum: packed.NamesChecksum, Rows: [][]float64{{0, 1, 1, 1, 0, pace}}}.Unpack(names)
+		require.NoError(t, err)
+		require.Zero(t, all[0].Pace)
+	}
 	_, err = packed.Unpack(names[:2])
 	require.ErrorContains(t, err, "other model names")
 	for _, row := range [][]float64{{}, {3, 1, 1, 1}, {-1, 1, 1, 1}} {
@@ -36,9 +47,12 @@
 	for i := range 100 {
 		name := registrar.ModelName(fmt.Sprintf("model%05d", i))
 		names = append(names, name)
-		all = append(all, dispatcher.Demand{Model: name, WorkRate: 98765.4 + float64(i), RecentWorkRate: 87654.3, RecentRequests: 12.3, WaitingWork: 45678})
+		all = append(all, dispatcher.Demand{Model: name, WorkRate: 98765.4 + float64(i), RecentWorkRate: 87654.3, RecentRequests: 12.3, WaitingWork: 45678, Pace: 43210 * time.Microsecond})
 	}
 	demands := Pack(names, all)
+	told, err := demands.Unpack(names)
+	require.NoError(t, err)
+	require.NotZero(t, told[99].Pace, "it has the most work")
 	d, err := Encode(Message{Sender: "front-be-north-a-1", Demands: &demands, Version: 12})
 	require.NoError(t, err)
 	const stewards, periodSeconds, linkBytesPerSecond = 100, 0.8, 10e6 / 8
--- a/internal/reconciler/cost_test.go
+++ b/internal/reconciler/cost_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/egretwall/egretwall/internal/dispatcher"
+	"github.com/egretwall/egretwall/internal/estimator"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -80,3 +81,40 @@
 	f.reduce(f.members[0], Tick{})
 	require.Empty(t, r.modelCosts())
 }
+
+// lastReport returns the report that an event causes.
+func lastReport(t *testing.T, f *fixture, e Event) dispatcher.Report {
+	var report *dispatcher.Report
+	f.now += fullReportPeriod
+	for _, effect := range f.reconciler.Reduce(f.now, e) {
+		if broadcast, ok := effect.(BroadcastReport); ok {
+			report = &broadcast.Report
+		}
+	}
+	require.NotNil(t, report)
+	return *report
+}
+
+// Guards against a restarted runner, maybe on another host, that passes for slow.
+func TestSlownessEndsWithTheRunner(t *testing.T) {
+	f := newFixture(t, []registrar.ModelName{"a"}, []registrar.ModelName{"b"})
+	state := f.ownState(0)
+	f.reduce(state)
+	for range 9 {
+		f.reduce(PaceObserved{[]estimator.Percent{240}})
+	}
+	require.Equal(t, estimator.Percent(240), lastReport(t, f, state).Slowness)
+	state.State.Incarnation++
+	require.Zero(t, lastReport(t, f, state).Slowness)
+}
+
+// Guards against a peer that passes for slow after its steward has ended.
+func TestSlownessOfASilentPeerIsUnknown(t *testing.T) {
+	f := newFixture(t, []registrar.ModelName{"a"}, []registrar.ModelName{"b"})
+	peer := f.runners[1]
+	f.reduce(PeerReported{dispatcher.Report{Address: peer.Address, Incarnation: peer.Incarnation, SinceStoreLoad: -1, Slowness: 240}})
+	require.Equal(t, 2.4, f.reconciler.slownessOf(peer))
+	f.now += peerReportTTL
+	f.reduce(Tick{})
+	require.Equal(t, 1.0, f.reconciler.slownessOf(peer))
+}
