--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -57,6 +57,7 @@
 type StewardMetrics struct {
 	reconciler.Counters
 	Gateways        int   `json:"gateways" metric:"gauge"` // gateways that have sent a demand report lately
+	Slowness        int   `json:"slowness" metric:"gauge"` // time that the runner takes for a token, in percent of that of others; zero if it is unknown
 	DroppedLogLines int64 `json:"dropped"`                 // because of the rate limit or a slow reader
 }
 
@@ -128,7 +129,7 @@
 func (s *Steward) metrics() any {
 	s.syncer.mu.Lock()
 	defer s.syncer.mu.Unlock()
-	return StewardMetrics{Counters: s.reconciler.Counters, Gateways: s.reconciler.GatewayCount(), DroppedLogLines: s.cfg.Log.Limiter.Dropped()}
+	return StewardMetrics{Counters: s.reconciler.Counters, Gateways: s.reconciler.GatewayCount(), Slowness: int(s.reconciler.Slowness()), DroppedLogLines: s.cfg.Log.Limiter.Dropped()}
 }
 
 // Stop makes Run return at once, as a steward has no requests to finish.
