--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -19,10 +19,9 @@
 
 // Timing of stewards.
 const (
-	minSlownessChange = 20                     // percent, between two "runner speed learned"
-	statePollPeriod   = 150 * time.Millisecond // of the runner's state, which the runner itself reports with a delay of the same length
-	gatewayTTL        = 3 * time.Second        // a gateway that has sent nothing for this time gets no more reports
-	fenceRetryDelay   = 300 * time.Millisecond // after a failure to acquire a fencing token
+	statePollPeriod = 150 * time.Millisecond // of the runner's state, which the runner itself reports with a delay of the same length
+	gatewayTTL      = 3 * time.Second        // a gateway that has sent nothing for this time gets no more reports
+	fenceRetryDelay = 300 * time.Millisecond // after a failure to acquire a fencing token
 )
 
 // stewardPollTiming polls more slowly than gatewayPollTiming, since loads take seconds,
@@ -339,16 +338,6 @@
 	}
 }
 
-// logSlowness logs the learned speed of the runner when it has changed. The caller holds
-// syncer.mu.
-func (s *Steward) logSlowness() {
-	slowness := s.reconciler.Slowness()
-	if change := slowness - s.loggedSlowness; max(change, -change) >= minSlownessChange {
-		s.loggedSlowness = slowness
-		s.cfg.Log.Logger.Info().Int("slowness", int(slowness)).Msg("runner speed learned")
-	}
-}
-
 // reduce passes an event to the reconciler and carries out the effects.
 func (s *Steward) reduce(e reconciler.Event) {
 	s.syncer.mu.Lock()
