--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -6,6 +6,7 @@
 
 	"github.com/egretwall/egretwall/internal/apportioner"
 	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/estimator"
 	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
@@ -38,6 +39,8 @@
 	waitingCount       int                     // requests in all queues
 	retryBuckets       map[registrar.ServiceName]*tokenBucket
 	demandByModel      map[registrar.ModelName]*demandRate
+	paces              *estimator.Paces
+	runnerPaces        []RunnerPace // since the last TakeRunnerPaces
 	statsByModel       map[modelKey]*modelStats
 	restrictions       map[registrar.UpstreamID]restriction
 	limits             *limiter.Table
@@ -100,8 +103,6 @@
 	search         originSearch         // for release
 	permitted      bool                 // the last send used a permit of an upstream with a limit
 	lastCause      string               // error text of the last send
-	firstBeganAt   time.Duration        // when a part of an answer first reached the caller, zero before
-	longestGap     time.Duration        // between two parts of the answer
 	quotaPending   bool                 // it waits for tokens of its workspace's quota
 	quotaPassed    bool                 // its workspace's quota had room for it
 	quotaPassedAt  time.Duration        // when it had
@@ -118,6 +119,7 @@
 		queues:             map[queueKey][]*request{},
 		retryBuckets:       map[registrar.ServiceName]*tokenBucket{},
 		demandByModel:      map[registrar.ModelName]*demandRate{},
+		paces:              estimator.NewPaces(),
 		statsByModel:       map[modelKey]*modelStats{},
 		restrictions:       map[registrar.UpstreamID]restriction{},
 		limits:             limiter.NewTable(),
@@ -324,9 +326,6 @@
 	if !r.sendBegan {
 		r.sendBegan, r.beganAt = true, d.now
 	}
-	if !r.answerBegan {
-		r.firstBeganAt = d.now
-	}
 	r.answerBegan = true
 	if !ev.Resumed {
 		d.recordStart(r)
@@ -389,7 +388,7 @@
 	if kind == classifier.Busy || kind == classifier.Late {
 		d.recordNoRoom(r, retryAfter)
 	}
-	d.fail(r, kind, max(retryAfter, minRetryAfter))
+	d.fail(r, kind, r.usableRetryAfter(d.now, retryAfter))
 }
 
 // failAfterRun answers a request that may have run, with the kept answer of an
@@ -404,14 +403,6 @@
 	d.fail(r, kind, 0)
 }
 
-// timeToFirst returns the time from the arrival until an answer began, zero without one.
-func (r *request) timeToFirst() time.Duration {
-	if !r.answerBegan {
-		return 0
-	}
-	return r.firstBeganAt - r.arrivedAt
-}
-
 // timeToSend returns the time from the arrival to the last send, or to now before
 // the first send.
 func (r *request) timeToSend(now time.Duration) time.Duration {
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/estimator"
 	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
@@ -79,12 +80,12 @@
 
 // SendEnded reports how a send ended.
 type SendEnded struct {
-	ID      RequestID
-	Try     Try
-	Outcome Outcome
-	Cause   string // error text for the log
-	// LongestGap is the longest time between two parts of a stream that this send brought.
-	LongestGap time.Duration
+	ID           RequestID
+	Try          Try
+	Outcome      Outcome
+	Cause        string        // error text for the log
+	Events       int           // numbered events of the answer that reached the caller
+	LongestPause time.Duration // between two parts of a stream
 }
 
 // UpstreamNotice carries what an upstream's response says of new requests: that it wants
@@ -190,6 +191,7 @@
 	Gateways       int                       `json:"gateways,omitempty" cbor:"15,keyasint,omitempty"` // gateways that the steward has heard from lately
 	LoadQueued     bool                      `json:"claimed,omitempty" cbor:"16,keyasint,omitempty"`  // the load of Loading is announced but waits for the weight store's rate limit
 	SinceStoreLoad time.Duration             `json:"stored,omitempty" cbor:"17,keyasint"`             // time since the last load from the weight store began, negative before the first
+	Slowness       estimator.Percent         `json:"slowness,omitempty" cbor:"18,keyasint,omitempty"` // time that the runner takes for a token, of that of others; zero if it is unknown
 }
 
 func (Tick) event()               {}
@@ -296,33 +298,34 @@
 
 // Log writes a line to the log.
 type Log struct {
-	Event       string
-	AttemptID   string
-	Model       string // "model" or "model/adapter", empty for plain services
-	Upstream    registrar.UpstreamID
-	Kind        classifier.Kind // of the error answer, empty without one
-	Cause       string
-	ReportAge   time.Duration // age of the upstream's last report, zero without one
-	Try         Try
-	Waiting     int           // requests waiting at this gateway
-	TimeToSend  time.Duration // from the request's arrival to its last send
-	Elapsed     time.Duration // from its arrival to now
-	TimeToFirst time.Duration // from its arrival until its answer began, zero without an answer
-	LongestGap  time.Duration // of a stream
-	Pause       time.Duration // how long the upstream wants no requests, zero if it does not say
-	Release     registrar.Release
-	Resumes     string           // attempt that began the stream that the request resumes, empty without one
-	Limit       float64          // requests per second that the upstream takes from all gateways together, zero if it does not say
-	Analysts    int              // stewards that a crash is reported to
-	Traits      []isolator.Trait // of a request whose send was broken off, or the one that is isolated
-	Workspace   registrar.WorkspaceName
-	Cost        float64       // of the request
-	Balance     float64       // of the workspace at this gateway
-	BalanceAge  time.Duration // since the issuer answered
-	RetryAfter  time.Duration
-	Refusals    int                     // of the workspace since the last line about it, this one included
-	OwnPart     bool                    // no issuer counts this gateway, which uses its own part of the quota
-	YieldedTo   registrar.WorkspaceName // whose share went before the request's, empty without one
+	Event        string
+	AttemptID    string
+	Model        string // "model" or "model/adapter", empty for plain services
+	Upstream     registrar.UpstreamID
+	Kind         classifier.Kind // of the error answer, empty without one
+	Cause        string
+	ReportAge    time.Duration // age of the upstream's last report, zero without one
+	Try          Try
+	Waiting      int           // requests waiting at this gateway
+	TimeToSend   time.Duration // from the request's arrival to its last send
+	Elapsed      time.Duration // from its arrival to now
+	StartDelay   time.Duration // from the last send to the beginning of its answer
+	LongestPause time.Duration // between two parts of the stream
+	Pace         time.Duration // mean time between the events of the answer, zero if it has too few
+	Pause        time.Duration // how long the upstream wants no requests, zero if it does not say
+	Release      registrar.Release
+	Resumes      string           // attempt that began the stream that the request resumes, empty without one
+	Limit        float64          // requests per second that the upstream takes from all gateways together, zero if it does not say
+	Analysts     int              // stewards that a crash is reported to
+	Traits       []isolator.Trait // of a request whose send was broken off, or the one that is isolated
+	Workspace    registrar.WorkspaceName
+	Cost         float64       // of the request
+	Balance      float64       // of the workspace at this gateway
+	BalanceAge   time.Duration // since the issuer answered
+	RetryAfter   time.Duration
+	Refusals     int                     // of the workspace since the last line about it, this one included
+	OwnPart      bool                    // no issuer counts this gateway, which uses its own part of the quota
+	YieldedTo    registrar.WorkspaceName // whose share went before the request's, empty without one
 }
 
 func (Send) effect()           {}
--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -143,8 +143,14 @@
 		ev = ev.Int64("held", entry.TimeToSend.Milliseconds()).Int64("took", entry.Elapsed.Milliseconds())
 		g.timeToSend.Record(entry.TimeToSend)
 	}
-	if entry.TimeToFirst > 0 {
-		ev = ev.Int64("first", entry.TimeToFirst.Milliseconds()).Int64("gap", entry.LongestGap.Milliseconds())
+	if entry.StartDelay > 0 {
+		ev = ev.Int64("first", entry.StartDelay.Milliseconds())
+	}
+	if entry.LongestPause > 0 {
+		ev = ev.Int64("gap", entry.LongestPause.Milliseconds())
+	}
+	if entry.Pace > 0 {
+		ev = ev.Int64("pace", entry.Pace.Milliseconds())
 	}
 	if entry.Elapsed > 0 && entry.Kind == classifier.None {
 		g.timeToLastByte.Record(entry.Elapsed)
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -9,6 +9,7 @@
 
 	"github.com/egretwall/egretwall/internal/apportioner"
 	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/estimator"
 	"github.com/egretwall/egretwall/internal/exchanger"
 	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/messenger"
@@ -56,6 +57,7 @@
 type StewardMetrics struct {
 	reconciler.Counters
 	Gateways        int   `json:"gateways" metric:"gauge"` // gateways that have sent a demand report lately
+	Slowness        int   `json:"slowness" metric:"gauge"` // time that the runner takes for a token, in percent of that of others; zero if it is unknown
 	DroppedLogLines int64 `json:"dropped"`                 // because of the rate limit or a slow reader
 }
 
@@ -63,25 +65,26 @@
 // as its reconciler decides, and reports the runner's state to gateways and other
 // stewards. The fields from reconciler to quotas are guarded by syncer.mu.
 type Steward struct {
-	cfg           StewardConfig
-	syncer        *syncer
-	reconciler    *reconciler.Reconciler
-	gatewaySeenAt map[netip.AddrPort]time.Duration // time of the last message from each gateway
-	peerStewards  []netip.AddrPort                 // other stewards of the service
-	peerPort      uint16                           // of PeerAddress
-	pausedUntil   time.Duration                    // until then, the runner wants no calls
-	runner        registrar.UpstreamID             // the newest one listed at RunnerAddress, empty without one
-	incarnation   int64                            // of runner
-	limits        *limiter.Table
-	issuer        *limiter.Issuer // of permits for upstreams with a limit
-	limitsSentAt  time.Duration   // when limits were last sent to gateways and peers
-	limitsChanged bool            // since then
-	origins       *originKeeper
-	verdicts      *verdictKeeper
-	quotas        *apportioner.Ledger
-	orders        chan reconciler.Order
-	pollNow       chan struct{} // makes pollRunner poll without delay
-	stopRequested chan struct{}
+	cfg            StewardConfig
+	syncer         *syncer
+	reconciler     *reconciler.Reconciler
+	gatewaySeenAt  map[netip.AddrPort]time.Duration // time of the last message from each gateway
+	peerStewards   []netip.AddrPort                 // other stewards of the service
+	peerPort       uint16                           // of PeerAddress
+	pausedUntil    time.Duration                    // until then, the runner wants no calls
+	runner         registrar.UpstreamID             // the newest one listed at RunnerAddress, empty without one
+	incarnation    int64                            // of runner
+	limits         *limiter.Table
+	issuer         *limiter.Issuer // of permits for upstreams with a limit
+	limitsSentAt   time.Duration   // when limits were last sent to gateways and peers
+	limitsChanged  bool            // since then
+	origins        *originKeeper
+	verdicts       *verdictKeeper
+	quotas         *apportioner.Ledger
+	loggedSlowness estimator.Percent // in the last "runner speed learned"
+	orders         chan reconciler.Order
+	pollNow        chan struct{} // makes pollRunner poll without delay
+	stopRequested  chan struct{}
 
 	messenger *messenger.Messenger
 	exchanger *exchanger.Server
@@ -128,7 +131,7 @@
 func (s *Steward) metrics() any {
 	s.syncer.mu.Lock()
 	defer s.syncer.mu.Unlock()
-	return StewardMetrics{Counters: s.reconciler.Counters, Gateways: s.reconciler.GatewayCount(), DroppedLogLines: s.cfg.Log.Limiter.Dropped()}
+	return StewardMetrics{Counters: s.reconciler.Counters, Gateways: s.reconciler.GatewayCount(), Slowness: int(s.reconciler.Slowness()), DroppedLogLines: s.cfg.Log.Limiter.Dropped()}
 }
 
 // Stop makes Run return at once, as a steward has no requests to finish.
@@ -322,6 +325,10 @@
 	}
 	s.gatewaySeenAt[from] = s.syncer.now()
 	s.issueTokens(from, m)
+	if ratios := m.Paces.Of(s.cfg.RunnerAddress); len(ratios) > 0 {
+		s.apply(reconciler.PaceObserved{Ratios: ratios})
+		s.logSlowness()
+	}
 	if m.Demands != nil {
 		demands, err := m.Demands.Unpack(s.syncer.models())
 		if err != nil {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -62,6 +62,7 @@
 	TokenRequest     *apportioner.Request `json:"tokens,omitempty" cbor:"16,keyasint,omitempty"`   // from a gateway
 	TokenAnswer      *apportioner.Answer  `json:"issued,omitempty" cbor:"17,keyasint,omitempty"`   // from a steward, the answer to TokenRequest
 	Leaving          bool                 `json:"leaving,omitempty" cbor:"18,keyasint,omitempty"`  // from a gateway that shuts down
+	Paces            PackedPaces          `json:"paces,omitempty" cbor:"19,keyasint,omitempty"`    // from a gateway, with Demands
 }
 
 // Config configures a Messenger. Run calls Handle for each message that it receives.
