Bound what a gateway holds for callers and upstreams that read slowly

Cause: a stream was read from its upstream only as fast as its caller read it, so an upstream that cuts off unread responses cut those of slow callers; the time a write took counted as a stall of the upstream; a caller got 5 s for a whole answer of any size; request bodies weren't counted at all.

Change: package budgeter decides by one account, sized by the memory setting, what the process may hold. Events that a caller does not read are held up to a bound per caller and in all; beyond it, the upstream waits. Requests without room are refused at once as not run. Large bodies are written without a copy.

Ruled out: dropping what was taken in for something more urgent (an answer or a request that a caller was promised); a goroutine per stream (costs the fast path).

--- /dev/null
+++ b/internal/budgeter/account.go
@@ -0,0 +1,179 @@
+// Package budgeter decides what a gateway may hold in memory for callers and upstreams
+// that read or send slowly.
+//
+// Usage:
+//
+//	a := budgeter.New(budgeter.ConfigOf(memory))
+//	if !a.Admit(size, priority) { refuse() }
+//	defer a.Release(budgeter.Request, size)
+//	if !a.Take(budgeter.Stream, len(events)) { stopReading() }
+//
+// One account counts all bytes that the process holds. What is worth least is turned away
+// first: events beyond a share of the memory, which wait at their upstream, then new
+// requests, the large and the less urgent first, and at last answers, for which an upstream
+// has worked. Nothing that was taken in is dropped for something else.
+//
+// An account has no clock, network or goroutines and is not safe for concurrent use.
+package budgeter
+
+// Bytes is a size in memory.
+type Bytes int64
+
+// Purpose is what bytes are held for.
+type Purpose string
+
+// The purposes of held bytes.
+const (
+	Request Purpose = "request" // requests of callers until no upstream needs them any more
+	Stream  Purpose = "stream"  // events that their callers have not read
+	Answer  Purpose = "answer"  // plain answers of upstreams until they are written
+)
+
+// Sizes of what a gateway holds beside the bytes of callers and upstreams.
+const (
+	ConnectionSize Bytes = 16 << 10 // buffers and stacks of a caller's connection
+	RequestSize    Bytes = 24 << 10 // buffers and stacks of an open request
+)
+
+// Parts of the memory of a process.
+const (
+	accountPart      = 0.35     // of the memory of a process that the account covers; the rest is for state, garbage and sockets
+	defaultTotal     = 32 << 20 // of an account of unknown memory
+	maxCallerLimit   = 1 << 20  // more delays a caller beyond any use of a stream
+	callersPerStream = 128      // callers that may use up their limits at once
+)
+
+// Parts of the room for held bytes, in eighths, that purposes may fill.
+const (
+	eighths            = 8
+	requestPart        = 6 // by all that is held with a request of the most urgent priority
+	leastRequestPart   = 4 // the same of the least urgent
+	streamPart         = 3 // by events
+	streamTotalPart    = 7 // by all that is held with events
+	answerPart         = 8 // by all that is held with answers
+	minHeldPart        = 2 // of the total that connections leave to held bytes
+	maxRequestFraction = 2 // a request takes at most 1/maxRequestFraction of the free room
+)
+
+// Config configures an Account.
+type Config struct {
+	Total     Bytes // for connections and held bytes together
+	PerCaller Bytes // events that are held for one caller
+}
+
+// ConfigOf returns the configuration for a process that may use so much memory, or for
+// unknown memory if it is zero.
+func ConfigOf(memory Bytes) Config {
+	total := Bytes(float64(memory) * accountPart)
+	if total <= 0 {
+		total = defaultTotal
+	}
+	return Config{Total: total, PerCaller: min(maxCallerLimit, total/callersPerStream)}
+}
+
+// Account counts the bytes that a process holds.
+type Account struct {
+	cfg         Config
+	connections int
+	request     Bytes
+	stream      Bytes
+	answer      Bytes
+	peak        Bytes
+	shed        int64
+}
+
+// New returns an account without bytes.
+func New(cfg Config) *Account {
+	return &Account{cfg: cfg}
+}
+
+// Connected counts n further connections of callers; n is negative if they were closed.
+func (a *Account) Connected(n int) {
+	a.connections += n
+}
+
+// Admit reserves the bytes of a new request of a priority, 0 being the most urgent, and
+// reports whether there is room. A request without room has to be refused.
+func (a *Account) Admit(size Bytes, priority int) bool {
+	part := max(leastRequestPart, requestPart-max(0, priority))
+	free := a.part(part) - a.Held()
+	if size > free/maxRequestFraction {
+		a.shed++
+		return false
+	}
+	a.add(Request, size)
+	return true
+}
+
+// Pressed reports whether the priority of a new request matters for its admission.
+func (a *Account) Pressed(size Bytes) bool {
+	return size > (a.part(leastRequestPart)-a.Held())/maxRequestFraction
+}
+
+// Take reserves bytes that an upstream or a caller sends, and reports whether there is
+// room. Without room, the sender has to wait.
+func (a *Account) Take(p Purpose, size Bytes) bool {
+	part := answerPart
+	switch p {
+	case Stream:
+		if a.stream+size > a.part(streamPart) {
+			return false
+		}
+		part = streamTotalPart
+	case Request:
+		part = requestPart
+	case Answer:
+	}
+	if a.Held()+size > a.part(part) {
+		return false
+	}
+	a.add(p, size)
+	return true
+}
+
+// Release gives back bytes that Admit or Take has reserved.
+func (a *Account) Release(p Purpose, size Bytes) {
+	a.add(p, -size)
+}
+
+// PerCaller returns how many bytes of events may be held for one caller.
+func (a *Account) PerCaller() Bytes {
+	return a.cfg.PerCaller
+}
+
+// Held returns all held bytes without those of connections.
+func (a *Account) Held() Bytes {
+	return a.request + a.stream + a.answer
+}
+
+// Holdings returns what the account holds.
+func (a *Account) Holdings() Holdings {
+	return Holdings{HeldBytes: a.Held(), PeakBytes: a.peak, UnreadBytes: a.stream, CallerConnections: a.connections, ShedRequests: a.shed}
+}
+
+// Holdings is what an account holds, for operators.
+type Holdings struct {
+	HeldBytes         Bytes `json:"bytes" metric:"gauge"`   // for callers and upstreams, without connections
+	PeakBytes         Bytes `json:"peak" metric:"gauge"`    // the highest HeldBytes so far
+	UnreadBytes       Bytes `json:"unread" metric:"gauge"`  // events that their callers have not read
+	CallerConnections int   `json:"callers" metric:"gauge"` // open connections of callers
+	ShedRequests      int64 `json:"shed"`                   // refused since there was no room for them
+}
+
+// part returns so many eighths of the room that connections leave.
+func (a *Account) part(n int) Bytes {
+	room := max(a.cfg.Total-Bytes(a.connections)*ConnectionSize, a.cfg.Total*minHeldPart/eighths)
+	return room * Bytes(n) / eighths
+}
+
+func (a *Account) add(p Purpose, size Bytes) {
+	switch p {
+	case Request:
+		a.request += size
+	case Stream:
+		a.stream += size
+	case Answer:
+		a.answer += size
+	}
+	a.peak = max(a.peak, a.Held())
+}
--- /dev/null
+++ b/internal/budgeter/account_test.go
@@ -0,0 +1,104 @@
+package budgeter
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const kilobyte Bytes = 1 << 10
+
+// newTestAccount returns an account with 800 KiB for held bytes.
+func newTestAccount() *Account {
+	return New(Config{Total: 800 * kilobyte, PerCaller: 100 * kilobyte})
+}
+
+// fill admits requests of one size until one is refused, and returns their number.
+func fill(a *Account, size Bytes, priority int) int {
+	n := 0
+	for a.Admit(size, priority) {
+		n++
+	}
+	return n
+}
+
+func TestRequestsLeaveRoomForAnswers(t *testing.T) {
+	a := newTestAccount()
+	require.Positive(t, fill(a, kilobyte, 0))
+	require.False(t, a.Take(Request, 2*kilobyte), "requests have their part")
+	require.True(t, a.Take(Answer, 200*kilobyte))
+	require.False(t, a.Take(Answer, 2*kilobyte))
+}
+
+func TestLargeRequestsAreRefusedBeforeSmallOnes(t *testing.T) {
+	a := newTestAccount()
+	fill(a, 100*kilobyte, 0)
+	require.False(t, a.Admit(100*kilobyte, 0))
+	require.Greater(t, fill(a, kilobyte, 0), 50)
+}
+
+func TestLessUrgentRequestsAreRefusedFirst(t *testing.T) {
+	a := newTestAccount()
+	fill(a, kilobyte, 2)
+	require.False(t, a.Admit(kilobyte, 2))
+	require.False(t, a.Admit(kilobyte, 9))
+	require.Greater(t, fill(a, kilobyte, 1), 50)
+	require.Greater(t, fill(a, kilobyte, 0), 50)
+}
+
+func TestPriorityMattersWhileRoomIsShort(t *testing.T) {
+	a := newTestAccount()
+	require.False(t, a.Pressed(kilobyte))
+	fill(a, kilobyte, 9)
+	require.True(t, a.Pressed(kilobyte))
+}
+
+// Callers that read slowly must not keep others from being served.
+func TestUnreadEventsLeaveRoomForRequests(t *testing.T) {
+	a := newTestAccount()
+	for a.Take(Stream, kilobyte) {
+	}
+	require.Equal(t, 300*kilobyte, a.Holdings().UnreadBytes)
+	require.Greater(t, fill(a, kilobyte, 0), 250)
+}
+
+func TestEventsWaitWhileAllMemoryIsHeld(t *testing.T) {
+	a := newTestAccount()
+	require.True(t, a.Take(Answer, 700*kilobyte))
+	require.False(t, a.Take(Stream, kilobyte))
+	a.Release(Answer, 100*kilobyte)
+	require.True(t, a.Take(Stream, kilobyte))
+}
+
+func TestConnectionsTakeRoom(t *testing.T) {
+	a := newTestAccount()
+	a.Connected(25)
+	require.True(t, a.Take(Answer, 400*kilobyte))
+	require.False(t, a.Take(Answer, kilobyte))
+	a.Connected(-25)
+	require.True(t, a.Take(Answer, kilobyte))
+}
+
+func TestConnectionsDoNotTakeAllRoom(t *testing.T) {
+	a := newTestAccount()
+	a.Connected(1000)
+	require.True(t, a.Admit(kilobyte, 0))
+}
+
+func TestHoldingsOfAnAccount(t *testing.T) {
+	a := newTestAccount()
+	a.Connected(3)
+	require.True(t, a.Admit(2*kilobyte, 0))
+	require.True(t, a.Take(Stream, kilobyte))
+	require.False(t, a.Admit(1000*kilobyte, 0))
+	a.Release(Request, 2*kilobyte)
+	require.Equal(t, Holdings{HeldBytes: kilobyte, PeakBytes: 3 * kilobyte, UnreadBytes: kilobyte, CallerConnections: 3, ShedRequests: 1}, a.Holdings())
+}
+
+func TestConfigurationFollowsTheMemory(t *testing.T) {
+	small, large := ConfigOf(144<<20), ConfigOf(536<<20)
+	require.Less(t, small.Total, Bytes(144<<20)/2)
+	require.Greater(t, large.Total, 3*small.Total)
+	require.Greater(t, large.PerCaller, small.PerCaller)
+	require.Positive(t, ConfigOf(0).Total)
+}
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/budgeter"
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/exchanger"
@@ -106,7 +107,7 @@
 		g.listReceived = true
 		g.refreshUpstreams()
 	}
-	g.relayer = relayer.New(relayer.Config{HeaderCodec: cfg.HeaderCodec, Dispatcher: g, Logger: cfg.Log.Logger})
+	g.relayer = relayer.New(relayer.Config{HeaderCodec: cfg.HeaderCodec, Dispatcher: g, Logger: cfg.Log.Logger, Budget: budgeter.ConfigOf(budgeter.Bytes(cfg.MemoryMB * (1 << 20)))})
 	peer, err := netip.ParseAddrPort(cfg.PeerAddress)
 	if err != nil {
 		return nil, classifier.Wrap(classifier.Invalid, err, "peer address")
--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"github.com/egretwall/egretwall/internal/budgeter"
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/isolator"
@@ -13,6 +14,8 @@
 // milliseconds and measured from the arrival of a request.
 type GatewayMetrics struct {
 	dispatcher.Counters
+	budgeter.Holdings
+	EndedCallers      int64                   `json:"ended"` // callers that were ended since they stopped reading
 	OpenRequests      int                     `json:"open" metric:"gauge"`
 	WaitingRequests   int                     `json:"waiting" metric:"gauge"`
 	ConnectionsOpened int64                   `json:"connections"` // to upstreams, since the start
@@ -60,7 +63,7 @@
 	g.syncer.mu.Lock()
 	defer g.syncer.mu.Unlock()
 	return GatewayMetrics{
-		Counters: g.dispatcher.Counters, OpenRequests: g.dispatcher.Open(), WaitingRequests: g.dispatcher.Waiting(),
+		Counters: g.dispatcher.Counters, Holdings: g.relayer.Held(), EndedCallers: g.relayer.EndedCallers(), OpenRequests: g.dispatcher.Open(), WaitingRequests: g.dispatcher.Waiting(),
 		ConnectionsOpened: g.connectionsOpened.Load(), DroppedLogLines: g.cfg.Log.Limiter.Dropped(),
 		TimeToSend: g.timeToSend.Summary(), TimeToFirstByte: g.timeToFirstByte.Summary(), TimeToLastByte: g.timeToLastByte.Summary(),
 	}
--- a/internal/relayer/callerconn.go
+++ b/internal/relayer/callerconn.go
@@ -22,6 +22,7 @@
 // no request is forwarded whose response can't be delivered.
 type callerConn struct {
 	net.Conn
+	writer *backlogWriter
 
 	mu        sync.Mutex
 	state     callerConnState
@@ -31,6 +32,7 @@
 // callerListener accepts connections as callerConns.
 type callerListener struct {
 	net.Listener
+	account *account
 }
 
 // Accept waits for the next connection and returns it as a *callerConn.
@@ -39,7 +41,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: c, state: stateNew}, nil
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// Without it, the kernel holds more for slow callers, and tells later that they read.
+		_ = tcp.SetWriteBuffer(callerWriteBuffer)
+	}
+	return &callerConn{Conn: c, writer: newBacklogWriter(c, l.account), state: stateNew}, nil
+}
+
+// Write writes to the caller; see backlogWriter.
+func (c *callerConn) Write(p []byte) (int, error) {
+	return c.writer.Write(p)
+}
+
+// waiting reports whether a write waits for the caller. A nil connection never waits.
+func (c *callerConn) waiting() bool {
+	return c != nil && c.writer.waiting.Load()
 }
 
 // beginRequest marks the connection as active and stops the idle timeout. It
@@ -107,9 +123,9 @@
 	return context.WithValue(ctx, callerConnKey{}, c)
 }
 
-// beginRequest begins a request on the connection that withCallerConn stored in
-// its context. It returns false if the connection has been closed.
-func beginRequest(ctx context.Context) bool {
-	c, ok := ctx.Value(callerConnKey{}).(*callerConn)
-	return !ok || c.beginRequest()
+// callerConnOf returns the connection that withCallerConn stored in the context of a
+// request, nil without one.
+func callerConnOf(ctx context.Context) *callerConn {
+	c, _ := ctx.Value(callerConnKey{}).(*callerConn)
+	return c
 }
--- a/internal/relayer/callerresponse.go
+++ b/internal/relayer/callerresponse.go
@@ -1,17 +1,14 @@
 package relayer
 
 import (
+	"errors"
 	"net/http"
-	"time"
 )
 
-// writeTimeout is how long writing a part of a response to its caller may take;
-// callers abandon a stream after a gap of about that length.
-const writeTimeout = 5 * time.Second
-
 // callerResponse is the response to a caller.
 type callerResponse struct {
 	w             http.ResponseWriter
+	conn          *callerConn // nil in tests without connections
 	controller    *http.ResponseController
 	headerWritten bool             // the status line and the headers have been written
 	lastEventID   int64            // id of the last event that the caller has received, negative before the first
@@ -60,15 +57,28 @@
 	}
 }
 
-// setWriteDeadline starts writeTimeout for the next write.
-func (out *callerResponse) setWriteDeadline() {
-	// The response writers of tests support no deadlines.
-	_ = out.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+// hold allows events to be held for the caller until flush.
+func (out *callerResponse) hold() {
+	if out.conn != nil {
+		out.conn.writer.hold()
+	}
+}
+
+// flush waits until the caller has got the events that are held for it.
+func (out *callerResponse) flush() error {
+	if out.conn == nil {
+		return nil
+	}
+	return out.conn.writer.flush()
+}
+
+// stoppedReading reports whether the caller was ended since it read nothing.
+func (out *callerResponse) stoppedReading() bool {
+	return out.conn != nil && errors.Is(out.conn.writer.failure(), errStoppedReading)
 }
 
 // writeResponse writes a complete response.
 func (out *callerResponse) writeResponse(status int, h http.Header, body []byte) error {
-	out.setWriteDeadline()
 	out.copyHeader(h)
 	out.w.Header().Del("Content-Length")
 	out.headerWritten = true
@@ -80,7 +90,6 @@
 // writeEvents writes complete events of a stream and flushes them. Before the
 // first it writes the headers of resp.
 func (out *callerResponse) writeEvents(resp *http.Response, events []byte) error {
-	out.setWriteDeadline()
 	if !out.headerWritten {
 		out.copyHeader(resp.Header)
 		out.w.Header().Del("Content-Length")
@@ -93,9 +102,15 @@
 	return out.controller.Flush()
 }
 
-// keepFailure keeps a 5xx response of an upstream for dispatcher.RelayFailure.
-func (out *callerResponse) keepFailure(resp *http.Response, body []byte) {
+// keepFailure keeps a 5xx response of an upstream for dispatcher.RelayFailure. It returns
+// the body of the one that was kept before.
+func (out *callerResponse) keepFailure(resp *http.Response, body []byte) []byte {
+	var old []byte
+	if out.failure != nil {
+		old = out.failure.body
+	}
 	out.failure = &failureResponse{resp.StatusCode, resp.Header, body}
+	return old
 }
 
 // abort ends the handler with a panic that makes net/http close the connection,
--- a/internal/relayer/events.go
+++ b/internal/relayer/events.go
@@ -25,6 +25,7 @@
 // relayEvents forwards the events of a stream as soon as each is complete. It
 // returns the outcome of the send and the cause for the log.
 func (g *Gateway) relayEvents(ctx context.Context, up *upstreamResponse, out *callerResponse, e dispatcher.Send, stall *stallTimer) (dispatcher.Outcome, string) {
+	out.hold()
 	buf := make([]byte, 0, readBufferSize)
 	chunk := make([]byte, readBufferSize)
 	began, resumed := false, out.headerWritten
@@ -40,11 +41,11 @@
 				return connFailureOutcome(ctx, out), gapErr.Error()
 			}
 			if len(undelivered) > 0 {
-				stall.reset()
 				if writeErr := out.writeEvents(up.response, undelivered); writeErr != nil {
 					up.conn.abort()
 					return dispatcher.CallerClosed, writeErr.Error()
 				}
+				stall.reset()
 				if !began {
 					began = true
 					g.cfg.Dispatcher.Reduce(dispatcher.AnswerBegan{ID: e.ID, Try: e.Try, Resumed: resumed})
--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/egretwall/egretwall/internal/budgeter"
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/registrar"
@@ -36,6 +37,7 @@
 	HeaderCodec HeaderCodec
 	Dispatcher  Dispatcher
 	Logger      zerolog.Logger
+	Budget      budgeter.Config // of what is held for callers and upstreams, that of unknown memory if it is zero
 }
 
 // Gateway is the HTTP server for callers.
@@ -46,7 +48,8 @@
 	draining     atomic.Bool
 	openRequests atomic.Int64 // requests without a complete response
 
-	responseMemory memoryBudget
+	endedCallers atomic.Int64 // that stopped reading
+	account      *account
 
 	mu          sync.Mutex
 	conns       map[*callerConn]struct{}
@@ -55,7 +58,10 @@
 
 // New returns a gateway that accepts no connections before Serve.
 func New(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, pool: NewPool(), conns: map[*callerConn]struct{}{}}
+	if cfg.Budget.Total == 0 {
+		cfg.Budget = budgeter.ConfigOf(0)
+	}
+	g := &Gateway{cfg: cfg, pool: NewPool(), conns: map[*callerConn]struct{}{}, account: newAccount(cfg.Budget)}
 	g.server = &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderSize,
 		ConnState: g.trackConn, ConnContext: withCallerConn, ErrorLog: nil, DisableGeneralOptionsHandler: true,
@@ -74,10 +80,20 @@
 	return int(g.openRequests.Load())
 }
 
+// Held returns what the gateway holds for callers and upstreams.
+func (g *Gateway) Held() budgeter.Holdings {
+	return g.account.holdings()
+}
+
+// EndedCallers returns the number of callers that were ended since they stopped reading.
+func (g *Gateway) EndedCallers() int64 {
+	return g.endedCallers.Load()
+}
+
 // Serve serves the callers that connect to l. It returns nil once Shutdown has
 // been called.
 func (g *Gateway) Serve(l net.Listener) error {
-	if err := g.server.Serve(callerListener{l}); !errors.Is(err, http.ErrServerClosed) {
+	if err := g.server.Serve(callerListener{l, g.account}); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	return nil
@@ -112,6 +128,7 @@
 	conn := c.(*callerConn)
 	switch state {
 	case http.StateNew:
+		g.account.connected(1)
 		g.mu.Lock()
 		g.conns[conn] = struct{}{}
 		g.mu.Unlock()
@@ -124,6 +141,7 @@
 			conn.closeIfIdle()
 		}
 	case http.StateClosed:
+		g.account.connected(-1)
 		g.mu.Lock()
 		delete(g.conns, conn)
 		g.mu.Unlock()
@@ -143,13 +161,15 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.openRequests.Add(1)
 	defer g.openRequests.Add(-1)
-	if !beginRequest(r.Context()) {
+	conn := callerConnOf(r.Context())
+	if conn != nil && !conn.beginRequest() {
 		info, err := g.cfg.HeaderCodec.ParseRequest(r.Header)
 		g.cfg.Logger.Info().Str("request", info.AttemptID).Str("path", r.RequestURI).AnErr("cause", err).Msg("request dropped, its idle connection had been closed")
 		panic(http.ErrAbortHandler)
 	}
-	out := &callerResponse{w: w, controller: http.NewResponseController(w), lastEventID: -1, closeAfter: g.draining.Load}
+	out := &callerResponse{w: w, conn: conn, controller: http.NewResponseController(w), lastEventID: -1, closeAfter: g.draining.Load}
 	in, kind := g.readRequest(w, r, out)
+	defer g.releaseRequest(in, out)
 	if kind != classifier.None {
 		g.reject(out, in, kind, 0)
 		return
@@ -223,14 +243,18 @@
 			outcome, cause := g.send(ctx, e, in, out, mailbox)
 			g.cfg.Dispatcher.Reduce(dispatcher.SendEnded{ID: id, Try: e.Try, Outcome: outcome, Cause: cause})
 			if outcome == dispatcher.Completed {
+				g.releaseBody(in)
+				if err := out.flush(); err != nil {
+					g.endCaller(in, out)
+				}
 				return
 			}
 			if outcome == dispatcher.CallerClosed {
-				out.abort()
+				g.endCaller(in, out)
 			}
 		case dispatcher.RelayFailure:
 			if out.headerWritten || out.failure == nil {
-				out.abort()
+				g.breakOff(in, out)
 			}
 			f := out.failure
 			if err := out.writeResponse(f.status, f.header, f.body); err != nil {
@@ -239,7 +263,7 @@
 			return
 		case dispatcher.Fail:
 			if out.headerWritten {
-				out.abort()
+				g.breakOff(in, out)
 			}
 			g.writeError(out, in.info.AttemptID, e.Kind, e.RetryAfter)
 			return
@@ -252,46 +276,22 @@
 	}
 }
 
-// readRequest reads a caller's request with its body and removes hop-by-hop and
-// reserved headers. The returned kind is None if the request is valid.
-func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request, out *callerResponse) (*callerRequest, classifier.Kind) {
-	in := &callerRequest{method: r.Method, target: r.RequestURI, host: r.Host, caller: hostOf(r.RemoteAddr), header: http.Header{}}
-	info, err := g.cfg.HeaderCodec.ParseRequest(r.Header)
-	in.info = info
-	if err != nil || !strings.HasPrefix(r.RequestURI, "/") {
-		g.cfg.Logger.Warn().Str("request", info.AttemptID).Str("path", r.RequestURI).AnErr("cause", err).Msg("request is malformed")
-		return in, classifier.Invalid
+// breakOff closes the caller's connection when it has got the events that were held for it.
+func (g *Gateway) breakOff(in *callerRequest, out *callerResponse) {
+	if err := out.flush(); err != nil {
+		g.endCaller(in, out)
 	}
-	for name, values := range r.Header {
-		if !hopByHopHeaders[name] && !g.cfg.HeaderCodec.Reserved(name) {
-			in.header[name] = values
-		}
-	}
-	for _, name := range strings.Split(strings.Join(r.Header.Values("Connection"), ","), ",") {
-		in.header.Del(strings.TrimSpace(name))
-	}
-	in.header.Del("Content-Length")
-	if r.ContentLength == 0 {
-		return in, classifier.None
-	}
-	limit := int64(g.limits().BodyLimit)
-	if r.ContentLength > limit {
-		return in, classifier.Large
-	}
-	// The response writers of tests support no deadlines.
-	_ = out.controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	in.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = out.controller.SetReadDeadline(time.Time{})
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return in, classifier.Large
-	case isTimeout(err):
-		return in, classifier.Stalled
-	case err != nil:
-		return in, classifier.Invalid
+	out.abort()
+}
+
+// endCaller closes the connection of a caller that gets no more of its response.
+func (g *Gateway) endCaller(in *callerRequest, out *callerResponse) {
+	if out.stoppedReading() {
+		g.endedCallers.Add(1)
+		g.cfg.Logger.Warn().Str("request", in.info.AttemptID).Str("cause", errStoppedReading.Error()).
+			Int64("last", out.lastEventID).Msg("caller ended")
 	}
-	return in, classifier.None
+	out.abort()
 }
 
 // hostOf returns the value of a Host header in lower case without the port.
@@ -316,7 +316,6 @@
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	out.finishHeader()
-	out.setWriteDeadline()
 	out.headerWritten = true
 	out.w.WriteHeader(resp.Status)
 	if _, err := io.WriteString(out.w, string(kind)+": "+resp.Message+"\n"); err != nil {
--- /dev/null
+++ b/internal/relayer/requestreader.go
@@ -0,0 +1,138 @@
+package relayer
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/egretwall/egretwall/internal/budgeter"
+	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+// minRequestBody is the size of the first buffer for a body of unknown length, in bytes.
+const minRequestBody = 4 << 10
+
+var errRequestMemory = errors.New("no memory for a further request")
+
+// readRequest reads a caller's request with its body and removes hop-by-hop and
+// reserved headers. The returned kind is None if the request is valid.
+func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request, out *callerResponse) (*callerRequest, classifier.Kind) {
+	in := &callerRequest{method: r.Method, target: r.RequestURI, host: r.Host, caller: hostOf(r.RemoteAddr), header: http.Header{}}
+	info, err := g.cfg.HeaderCodec.ParseRequest(r.Header)
+	in.info = info
+	if err != nil || !strings.HasPrefix(r.RequestURI, "/") {
+		g.cfg.Logger.Warn().Str("request", info.AttemptID).Str("path", r.RequestURI).AnErr("cause", err).Msg("request is malformed")
+		return in, classifier.Invalid
+	}
+	for name, values := range r.Header {
+		if !hopByHopHeaders[name] && !g.cfg.HeaderCodec.Reserved(name) {
+			in.header[name] = values
+		}
+	}
+	for _, name := range strings.Split(strings.Join(r.Header.Values("Connection"), ","), ",") {
+		in.header.Del(strings.TrimSpace(name))
+	}
+	in.header.Del("Content-Length")
+	limit := int64(g.limits().BodyLimit)
+	if r.ContentLength > limit {
+		return in, classifier.Large
+	}
+	// The response writers of tests support no deadlines.
+	if r.ContentLength != 0 {
+		_ = out.controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	}
+	if !g.reserve(in, r) {
+		return in, classifier.Busy
+	}
+	if r.ContentLength == 0 {
+		return in, classifier.None
+	}
+	in.body, err = g.readRequestBody(in, http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	_ = out.controller.SetReadDeadline(time.Time{})
+	var large *http.MaxBytesError
+	switch {
+	case errors.Is(err, errRequestMemory):
+		return in, classifier.Busy
+	case errors.As(err, &large):
+		return in, classifier.Large
+	case isTimeout(err):
+		return in, classifier.Stalled
+	case err != nil:
+		return in, classifier.Invalid
+	}
+	return in, classifier.None
+}
+
+// readRequestBody reads a body of the given length, negative if it is unknown. For an
+// unknown length, it reserves the bytes as they come.
+func (g *Gateway) readRequestBody(in *callerRequest, r io.Reader, length int64) ([]byte, error) {
+	if length >= 0 {
+		body := make([]byte, length)
+		n, err := io.ReadFull(r, body)
+		return body[:n], err
+	}
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			size := max(minRequestBody, 2*cap(body))
+			if !g.account.take(budgeter.Request, size-cap(body)) {
+				return nil, errRequestMemory
+			}
+			in.reserved += size - cap(body)
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// releaseRequest gives back what the account holds for a request and its response.
+func (g *Gateway) releaseRequest(in *callerRequest, out *callerResponse) {
+	g.account.release(budgeter.Request, in.reserved)
+	if out.failure != nil {
+		g.account.release(budgeter.Answer, cap(out.failure.body))
+	}
+	in.body, in.reserved = nil, 0
+}
+
+// releaseBody drops the body of a request that no upstream needs any more.
+func (g *Gateway) releaseBody(in *callerRequest) {
+	size := in.reserved - int(budgeter.RequestSize)
+	g.account.release(budgeter.Request, size)
+	in.body, in.reserved = nil, in.reserved-size
+}
+
+// priorityOf returns the priority of the route of a request that has not been read, 0 being
+// the most urgent.
+func (g *Gateway) priorityOf(r *http.Request) int {
+	cfg := g.cfg.Dispatcher.Configuration()
+	if cfg == nil {
+		return 0
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	route, ok := cfg.Route(registrar.HostName(hostOf(r.Host)), path)
+	if !ok {
+		return 0
+	}
+	return route.Priority
+}
+
+// reserve reserves the bytes of a request of the given length, negative if it is unknown,
+// and reports whether there is room.
+func (g *Gateway) reserve(in *callerRequest, r *http.Request) bool {
+	size := int(budgeter.RequestSize + budgeter.Bytes(max(0, r.ContentLength)))
+	if !g.account.admit(size, func() int { return g.priorityOf(r) }) {
+		return false
+	}
+	in.reserved = size
+	return true
+}
--- a/internal/relayer/responselimit.go
+++ b/internal/relayer/responselimit.go
@@ -4,17 +4,23 @@
 	"errors"
 	"io"
 	"net"
-	"slices"
-	"sync/atomic"
+	"time"
+
+	"github.com/egretwall/egretwall/internal/budgeter"
+)
+
+// Waits for room for an answer.
+const (
+	answerPatience   = time.Second // an upstream may wait no longer for its answer to be read
+	answerPollPeriod = 10 * time.Millisecond
 )
 
 // Limits of what an upstream may send. A faulty one may send bytes without end.
 const (
-	maxResponseHeader    = 64 << 10 // bytes of the headers of a response, with those of informational responses before it
-	maxResponseSize      = 16 << 20 // bytes of a response body that is buffered until it is complete
-	maxBufferedResponses = 32 << 20 // bytes of all such bodies together; a third of the memory of a small gateway, as buffers grow by doubling
-	maxDiscarded         = 1 << 20  // bytes of a body that is read only to use the connection again
-	minBodyBuffer        = 1 << 10  // bytes; most plain answers are smaller
+	maxResponseHeader = 64 << 10 // bytes of the headers of a response, with those of informational responses before it
+	maxResponseSize   = 16 << 20 // bytes of a response body that is buffered until it is complete
+	maxDiscarded      = 1 << 20  // bytes of a body that is read only to use the connection again
+	minBodyBuffer     = 1 << 10  // bytes; most plain answers are smaller
 )
 
 var (
@@ -23,34 +29,23 @@
 	errResponseMemory = errors.New("no memory for a further response")
 )
 
-// memoryBudget limits the bytes of response bodies in memory. It is safe for concurrent use.
-type memoryBudget struct {
-	used atomic.Int64
-}
-
-// take reserves n bytes and reports whether there was room.
-func (m *memoryBudget) take(n int) bool {
-	if m.used.Add(int64(n)) <= maxBufferedResponses {
-		return true
-	}
-	m.release(n)
-	return false
-}
-
-func (m *memoryBudget) release(n int) {
-	m.used.Add(-int64(n))
-}
-
-// readBody reads a body up to its end. The caller releases the bytes of the body when it has
-// been forwarded, also after an error.
-func (m *memoryBudget) readBody(r io.Reader) (body []byte, err error) {
-	body = make([]byte, 0, minBodyBuffer)
+// readBody reads a body up to its end. Without room for more it lets the upstream wait, but
+// not longer than answerPatience in all. The caller releases the capacity of the body when it
+// has been forwarded, also after an error.
+func (a *account) readBody(r io.Reader) (body []byte, err error) {
+	var waited time.Duration
 	for {
-		body = slices.Grow(body, 1)
-		n, err := r.Read(body[len(body):cap(body)])
-		if !m.take(n) {
-			return body, errResponseMemory
+		if len(body) == cap(body) {
+			size := max(minBodyBuffer, 2*cap(body))
+			for ; !a.take(budgeter.Answer, size-cap(body)); waited += answerPollPeriod {
+				if waited >= answerPatience {
+					return body, errResponseMemory
+				}
+				time.Sleep(answerPollPeriod)
+			}
+			body = append(make([]byte, 0, size), body...)
 		}
+		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
 		case errors.Is(err, io.EOF):
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/budgeter"
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/registrar"
@@ -31,6 +32,7 @@
 	caller    string      // IP address
 	header    http.Header // end-to-end headers
 	body      []byte
+	reserved  int                  // bytes of the account for the request
 	workspace *registrar.Workspace // of the caller, nil without one
 }
 
@@ -59,7 +61,10 @@
 // before it has read the whole body.
 func (in *callerRequest) write(c *upstreamConn, header http.Header) <-chan error {
 	var b bytes.Buffer
-	b.Grow(1024 + len(in.body))
+	small := len(in.body) <= maxSyncWrite
+	if small {
+		b.Grow(1024 + len(in.body))
+	}
 	b.WriteString(in.method + " " + in.target + " HTTP/1.1\r\nHost: " + in.host + "\r\n")
 	for name, values := range header {
 		for _, v := range values {
@@ -70,15 +75,21 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(in.body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(in.body)
+	if small {
+		b.Write(in.body)
+	}
 	done := make(chan error, 1)
-	if b.Len() <= maxSyncWrite {
+	if small && b.Len() <= maxSyncWrite {
 		_, err := c.Write(b.Bytes())
 		done <- err
 		return done
 	}
+	body := in.body
 	go func() {
 		_, err := c.Write(b.Bytes())
+		if err == nil && !small {
+			_, err = c.Write(body)
+		}
 		done <- err
 	}()
 	return done
@@ -191,7 +202,12 @@
 	defer stop()
 	clearCancel := mailbox.OnCancel(conn.abort)
 	defer clearCancel()
-	stall := newStallTimer(e, func() { g.cfg.Dispatcher.Reduce(dispatcher.SendStalled{ID: e.ID, Try: e.Try}) })
+	caller := out.conn
+	stall := newStallTimer(e, func() {
+		if !caller.waiting() {
+			g.cfg.Dispatcher.Reduce(dispatcher.SendStalled{ID: e.ID, Try: e.Try})
+		}
+	})
 	defer stall.stop()
 	if err := conn.SetDeadline(time.Now().Add(e.Timeout + responseGrace)); err != nil {
 		conn.abort()
@@ -214,7 +230,7 @@
 		return connFailureOutcome(ctx, out), err.Error()
 	}
 	up := &upstreamResponse{conn: conn, response: resp, info: info, writeResult: writeResult}
-	return g.handleResponse(ctx, up, out, e, stall)
+	return g.handleResponse(ctx, up, in, out, e, stall)
 }
 
 // connFailureOutcome returns the outcome of a send that failed after it had begun
@@ -231,7 +247,7 @@
 
 // handleResponse forwards a usable response to the caller and keeps a 5xx response
 // for later. It returns the outcome of the send and the cause for the log.
-func (g *Gateway) handleResponse(ctx context.Context, up *upstreamResponse, out *callerResponse, e dispatcher.Send, stall *stallTimer) (dispatcher.Outcome, string) {
+func (g *Gateway) handleResponse(ctx context.Context, up *upstreamResponse, in *callerRequest, out *callerResponse, e dispatcher.Send, stall *stallTimer) (dispatcher.Outcome, string) {
 	resp := up.response
 	status := resp.StatusCode
 	if up.info.NotRun || status == http.StatusMisdirectedRequest {
@@ -247,20 +263,21 @@
 	if status < 300 && isEventStream(resp.Header) {
 		return g.relayEvents(ctx, up, out, e, stall)
 	}
-	body, err := g.responseMemory.readBody(resp.Body)
-	defer g.responseMemory.release(len(body))
+	body, err := g.account.readBody(resp.Body)
+	defer func() { g.account.release(budgeter.Answer, cap(body)) }()
 	if err != nil {
 		up.conn.abort()
 		return connFailureOutcome(ctx, out), err.Error()
 	}
 	up.release(g.pool)
 	if status >= 500 {
-		out.keepFailure(resp, body)
+		body = out.keepFailure(resp, body)
 		return dispatcher.Failed, "status " + strconv.Itoa(status)
 	}
 	if out.headerWritten {
 		return dispatcher.Interrupted, "status " + strconv.Itoa(status)
 	}
+	g.releaseBody(in)
 	if err := out.writeResponse(resp.StatusCode, resp.Header, body); err != nil {
 		return dispatcher.CallerClosed, err.Error()
 	}
