--- a/internal/relayer/backlogwriter.go
+++ b/internal/relayer/backlogwriter.go
@@ -13,22 +13,23 @@
 
 // Limits of writes to callers.
 const (
-	callerStopTimeout = 10 * time.Second // without progress, until a caller counts as one that has stopped reading
-	callerWriteBuffer = 64 << 10         // bytes in the socket; the kernel tells of progress in parts of it
-	maxBacklogWrite   = 32 << 10         // bytes of a backlog that are written at once
-	minBacklog        = 4 << 10          // bytes of the smallest buffer for a backlog
+	defaultStopTimeout = 10 * time.Second // without progress, until a caller counts as one that has stopped reading
+	callerWriteBuffer  = 64 << 10         // bytes in the socket; the kernel tells of progress in parts of it
+	maxBacklogWrite    = 32 << 10         // bytes of a backlog that are written at once
+	minBacklog         = 4 << 10          // bytes of the smallest buffer for a backlog
 )
 
-// errStoppedReading ends a caller that reads nothing for callerStopTimeout.
+// errStoppedReading ends a caller that reads nothing for a time.
 var errStoppedReading = errors.New("caller stopped reading")
 
 // backlogWriter writes to a caller's connection. While it holds a backlog, it takes in what
 // the caller does not read at once, so that an upstream need not wait for a slow caller;
 // without room for more, Write blocks. Write is called by one goroutine at a time.
 type backlogWriter struct {
-	conn    net.Conn
-	raw     syscall.RawConn // nil if the connection can't be written without blocking
-	account *account
+	conn        net.Conn
+	raw         syscall.RawConn // nil if the connection can't be written without blocking
+	account     *account
+	stopTimeout time.Duration // without progress, until the caller is given up
 
 	// Of tryWrite; one function for the connection, as each further one would be allocated.
 	tryData []byte
@@ -45,8 +46,8 @@
 	err     error
 }
 
-func newBacklogWriter(c net.Conn, a *account) *backlogWriter {
-	w := &backlogWriter{conn: c, account: a}
+func newBacklogWriter(c net.Conn, a *account, stopTimeout time.Duration) *backlogWriter {
+	w := &backlogWriter{conn: c, account: a, stopTimeout: stopTimeout}
 	w.changed = sync.NewCond(&w.mu)
 	if sc, ok := c.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
@@ -155,7 +156,7 @@
 func (w *backlogWriter) writeAll(p []byte) (int, error) {
 	written := 0
 	for {
-		if err := w.conn.SetWriteDeadline(time.Now().Add(callerStopTimeout)); err != nil {
+		if err := w.conn.SetWriteDeadline(time.Now().Add(w.stopTimeout)); err != nil {
 			return written, err
 		}
 		n, err := w.conn.Write(p[written:])
--- a/internal/relayer/callerconn.go
+++ b/internal/relayer/callerconn.go
@@ -32,7 +32,8 @@
 // callerListener accepts connections as callerConns.
 type callerListener struct {
 	net.Listener
-	account *account
+	account     *account
+	stopTimeout time.Duration // of writes
 }
 
 // Accept waits for the next connection and returns it as a *callerConn.
@@ -45,7 +46,7 @@
 		// Without it, the kernel holds more for slow callers, and tells later that they read.
 		_ = tcp.SetWriteBuffer(callerWriteBuffer)
 	}
-	return &callerConn{Conn: c, writer: newBacklogWriter(c, l.account), state: stateNew}, nil
+	return &callerConn{Conn: c, writer: newBacklogWriter(c, l.account, l.stopTimeout), state: stateNew}, nil
 }
 
 // Write writes to the caller; see backlogWriter.
--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -38,6 +38,7 @@
 	Dispatcher  Dispatcher
 	Logger      zerolog.Logger
 	Budget      budgeter.Config // of what is held for callers and upstreams, that of unknown memory if it is zero
+	StopTimeout time.Duration   // for which a caller may read nothing, defaultStopTimeout if it is zero
 }
 
 // Gateway is the HTTP server for callers.
@@ -61,6 +62,9 @@
 	if cfg.Budget.Total == 0 {
 		cfg.Budget = budgeter.ConfigOf(0)
 	}
+	if cfg.StopTimeout == 0 {
+		cfg.StopTimeout = defaultStopTimeout
+	}
 	g := &Gateway{cfg: cfg, pool: NewPool(), conns: map[*callerConn]struct{}{}, account: newAccount(cfg.Budget)}
 	g.server = &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderSize,
@@ -93,7 +97,7 @@
 // Serve serves the callers that connect to l. It returns nil once Shutdown has
 // been called.
 func (g *Gateway) Serve(l net.Listener) error {
-	if err := g.server.Serve(callerListener{l, g.account}); !errors.Is(err, http.ErrServerClosed) {
+	if err := g.server.Serve(callerListener{l, g.account, g.cfg.StopTimeout}); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	return nil
