Bound the request bytes that an upstream holds by what crashes teach

Cause: an upstream ends when the requests that it holds exceed its memory, which it tells nobody; gateways chose upstreams by the number of requests alone.

Change: a gateway notes how many bytes of requests an upstream held for it when its sends were broken off. After two crashes of a service's upstreams under 128 KiB or more it sends at most half of the smaller to one, raised while nothing crashes. A request of a size that crashed upstreams alone twice is refused at once (413).

Ruled out for now: adding the bytes of all gateways up at stewards; each gateway learns its own part from the same crash.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/budgeter"
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/limiter"
@@ -42,9 +43,10 @@
 	releases           map[registrar.ServiceName]*tracker.Releases
 	verdicts           *isolator.Verdicts
 	breakages          map[registrar.UpstreamID]*breakage
-	answeredAt         map[isolator.Trait]time.Duration // of traits that were answered lately
-	answeredSweptAt    time.Duration                    // when forgotten ones were last removed from it
-	trialTurn          float64                          // of this gateway among all, from 0 to 1
+	bearings           map[registrar.ServiceName]*budgeter.Bearing // what is known of the memory of upstreams
+	answeredAt         map[isolator.Trait]time.Duration            // of traits that were answered lately
+	answeredSweptAt    time.Duration                               // when forgotten ones were last removed from it
+	trialTurn          float64                                     // of this gateway among all, from 0 to 1
 	gatewayCount       int
 	refuseAt           time.Duration // of Stopping, zero before it
 
@@ -109,6 +111,7 @@
 		releases:           map[registrar.ServiceName]*tracker.Releases{},
 		verdicts:           isolator.NewVerdicts(),
 		breakages:          map[registrar.UpstreamID]*breakage{},
+		bearings:           map[registrar.ServiceName]*budgeter.Bearing{},
 		answeredAt:         map[isolator.Trait]time.Duration{},
 		trialTurn:          rand.New(rand.NewPCG(cfg.Seed, 2)).Float64(),
 		gatewayCount:       defaultGatewayCount,
@@ -206,6 +209,9 @@
 		d.refuseIsolated(r)
 		return
 	}
+	if d.refuseIfTooLarge(r) {
+		return
+	}
 	d.recordDemand(r)
 	if d.waitingCount >= maxWaiting {
 		d.refuse(r, classifier.Busy, d.retryDelay(r))
@@ -232,6 +238,7 @@
 	r.sentAt = d.now
 	r.sendBegan = false
 	u.inFlight++
+	u.heldBytes += r.Size
 	u.quota.remaining--
 	if !r.onTime(d.now) {
 		u.quota.remainingLate--
@@ -322,6 +329,7 @@
 func (d *Dispatcher) endSend(r *request) {
 	if r.upstream != nil {
 		r.upstream.inFlight--
+		r.upstream.heldBytes -= r.Size
 		r.upstream.backlog.end(r.ID, d.now, r.startLimit())
 		r.upstream.quota.remaining++
 		r.upstream = nil
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -20,6 +20,7 @@
 import (
 	"time"
 
+	"github.com/egretwall/egretwall/internal/budgeter"
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/limiter"
@@ -152,6 +153,7 @@
 	Resumed      bool                 // the caller has received events of the stream
 	Resumes      string               // attempt that brought the first of them, empty if it is unknown
 	Traits       []isolator.Trait     // the most specific first
+	Size         budgeter.Bytes       // of the body
 }
 
 // Priority returns the priority of the caller's workspace or, if it has none, of the route.
@@ -300,6 +302,7 @@
 	Pause      time.Duration // how long the upstream wants no requests, zero if it does not say
 	Release    registrar.Release
 	Resumes    string           // attempt that began the stream that the request resumes, empty without one
+	Bytes      budgeter.Bytes   // of request bodies that upstreams of the service may hold for this gateway
 	Limit      float64          // requests per second that the upstream takes from all gateways together, zero if it does not say
 	Analysts   int              // stewards that a crash is reported to
 	Traits     []isolator.Trait // of a request whose send was broken off, or the one that is isolated
--- a/internal/dispatcher/isolation.go
+++ b/internal/dispatcher/isolation.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/budgeter"
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/registrar"
@@ -39,6 +40,11 @@
 	alive       bool               // a probe has reached the upstream
 	reports     int                // since suspects last grew
 	reportedAt  time.Duration
+	recorded    bool // by recordCrash
+	service     registrar.ServiceName
+	// What the upstream held of this gateway when the first send was broken off.
+	heldBytes    budgeter.Bytes
+	heldRequests int
 }
 
 // recordBreakage notes a send that its upstream broke off. Unless the answer had been
@@ -49,7 +55,7 @@
 	}
 	b := d.breakages[u.info.ID]
 	if b == nil || b.incarnation != u.info.Incarnation {
-		b = &breakage{incarnation: u.info.Incarnation, address: u.info.Address, since: d.now, probedAt: d.now - crashProbePeriod}
+		b = &breakage{incarnation: u.info.Incarnation, address: u.info.Address, since: d.now, probedAt: d.now - crashProbePeriod, service: u.info.Service, heldBytes: u.heldBytes + r.Size, heldRequests: u.inFlight + 1}
 		d.breakages[u.info.ID] = b
 	}
 	if b.traits += len(r.Traits); b.traits <= maxSuspects {
@@ -142,6 +148,10 @@
 		addresses = append(addresses, d.reportingAddresses(service)...)
 	}
 	analysts := firstInRendezvousOrder("crashes", addresses, analystCount)
+	if !b.recorded {
+		b.recorded = true
+		d.recordCrash(id, b)
+	}
 	if b.reports == 0 {
 		d.emit(Log{Event: UpstreamCrashed, Upstream: id, Traits: slices.Concat(b.suspects...), Analysts: len(analysts), Waiting: d.waitingCount})
 	}
--- a/internal/dispatcher/selection.go
+++ b/internal/dispatcher/selection.go
@@ -78,7 +78,7 @@
 
 // hasCapacity reports whether the upstream would start the request soon.
 func (d *Dispatcher) hasCapacity(r *request, u *upstream) bool {
-	if d.now < u.fullUntil || d.now < u.pausedUntil {
+	if d.now < u.fullUntil || d.now < u.pausedUntil || !d.bears(r, u) {
 		return false
 	}
 	if r.Model != "" && d.backlogged(r, u) {
--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -105,6 +105,9 @@
 	if entry.Limit > 0 {
 		ev = ev.Float64("limit", entry.Limit)
 	}
+	if entry.Bytes > 0 {
+		ev = ev.Int64("bytes", int64(entry.Bytes))
+	}
 	if entry.ReportAge > 0 {
 		ev = ev.Int64("age", entry.ReportAge.Milliseconds())
 	}
--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -238,7 +238,7 @@
 		AttemptID: in.info.AttemptID, Route: route, Model: in.info.Model, Adapter: in.info.Adapter,
 		PromptTokens: in.info.PromptTokens, OutputTokens: in.info.OutputTokens, Deadline: now + timeout,
 		Resumed: in.info.LastEventID >= 0 || in.info.Resumes != "", Resumes: in.info.Resumes,
-		Traits: in.traits(), Workspace: in.workspace,
+		Traits: in.traits(), Workspace: in.workspace, Size: budgeter.Bytes(len(in.body)),
 	}, mailbox)
 	out.lastEventID = in.info.LastEventID
 	for {
