Give connections up before a gateway's descriptors run out

Cause: gateways of a deployment have 3,150 to 10,500 descriptors and did not know it: at the last one callers can't connect, and wait for seconds.

Change: the setting descriptors (optional, checked). From 80% of its sockets on, a gateway closes idle connections to upstreams, then those of callers after their answers; from 95% on it refuses requests at once, as it does without memory, with a Retry-After of 0.1 s, since callers return at any gateway.

--- a/internal/budgeter/account.go
+++ b/internal/budgeter/account.go
@@ -3,7 +3,7 @@
 //
 // Usage:
 //
-//	a := budgeter.New(budgeter.ConfigOf(memory))
+//	a := budgeter.New(budgeter.ConfigOf(limits))
 //	if !a.Admit(size, priority) { refuse() }
 //	defer a.Release(budgeter.Request, size)
 //	if !a.Take(budgeter.Stream, len(events)) { stopReading() }
@@ -43,6 +43,14 @@
 	callersPerStream = 128      // callers that may use up their limits at once
 )
 
+// Sockets of a process.
+const (
+	otherDescriptors = 256  // for files, listeners, the store and operators
+	minSockets       = 64   // however few descriptors the process may use
+	crowdedPart      = 0.8  // of the sockets, from which on connections are given up when they are idle
+	fullPart         = 0.95 // of the sockets, from which on requests are refused
+)
+
 // Parts of the room for held bytes, in eighths, that purposes may fill.
 const (
 	eighths            = 8
@@ -59,22 +67,33 @@
 type Config struct {
 	Total     Bytes // for connections and held bytes together
 	PerCaller Bytes // events that are held for one caller
+	Sockets   int   // connections of callers and to upstreams together, zero without a limit
 }
 
-// ConfigOf returns the configuration for a process that may use so much memory, or for
-// unknown memory if it is zero.
-func ConfigOf(memory Bytes) Config {
-	total := Bytes(float64(memory) * accountPart)
+// Limits are the limits of a process, zero where they are unknown.
+type Limits struct {
+	Memory      Bytes
+	Descriptors int
+}
+
+// ConfigOf returns the configuration for a process with such limits.
+func ConfigOf(l Limits) Config {
+	total := Bytes(float64(l.Memory) * accountPart)
 	if total <= 0 {
 		total = defaultTotal
 	}
-	return Config{Total: total, PerCaller: min(maxCallerLimit, total/callersPerStream)}
+	c := Config{Total: total, PerCaller: min(maxCallerLimit, total/callersPerStream)}
+	if l.Descriptors > 0 {
+		c.Sockets = max(minSockets, l.Descriptors-otherDescriptors)
+	}
+	return c
 }
 
 // Account counts the bytes that a process holds.
 type Account struct {
 	cfg         Config
 	connections int
+	upstreams   int // connections to them
 	request     Bytes
 	stream      Bytes
 	answer      Bytes
@@ -92,12 +111,27 @@
 	a.connections += n
 }
 
+// UpstreamConnected counts n further connections to upstreams, or fewer if n is negative.
+func (a *Account) UpstreamConnected(n int) {
+	a.upstreams += n
+}
+
+// Crowded reports whether connections have to be given up as soon as they are idle, so
+// that callers can connect.
+func (a *Account) Crowded() bool {
+	return a.socketsBeyond(crowdedPart)
+}
+
+func (a *Account) socketsBeyond(part float64) bool {
+	return a.cfg.Sockets > 0 && float64(a.connections+a.upstreams) >= part*float64(a.cfg.Sockets)
+}
+
 // Admit reserves the bytes of a new request of a priority, 0 being the most urgent, and
 // reports whether there is room. A request without room has to be refused.
 func (a *Account) Admit(size Bytes, priority int) bool {
 	part := max(leastRequestPart, requestPart-max(0, priority))
 	free := a.part(part) - a.Held()
-	if size > free/maxRequestFraction {
+	if size > free/maxRequestFraction || a.socketsBeyond(fullPart) {
 		a.shed++
 		return false
 	}
@@ -148,16 +182,17 @@
 
 // Holdings returns what the account holds.
 func (a *Account) Holdings() Holdings {
-	return Holdings{HeldBytes: a.Held(), PeakBytes: a.peak, UnreadBytes: a.stream, CallerConnections: a.connections, ShedRequests: a.shed}
+	return Holdings{HeldBytes: a.Held(), PeakBytes: a.peak, UnreadBytes: a.stream, CallerConnections: a.connections, UpstreamConnections: a.upstreams, ShedRequests: a.shed}
 }
 
 // Holdings is what an account holds, for operators.
 type Holdings struct {
-	HeldBytes         Bytes `json:"bytes" metric:"gauge"`   // for callers and upstreams, without connections
-	PeakBytes         Bytes `json:"peak" metric:"gauge"`    // the highest HeldBytes so far
-	UnreadBytes       Bytes `json:"unread" metric:"gauge"`  // events that their callers have not read
-	CallerConnections int   `json:"callers" metric:"gauge"` // open connections of callers
-	ShedRequests      int64 `json:"shed"`                   // refused since there was no room for them
+	HeldBytes           Bytes `json:"bytes" metric:"gauge"`     // for callers and upstreams, without connections
+	PeakBytes           Bytes `json:"peak" metric:"gauge"`      // the highest HeldBytes so far
+	UnreadBytes         Bytes `json:"unread" metric:"gauge"`    // events that their callers have not read
+	CallerConnections   int   `json:"callers" metric:"gauge"`   // open connections of callers
+	UpstreamConnections int   `json:"upstreams" metric:"gauge"` // open connections to upstreams
+	ShedRequests        int64 `json:"shed"`                     // refused since there was no room for them
 }
 
 // part returns so many eighths of the room that connections leave.
--- a/internal/budgeter/account_test.go
+++ b/internal/budgeter/account_test.go
@@ -95,10 +95,27 @@
 	require.Equal(t, Holdings{HeldBytes: kilobyte, PeakBytes: 3 * kilobyte, UnreadBytes: kilobyte, CallerConnections: 3, ShedRequests: 1}, a.Holdings())
 }
 
+func TestConnectionsAreGivenUpBeforeRequestsAreRefused(t *testing.T) {
+	a := New(Config{Total: 100 * megabyte, Sockets: 100})
+	a.Connected(50)
+	a.UpstreamConnected(29)
+	require.False(t, a.Crowded())
+	a.UpstreamConnected(1)
+	require.True(t, a.Crowded())
+	require.True(t, a.Admit(kilobyte, 0))
+	a.Connected(15)
+	require.False(t, a.Admit(kilobyte, 0))
+	a.UpstreamConnected(-30)
+	require.True(t, a.Admit(kilobyte, 0))
+	require.False(t, a.Crowded())
+}
+
 func TestConfigurationFollowsTheMemory(t *testing.T) {
-	small, large := ConfigOf(144<<20), ConfigOf(536<<20)
+	small, large := ConfigOf(Limits{Memory: 144 << 20, Descriptors: 3150}), ConfigOf(Limits{Memory: 536 << 20, Descriptors: 8192})
 	require.Less(t, small.Total, Bytes(144<<20)/2)
 	require.Greater(t, large.Total, 3*small.Total)
 	require.Greater(t, large.PerCaller, small.PerCaller)
-	require.Positive(t, ConfigOf(0).Total)
+	require.Positive(t, ConfigOf(Limits{}).Total)
+	require.Greater(t, large.Sockets, 2*small.Sockets)
+	require.Zero(t, ConfigOf(Limits{}).Sockets)
 }
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -39,7 +39,7 @@
 	return driver.GatewayConfig{
 		Name: s.Name, Domain: registrar.DomainName(s.Domain), CallerAddress: s.CallerAddress, HealthAddress: s.HealthAddress, PeerAddress: s.PeerAddress, AdminAddress: s.AdminAddress,
 		GracePeriod: s.GracePeriod.Duration(), RetryBudget: dispatcher.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow.Duration()},
-		MaxDrainDelay: s.MaxDrainDelay.Duration(), MaxApplyDelay: s.MaxApplyDelay.Duration(), MemoryMB: s.MemoryMB,
+		MaxDrainDelay: s.MaxDrainDelay.Duration(), MaxApplyDelay: s.MaxApplyDelay.Duration(), MemoryMB: s.MemoryMB, Descriptors: s.Descriptors,
 		Store: store, Verdicts: store, HeaderCodec: platform.HeaderCodec{}, ReadinessPath: platform.ReadinessPath,
 	}, nil
 }
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -50,6 +50,7 @@
 	MaxDrainDelay time.Duration        // from an upstream's announcement that it drains until it gets no new requests
 	MaxApplyDelay time.Duration        // from the publication of a configuration until it is in force
 	MemoryMB      float64              // MiB that the process may use
+	Descriptors   int                  // file descriptors that it may use, zero if it is not told
 	RetryBudget   dispatcher.RetryBudget
 	Store         Store
 	Verdicts      VerdictStore
@@ -59,6 +60,11 @@
 	Log           *observer.BoundedLogger
 }
 
+// limits returns the limits of the process.
+func (c GatewayConfig) limits() budgeter.Limits {
+	return budgeter.Limits{Memory: budgeter.Bytes(c.MemoryMB * (1 << 20)), Descriptors: c.Descriptors}
+}
+
 // Gateway is the process that relays callers' requests to upstreams, as its dispatcher
 // decides. It implements relayer.Dispatcher. The fields from dispatcher to
 // stewardAddresses and arrivedAt are guarded by syncer.mu.
@@ -107,7 +113,7 @@
 		g.listReceived = true
 		g.refreshUpstreams()
 	}
-	g.relayer = relayer.New(relayer.Config{HeaderCodec: cfg.HeaderCodec, Dispatcher: g, Logger: cfg.Log.Logger, Budget: budgeter.ConfigOf(budgeter.Bytes(cfg.MemoryMB * (1 << 20)))})
+	g.relayer = relayer.New(relayer.Config{HeaderCodec: cfg.HeaderCodec, Dispatcher: g, Logger: cfg.Log.Logger, Budget: budgeter.ConfigOf(cfg.limits())})
 	peer, err := netip.ParseAddrPort(cfg.PeerAddress)
 	if err != nil {
 		return nil, classifier.Wrap(classifier.Invalid, err, "peer address")
--- a/internal/loader/platform.go
+++ b/internal/loader/platform.go
@@ -9,19 +9,20 @@
 // port.
 type GatewaySettings struct {
 	Name          string              `json:"name"`
-	Domain        string              `json:"domain"`  // failure domain
-	CallerAddress string              `json:"callers"` // where callers connect
-	HealthAddress string              `json:"health"`  // where the load balancer checks health
-	PeerAddress   string              `json:"peer"`    // for datagrams (UDP) and fetches of the configuration (TCP); gateways and stewards use the same port
-	AdminAddress  string              `json:"admin"`   // for operators: health, metrics, dump
-	StoreAddress  string              `json:"store"`   // the platform's store
-	GracePeriod   configurator.Millis `json:"grace"`   // from SIGTERM to SIGKILL
-	MaxDrainDelay configurator.Millis `json:"drain"`   // longest time from an upstream's announcement that it drains until it gets no new requests
-	MaxApplyDelay configurator.Millis `json:"apply"`   // longest time from the publication of a configuration until it is in force
-	MemoryMB      float64             `json:"memory"`  // MiB that this process may use
-	RetryRatio    float64             `json:"ratio"`   // retries per request, over all gateways
-	RetrySlack    float64             `json:"slack"`   // retries per RetryWindow in addition to RetryRatio, over all gateways
-	RetryWindow   configurator.Millis `json:"window"`  // span over which retries are counted
+	Domain        string              `json:"domain"`      // failure domain
+	CallerAddress string              `json:"callers"`     // where callers connect
+	HealthAddress string              `json:"health"`      // where the load balancer checks health
+	PeerAddress   string              `json:"peer"`        // for datagrams (UDP) and fetches of the configuration (TCP); gateways and stewards use the same port
+	AdminAddress  string              `json:"admin"`       // for operators: health, metrics, dump
+	StoreAddress  string              `json:"store"`       // the platform's store
+	GracePeriod   configurator.Millis `json:"grace"`       // from SIGTERM to SIGKILL
+	MaxDrainDelay configurator.Millis `json:"drain"`       // longest time from an upstream's announcement that it drains until it gets no new requests
+	MaxApplyDelay configurator.Millis `json:"apply"`       // longest time from the publication of a configuration until it is in force
+	MemoryMB      float64             `json:"memory"`      // MiB that this process may use
+	Descriptors   int                 `json:"descriptors"` // file descriptors that this process may use, zero if the platform does not tell
+	RetryRatio    float64             `json:"ratio"`       // retries per request, over all gateways
+	RetrySlack    float64             `json:"slack"`       // retries per RetryWindow in addition to RetryRatio, over all gateways
+	RetryWindow   configurator.Millis `json:"window"`      // span over which retries are counted
 }
 
 // StewardSettings holds the settings of a steward. Addresses are an IP address and a
@@ -69,6 +70,9 @@
 			problems = append(problems, decoder.Problem{Path: path, Text: "expected zero or more retries"})
 		}
 	}
+	if s.Descriptors < 0 {
+		problems = append(problems, decoder.Problem{Path: "$.descriptors", Text: "expected zero or more descriptors"})
+	}
 	return append(problems, checkMemory(s.MemoryMB)...)
 }
 
--- a/internal/relayer/account.go
+++ b/internal/relayer/account.go
@@ -22,6 +22,18 @@
 	a.account.Connected(n)
 }
 
+func (a *account) upstreamConnected(n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.account.UpstreamConnected(n)
+}
+
+func (a *account) crowded() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.account.Crowded()
+}
+
 // admit reserves the bytes of a new request and reports whether there is room. The
 // priority is asked for only while room is short.
 func (a *account) admit(size int, priority func() int) bool {
--- a/internal/relayer/endless_test.go
+++ b/internal/relayer/endless_test.go
@@ -97,7 +97,7 @@
 			full++
 		}
 	}
-	require.GreaterOrEqual(t, full, answers-int(budgeter.ConfigOf(0).Total/maxResponseSize))
+	require.GreaterOrEqual(t, full, answers-int(budgeter.ConfigOf(budgeter.Limits{}).Total/maxResponseSize))
 	require.Eventually(t, func() bool { return g.Held().HeldBytes == 0 }, time.Second, time.Millisecond, "the handlers have returned")
 }
 
--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -30,8 +30,12 @@
 	headerTimeout      = 3 * time.Second
 	bodyTimeout        = 10 * time.Second // to read a body; longer than any pause of a caller that sends one
 	defaultIdleTimeout = 15 * time.Second
+	shedRetryAfter     = 100 * time.Millisecond // of requests without room here; callers return at any gateway
 )
 
+// errNoRoom is the cause of requests that are refused by what the gateway holds.
+var errNoRoom = errors.New("this gateway has no memory or descriptors for it")
+
 // Config configures a Gateway.
 type Config struct {
 	HeaderCodec HeaderCodec
@@ -60,12 +64,13 @@
 // New returns a gateway that accepts no connections before Serve.
 func New(cfg Config) *Gateway {
 	if cfg.Budget.Total == 0 {
-		cfg.Budget = budgeter.ConfigOf(0)
+		cfg.Budget = budgeter.ConfigOf(budgeter.Limits{})
 	}
 	if cfg.StopTimeout == 0 {
 		cfg.StopTimeout = defaultStopTimeout
 	}
-	g := &Gateway{cfg: cfg, pool: NewPool(), conns: map[*callerConn]struct{}{}, account: newAccount(cfg.Budget)}
+	a := newAccount(cfg.Budget)
+	g := &Gateway{cfg: cfg, pool: newPool(a), conns: map[*callerConn]struct{}{}, account: a}
 	g.server = &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderSize,
 		ConnState: g.trackConn, ConnContext: withCallerConn, ErrorLog: nil, DisableGeneralOptionsHandler: true,
@@ -126,6 +131,12 @@
 	return g.server.Shutdown(ctx)
 }
 
+// closeAfterResponse reports whether callers' connections are to be closed after their
+// next response.
+func (g *Gateway) closeAfterResponse() bool {
+	return g.draining.Load() || g.account.crowded()
+}
+
 // trackConn keeps the set of callers' connections and starts the idle timeout of
 // those that become idle. It is the ConnState hook of the server.
 func (g *Gateway) trackConn(c net.Conn, state http.ConnState) {
@@ -171,7 +182,7 @@
 		g.cfg.Logger.Info().Str("request", info.AttemptID).Str("path", r.RequestURI).AnErr("cause", err).Msg("request dropped, its idle connection had been closed")
 		panic(http.ErrAbortHandler)
 	}
-	out := &callerResponse{w: w, conn: conn, controller: http.NewResponseController(w), lastEventID: -1, closeAfter: g.draining.Load}
+	out := &callerResponse{w: w, conn: conn, controller: http.NewResponseController(w), lastEventID: -1, closeAfter: g.closeAfterResponse}
 	in, kind := g.readRequest(w, r, out)
 	defer g.releaseRequest(in, out)
 	if kind != classifier.None {
@@ -219,9 +230,15 @@
 // dispatcher. For classifier.Missing, version is that of the configuration that has
 // no route for the request; otherwise it is zero.
 func (g *Gateway) reject(out *callerResponse, in *callerRequest, kind classifier.Kind, version registrar.Version) {
-	g.cfg.Logger.Warn().Str("request", in.info.AttemptID).Str("kind", string(kind)).Str("host", in.host).
+	line, retryAfter := g.cfg.Logger.Warn(), time.Duration(0)
+	if kind == classifier.Busy {
+		held := g.Held()
+		line = line.Str("cause", errNoRoom.Error()).Int64("bytes", int64(held.HeldBytes)).Int("callers", held.CallerConnections)
+		retryAfter = shedRetryAfter
+	}
+	line.Str("request", in.info.AttemptID).Str("kind", string(kind)).Str("host", in.host).
 		Str("path", in.target).Int64("version", int64(version)).Msg("request rejected")
-	g.writeError(out, in.info.AttemptID, kind, 0)
+	g.writeError(out, in.info.AttemptID, kind, retryAfter)
 }
 
 // runEffects submits a request and carries out its effects until it has its final
--- a/internal/relayer/gateway_test.go
+++ b/internal/relayer/gateway_test.go
@@ -22,6 +22,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretwall/egretwall/internal/budgeter"
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/registrar"
@@ -581,7 +582,7 @@
 func TestWarmTellsWhetherAnUpstreamListens(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	p := NewPool()
+	p := newPool(newAccount(budgeter.ConfigOf(budgeter.Limits{})))
 	require.NoError(t, p.Warm(t.Context(), l.Addr().String()))
 	require.NotNil(t, p.pop(l.Addr().String()), "the connection is kept for a request")
 	require.NoError(t, l.Close())
--- a/internal/relayer/pool.go
+++ b/internal/relayer/pool.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -30,6 +31,7 @@
 	idle      map[string][]*upstreamConn // by address, in the order of their last use
 	dialer    net.Dialer
 	OnConnect func() // called for each new connection, set before the first Get
+	account   *account
 }
 
 // upstreamConn is a connection to an upstream. It carries one request at a time.
@@ -40,12 +42,23 @@
 	reader    *bufio.Reader
 	expires   time.Time     // from when the idle connection must not be used any more
 	keepAlive time.Duration // how long the connection may be idle
+	account   *account
+	closed    atomic.Bool
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool {
+// Close closes the connection.
+func (c *upstreamConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.account.upstreamConnected(-1)
+	}
+	return c.Conn.Close()
+}
+
+// newPool returns an empty pool whose connections are counted by an account.
+func newPool(a *account) *Pool {
 	return &Pool{
-		idle: map[string][]*upstreamConn{},
+		account: a,
+		idle:    map[string][]*upstreamConn{},
 		dialer: net.Dialer{
 			Timeout:         dialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: tcpKeepAliveIdle, Interval: time.Second, Count: 3},
@@ -87,8 +100,9 @@
 		return nil, err
 	}
 	p.OnConnect()
+	p.account.upstreamConnected(1)
 	source := &headerLimiter{conn: conn}
-	return &upstreamConn{Conn: conn, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferSize), keepAlive: defaultKeepAlive}, nil
+	return &upstreamConn{Conn: conn, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferSize), keepAlive: defaultKeepAlive, account: p.account}, nil
 }
 
 // pop removes and returns the most recently used idle connection to the address, nil
@@ -106,8 +120,12 @@
 }
 
 // Put adds an idle connection to the pool, or closes it if the pool has enough to
-// its address.
+// its address or the process has too many sockets.
 func (p *Pool) Put(c *upstreamConn) {
+	if p.account.crowded() {
+		_ = c.Close()
+		return
+	}
 	c.expires = time.Now().Add(c.keepAlive)
 	p.mu.Lock()
 	conns := p.idle[c.address]
@@ -122,16 +140,16 @@
 }
 
 // Sweep closes expired idle connections and all idle connections to addresses that
-// are not live.
+// are not live, or all while the process has too many sockets.
 func (p *Pool) Sweep(live func(address string) bool) {
-	now := time.Now()
+	now, crowded := time.Now(), p.account.crowded()
 	var dropped []*upstreamConn
 	p.mu.Lock()
 	for address, conns := range p.idle {
 		alive := live(address)
 		kept := conns[:0]
 		for _, c := range conns {
-			if alive && now.Before(c.expires) {
+			if alive && !crowded && now.Before(c.expires) {
 				kept = append(kept, c)
 			} else {
 				dropped = append(dropped, c)
--- a/internal/relayer/slowcallers_test.go
+++ b/internal/relayer/slowcallers_test.go
@@ -96,7 +96,7 @@
 	)
 	before := goMemory()
 	d := newFakeDispatcher(startUpstream(t, serveLongStream(events, func() {})))
-	g, address := startBudgetedGateway(t, d, budgeter.ConfigOf(memory))
+	g, address := startBudgetedGateway(t, d, budgeter.ConfigOf(budgeter.Limits{Memory: memory}))
 	conns := make([]net.Conn, callers)
 	for i := range conns {
 		conns[i] = dialSlowly(t, address, fmt.Sprint("n", i))
@@ -109,7 +109,7 @@
 		}
 		return settled > 5
 	}, time.Minute, 50*time.Millisecond)
-	require.LessOrEqual(t, held, budgeter.ConfigOf(memory).Total)
+	require.LessOrEqual(t, held, budgeter.ConfigOf(budgeter.Limits{Memory: memory}).Total)
 	require.Less(t, goMemory()-before, int64(memory*6/10), "callers and upstreams of this process included")
 
 	var mu sync.Mutex
@@ -139,7 +139,7 @@
 func TestUpstreamNeedNotWaitForASlowCaller(t *testing.T) {
 	written := make(chan struct{})
 	d := newFakeDispatcher(startUpstream(t, serveLongStream(100, func() { close(written) })))
-	_, address := startBudgetedGateway(t, d, budgeter.ConfigOf(536<<20))
+	_, address := startBudgetedGateway(t, d, budgeter.ConfigOf(budgeter.Limits{Memory: 536 << 20}))
 	caller := dialSlowly(t, address, "n1")
 	select {
 	case <-written:
@@ -180,7 +180,7 @@
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		require.NoError(t, err, name)
 		require.Equal(t, 503, resp.StatusCode, name)
-		require.NotEmpty(t, resp.Header.Get("Retry-After"), name)
+		require.Equal(t, "0.100", resp.Header.Get("Retry-After"), name)
 	}
 	require.Empty(t, d.mailboxes, "no request was submitted")
 	require.Eventually(t, func() bool { return g.Held().HeldBytes == 0 }, time.Second, time.Millisecond)
@@ -200,7 +200,7 @@
 	p.gateway = New(Config{HeaderCodec: testHeaderCodec{}, Dispatcher: d, Logger: zerolog.New(&p.log), Budget: budget})
 	near, far := net.Pipe()
 	source := &headerLimiter{conn: near}
-	p.gateway.pool.Put(&upstreamConn{Conn: near, address: d.addresses[0], source: source, reader: bufio.NewReader(source), keepAlive: time.Hour})
+	p.gateway.pool.Put(&upstreamConn{Conn: near, address: d.addresses[0], source: source, reader: bufio.NewReader(source), keepAlive: time.Hour, account: p.gateway.account})
 	go func() {
 		defer func() { _ = far.Close() }()
 		script(far, bufio.NewReader(far))
@@ -216,7 +216,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		d := newFakeDispatcher("u")
 		d.timeout = time.Minute
-		p := newPipeGateway(d, budgeter.ConfigOf(0), serveLongStream(3, func() {}))
+		p := newPipeGateway(d, budgeter.ConfigOf(budgeter.Limits{}), serveLongStream(3, func() {}))
 		_, err := io.WriteString(p.caller, getRequest)
 		require.NoError(t, err)
 		_, err = io.ReadFull(p.caller, make([]byte, 100))
--- a/internal/relayer/slowupstreams_test.go
+++ b/internal/relayer/slowupstreams_test.go
@@ -26,7 +26,7 @@
 	})
 	d := newFakeDispatcher(hung, answering)
 	d.cfg.Limits.BodyLimit = size
-	g, address := startBudgetedGateway(t, d, budgeter.ConfigOf(536<<20))
+	g, address := startBudgetedGateway(t, d, budgeter.ConfigOf(budgeter.Limits{Memory: 536 << 20}))
 	d.timeout = time.Second
 	done := make(chan struct{})
 	go func() {
@@ -53,7 +53,7 @@
 		got = body
 		_, _ = io.WriteString(c, okResponse(req.Header.Get("Try"), "fine"))
 	})
-	g, gateway := startBudgetedGateway(t, newFakeDispatcher(address), budgeter.ConfigOf(144<<20))
+	g, gateway := startBudgetedGateway(t, newFakeDispatcher(address), budgeter.ConfigOf(budgeter.Limits{Memory: 144 << 20}))
 	want := strings.Repeat("0123456789abcdef", size/16)
 	_, body, err := post(t, gateway, "n1", want)
 	require.NoError(t, err)
