--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/egretwall/egretwall/internal/apportioner"
+	"github.com/egretwall/egretwall/internal/budgeter"
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/estimator"
 	"github.com/egretwall/egretwall/internal/isolator"
@@ -48,9 +49,10 @@
 	releases           map[registrar.ServiceName]*tracker.Releases
 	verdicts           *isolator.Verdicts
 	breakages          map[registrar.UpstreamID]*breakage
-	answeredAt         map[isolator.Trait]time.Duration // of traits that were answered lately
-	answeredSweptAt    time.Duration                    // when forgotten ones were last removed from it
-	trialTurn          float64                          // of this gateway among all, from 0 to 1
+	bearings           map[registrar.ServiceName]*budgeter.Bearing // what is known of the memory of upstreams
+	answeredAt         map[isolator.Trait]time.Duration            // of traits that were answered lately
+	answeredSweptAt    time.Duration                               // when forgotten ones were last removed from it
+	trialTurn          float64                                     // of this gateway among all, from 0 to 1
 	gatewayCount       int
 	account            *apportioner.Account // of workspaces' quotas
 	quotas             quotaState
@@ -127,6 +129,7 @@
 		releases:           map[registrar.ServiceName]*tracker.Releases{},
 		verdicts:           isolator.NewVerdicts(),
 		breakages:          map[registrar.UpstreamID]*breakage{},
+		bearings:           map[registrar.ServiceName]*budgeter.Bearing{},
 		answeredAt:         map[isolator.Trait]time.Duration{},
 		trialTurn:          rand.New(rand.NewPCG(cfg.Seed, 2)).Float64(),
 		gatewayCount:       defaultGatewayCount,
@@ -237,6 +240,9 @@
 		d.refuseIsolated(r)
 		return
 	}
+	if d.refuseIfTooLarge(r) {
+		return
+	}
 	if d.passesQuota(r) {
 		d.takeIn(r)
 	}
@@ -270,6 +276,7 @@
 	r.sentAt = d.now
 	r.sendBegan = false
 	u.inFlight++
+	u.heldBytes += r.Size
 	u.quota.remaining--
 	if r.takesLeftovers(d.now) {
 		u.quota.remainingLate--
@@ -371,6 +378,7 @@
 func (d *Dispatcher) endSend(r *request) {
 	if r.upstream != nil {
 		r.upstream.inFlight--
+		r.upstream.heldBytes -= r.Size
 		r.upstream.backlog.end(r.ID, d.now, r.startLimit())
 		r.upstream.quota.remaining++
 		r.upstream = nil
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -20,6 +20,7 @@
 import (
 	"time"
 
+	"github.com/egretwall/egretwall/internal/budgeter"
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/estimator"
 	"github.com/egretwall/egretwall/internal/isolator"
@@ -159,6 +160,7 @@
 	Resumed      bool                 // the caller has received events of the stream
 	Resumes      string               // attempt that brought the first of them, empty if it is unknown
 	Traits       []isolator.Trait     // the most specific first
+	Size         budgeter.Bytes       // of the body
 }
 
 // Priority returns the priority of the caller's workspace or, if it has none, of the route.
@@ -326,6 +328,7 @@
 	Refusals     int                     // of the workspace since the last line about it, this one included
 	OwnPart      bool                    // no issuer counts this gateway, which uses its own part of the quota
 	YieldedTo    registrar.WorkspaceName // whose share went before the request's, empty without one
+	Bytes        budgeter.Bytes          // of request bodies that upstreams of the service may hold for this gateway
 }
 
 func (Send) effect()           {}
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/budgeter"
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/exchanger"
@@ -65,6 +66,12 @@
 	ReadinessPath  string // URL path of health checks
 	AdminAddress   string // of the admin server
 	Log            *observer.BoundedLogger
+	Descriptors    int // file descriptors that it may use, zero if it is not told
+}
+
+// limits returns the limits of the process.
+func (c GatewayConfig) limits() budgeter.Limits {
+	return budgeter.Limits{Memory: budgeter.Bytes(c.MemoryMB * (1 << 20)), Descriptors: c.Descriptors}
 }
 
 // Gateway is the process that relays callers' requests to upstreams, as its dispatcher
@@ -116,7 +123,7 @@
 		g.listReceived = true
 		g.refreshUpstreams()
 	}
-	g.relayer = relayer.New(relayer.Config{HeaderCodec: cfg.HeaderCodec, Dispatcher: g, Logger: cfg.Log.Logger})
+	g.relayer = relayer.New(relayer.Config{HeaderCodec: cfg.HeaderCodec, Dispatcher: g, Logger: cfg.Log.Logger, Budget: budgeter.ConfigOf(cfg.limits())})
 	peer, err := netip.ParseAddrPort(cfg.PeerAddress)
 	if err != nil {
 		return nil, classifier.Wrap(classifier.Invalid, err, "peer address")
--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/egretwall/egretwall/internal/apportioner"
+	"github.com/egretwall/egretwall/internal/budgeter"
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/isolator"
@@ -16,6 +17,8 @@
 	dispatcher.Counters
 	Denied int64 `json:"denied"` // requests without a known key
 	apportioner.AccountCounters
+	budgeter.Holdings
+	EndedCallers      int64                   `json:"ended"` // callers that were ended since they stopped reading
 	OpenRequests      int                     `json:"open" metric:"gauge"`
 	WaitingRequests   int                     `json:"waiting" metric:"gauge"`
 	ConnectionsOpened int64                   `json:"connections"` // to upstreams, since the start
@@ -86,6 +89,7 @@
 	return GatewayMetrics{
 		Counters: g.dispatcher.Counters, AccountCounters: g.dispatcher.QuotaCounters(), Denied: g.relayer.Denied(),
 		OpenRequests: g.dispatcher.Open(), WaitingRequests: g.dispatcher.Waiting(),
+		Holdings: g.relayer.Held(), EndedCallers: g.relayer.EndedCallers(),
 		ConnectionsOpened: g.connectionsOpened.Load(), DroppedLogLines: g.cfg.Log.Limiter.Dropped(),
 		TimeToSend: g.timeToSend.Summary(), TimeToFirstByte: g.timeToFirstByte.Summary(), TimeToLastByte: g.timeToLastByte.Summary(),
 	}
@@ -136,6 +140,9 @@
 	if entry.Limit > 0 {
 		ev = ev.Float64("limit", entry.Limit)
 	}
+	if entry.Bytes > 0 {
+		ev = ev.Int64("bytes", int64(entry.Bytes))
+	}
 	if entry.ReportAge > 0 {
 		ev = ev.Int64("age", entry.ReportAge.Milliseconds())
 	}
--- a/internal/loader/platform.go
+++ b/internal/loader/platform.go
@@ -24,6 +24,7 @@
 	RetryRatio     float64             `json:"ratio"`            // retries per request, over all gateways
 	RetrySlack     float64             `json:"slack"`            // retries per RetryWindow in addition to RetryRatio, over all gateways
 	RetryWindow    configurator.Millis `json:"window"`           // span over which retries are counted
+	Descriptors    int                 `json:"descriptors"`      // file descriptors that this process may use, zero if the platform does not tell
 }
 
 // StewardSettings holds the settings of a steward. Addresses are an IP address and a
@@ -74,6 +75,9 @@
 			problems = append(problems, decoder.Problem{Path: path, Text: "expected zero or more retries"})
 		}
 	}
+	if s.Descriptors < 0 {
+		problems = append(problems, decoder.Problem{Path: "$.descriptors", Text: "expected zero or more descriptors"})
+	}
 	return append(problems, checkMemory(s.MemoryMB)...)
 }
 
--- a/internal/loader/platform_test.go
+++ b/internal/loader/platform_test.go
@@ -18,11 +18,11 @@
 		paths []string
 	}{
 		{KindGatewaySettings, `{"name":"g","domain":"z","callers":"10.0.0.1:1","health":"10.0.0.1:2","peer":"10.0.0.1:3","admin":"10.0.0.1:4",
-			"store":"10.0.0.9:1","grace":8000,"drain":2000,"apply":2000,"memory":284,"ratio":0.2,"slack":56,"window":10000}`, nil},
+			"store":"10.0.0.9:1","grace":8000,"drain":2000,"apply":2000,"memory":284,"descriptors":4100,"ratio":0.2,"slack":56,"window":10000}`, nil},
 		{
 			KindGatewaySettings, `{"name":"g","domain":"z","callers":"here","health":"10.0.0.1:2","peer":"10.0.0.1:3","admin":"10.0.0.1:4",
-			"store":"10.0.0.9:1","grace":0,"drain":2000,"apply":-1,"memory":0,"ratio":-0.2,"slack":56,"window":10000}`,
-			[]string{"$.callers", "$.grace", "$.apply", "$.memory", "$.ratio"},
+			"store":"10.0.0.9:1","grace":0,"drain":2000,"apply":-1,"memory":0,"descriptors":-1,"ratio":-0.2,"slack":56,"window":10000}`,
+			[]string{"$.callers", "$.grace", "$.apply", "$.memory", "$.descriptors", "$.ratio"},
 		},
 		{KindGatewaySettings, `{"name":"g","domain":"z","callers":"10.0.0.1:1","health":"10.0.0.1:2","peer":"10.0.0.1:3","admin":"10.0.0.1:4",
 			"store":"10.0.0.9:1","grace":8000,"drain":2000,"apply":2000,"memory":284,"ratio":0.2,"slack":56,"window":10000,"strict":true,"revoke":5000}`, nil},
@@ -83,7 +83,7 @@
 	require.NoError(t, err)
 	values := map[string]string{
 		"NodeName": "g", "Zone": "z", "Listen.Front": "10.0.0.1:1", "Listen.Ready": "10.0.0.1:2", "Ip": "10.0.0.1", "PortRange.0": "7380",
-		"Platform.Address": "10.0.0.9:1", "Bounds.GraceS": "8", "Bounds.DrainMs": "3000", "Bounds.ConfigApplyMs": "3000", "Limits.MemoryMb": "284",
+		"Platform.Address": "10.0.0.9:1", "Bounds.GraceS": "8", "Bounds.DrainMs": "3000", "Bounds.ConfigApplyMs": "3000", "Limits.MemoryMb": "284", "Limits.MaxFds": "4100",
 		"Bounds.BudgetRatio": "0.2", "Bounds.BudgetSlack": "56", "Bounds.BudgetWindowS": "10",
 	}
 	for _, c := range []struct {
--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -17,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/egretwall/egretwall/internal/budgeter"
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/registrar"
@@ -29,13 +30,19 @@
 	headerTimeout      = 3 * time.Second
 	bodyTimeout        = 10 * time.Second // to read a body; longer than any pause of a caller that sends one
 	defaultIdleTimeout = 15 * time.Second
+	shedRetryAfter     = 100 * time.Millisecond // of requests without room here; callers return at any gateway
 )
 
+// errNoRoom is the cause of requests that are refused by what the gateway holds.
+var errNoRoom = errors.New("this gateway has no memory or descriptors for it")
+
 // Config configures a Gateway.
 type Config struct {
 	HeaderCodec HeaderCodec
 	Dispatcher  Dispatcher
 	Logger      zerolog.Logger
+	Budget      budgeter.Config // of what is held for callers and upstreams, that of unknown memory if it is zero
+	StopTimeout time.Duration   // for which a caller may read nothing, defaultStopTimeout if it is zero
 }
 
 // Gateway is the HTTP server for callers.
@@ -48,7 +55,8 @@
 	denied       atomic.Int64 // requests without a known key
 	denials      denialLimit
 
-	responseMemory memoryBudget
+	endedCallers atomic.Int64 // that stopped reading
+	account      *account
 
 	mu          sync.Mutex
 	conns       map[*callerConn]struct{}
@@ -57,7 +65,14 @@
 
 // New returns a gateway that accepts no connections before Serve.
 func New(cfg Config) *Gateway {
-	g := &Gateway{cfg: cfg, pool: NewPool(), conns: map[*callerConn]struct{}{}}
+	if cfg.Budget.Total == 0 {
+		cfg.Budget = budgeter.ConfigOf(budgeter.Limits{})
+	}
+	if cfg.StopTimeout == 0 {
+		cfg.StopTimeout = defaultStopTimeout
+	}
+	a := newAccount(cfg.Budget)
+	g := &Gateway{cfg: cfg, pool: newPool(a), conns: map[*callerConn]struct{}{}, account: a}
 	g.server = &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderSize,
 		ConnState: g.trackConn, ConnContext: withCallerConn, ErrorLog: nil, DisableGeneralOptionsHandler: true,
@@ -76,10 +91,20 @@
 	return int(g.openRequests.Load())
 }
 
+// Held returns what the gateway holds for callers and upstreams.
+func (g *Gateway) Held() budgeter.Holdings {
+	return g.account.holdings()
+}
+
+// EndedCallers returns the number of callers that were ended since they stopped reading.
+func (g *Gateway) EndedCallers() int64 {
+	return g.endedCallers.Load()
+}
+
 // Serve serves the callers that connect to l. It returns nil once Shutdown has
 // been called.
 func (g *Gateway) Serve(l net.Listener) error {
-	if err := g.server.Serve(callerListener{l}); !errors.Is(err, http.ErrServerClosed) {
+	if err := g.server.Serve(callerListener{l, g.account, g.cfg.StopTimeout}); !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("serve callers: %w", err)
 	}
 	return nil
@@ -108,12 +133,19 @@
 	return g.server.Shutdown(ctx)
 }
 
+// closeAfterResponse reports whether callers' connections are to be closed after their
+// next response.
+func (g *Gateway) closeAfterResponse() bool {
+	return g.draining.Load() || g.account.crowded()
+}
+
 // trackConn keeps the set of callers' connections and starts the idle timeout of
 // those that become idle. It is the ConnState hook of the server.
 func (g *Gateway) trackConn(c net.Conn, state http.ConnState) {
 	conn := c.(*callerConn)
 	switch state {
 	case http.StateNew:
+		g.account.connected(1)
 		g.mu.Lock()
 		g.conns[conn] = struct{}{}
 		g.mu.Unlock()
@@ -126,6 +158,7 @@
 			conn.closeIfIdle()
 		}
 	case http.StateClosed:
+		g.account.connected(-1)
 		g.mu.Lock()
 		delete(g.conns, conn)
 		g.mu.Unlock()
@@ -145,16 +178,18 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.openRequests.Add(1)
 	defer g.openRequests.Add(-1)
-	if !beginRequest(r.Context()) {
+	conn := callerConnOf(r.Context())
+	if conn != nil && !conn.beginRequest() {
 		info, err := g.cfg.HeaderCodec.ParseRequest(r.Header)
 		g.cfg.Logger.Info().Str("request", info.AttemptID).Str("path", r.RequestURI).AnErr("cause", err).Msg("request dropped, its idle connection had been closed")
 		panic(http.ErrAbortHandler)
 	}
-	out := &callerResponse{w: w, controller: http.NewResponseController(w), lastEventID: -1, closeAfter: g.draining.Load}
+	out := &callerResponse{w: w, conn: conn, controller: http.NewResponseController(w), lastEventID: -1, closeAfter: g.closeAfterResponse}
 	in, kind := g.readHeader(r)
 	if kind == classifier.None && g.denyBeforeBody(in, r, out) {
 		return
 	}
+	defer g.releaseRequest(in, out)
 	if kind == classifier.None {
 		kind = g.readBody(w, r, in, out)
 	}
@@ -178,9 +213,15 @@
 		g.writeError(out, in.info.AttemptID, kind, 0)
 		return
 	}
-	g.cfg.Logger.Warn().Str("request", in.info.AttemptID).Str("kind", string(kind)).Str("host", in.host).
+	line, retryAfter := g.cfg.Logger.Warn(), time.Duration(0)
+	if kind == classifier.Busy {
+		held := g.Held()
+		line = line.Str("cause", errNoRoom.Error()).Int64("bytes", int64(held.HeldBytes)).Int("callers", held.CallerConnections)
+		retryAfter = shedRetryAfter
+	}
+	line.Str("request", in.info.AttemptID).Str("kind", string(kind)).Str("host", in.host).
 		Str("path", in.target).Int64("version", int64(version)).Msg("request rejected")
-	g.writeError(out, in.info.AttemptID, kind, 0)
+	g.writeError(out, in.info.AttemptID, kind, retryAfter)
 }
 
 // runEffects submits a request and carries out its effects until it has its final
@@ -197,7 +238,7 @@
 		AttemptID: in.info.AttemptID, Route: route, Model: in.info.Model, Adapter: in.info.Adapter,
 		PromptTokens: in.info.PromptTokens, OutputTokens: in.info.OutputTokens, Deadline: now + timeout,
 		Resumed: in.info.LastEventID >= 0 || in.info.Resumes != "", Resumes: in.info.Resumes,
-		Traits: in.traits(), Workspace: in.workspace, Key: in.info.Key,
+		Traits: in.traits(), Workspace: in.workspace, Key: in.info.Key, Size: budgeter.Bytes(len(in.body)),
 	}, mailbox)
 	out.lastEventID = in.info.LastEventID
 	for {
@@ -209,14 +250,18 @@
 				ID: id, Try: e.Try, Outcome: outcome, Cause: cause, Events: int(out.lastEventID - lastEventID), LongestPause: out.longestPause,
 			})
 			if outcome == dispatcher.Completed {
+				g.releaseBody(in)
+				if err := out.flush(); err != nil {
+					g.endCaller(in, out)
+				}
 				return
 			}
 			if outcome == dispatcher.CallerClosed {
-				out.abort()
+				g.endCaller(in, out)
 			}
 		case dispatcher.RelayFailure:
 			if out.headerWritten || out.failure == nil {
-				out.abort()
+				g.breakOff(in, out)
 			}
 			f := out.failure
 			if err := out.writeResponse(f.status, f.header, f.body); err != nil {
@@ -225,7 +270,7 @@
 			return
 		case dispatcher.Fail:
 			if out.headerWritten {
-				out.abort()
+				g.breakOff(in, out)
 			}
 			g.writeError(out, in.info.AttemptID, e.Kind, e.RetryAfter)
 			return
@@ -238,52 +283,22 @@
 	}
 }
 
-// readHeader reads the headers of a caller's request and removes hop-by-hop and reserved
-// ones. The returned kind is None if they are valid.
-func (g *Gateway) readHeader(r *http.Request) (*callerRequest, classifier.Kind) {
-	in := &callerRequest{method: r.Method, target: r.RequestURI, host: r.Host, caller: hostOf(r.RemoteAddr), header: http.Header{}}
-	info, err := g.cfg.HeaderCodec.ParseRequest(r.Header)
-	in.info = info
-	if err != nil || !strings.HasPrefix(r.RequestURI, "/") {
-		g.cfg.Logger.Warn().Str("request", info.AttemptID).Str("path", r.RequestURI).AnErr("cause", err).Msg("request is malformed")
-		return in, classifier.Invalid
+// breakOff closes the caller's connection when it has got the events that were held for it.
+func (g *Gateway) breakOff(in *callerRequest, out *callerResponse) {
+	if err := out.flush(); err != nil {
+		g.endCaller(in, out)
 	}
-	for name, values := range r.Header {
-		if !hopByHopHeaders[name] && !g.cfg.HeaderCodec.Reserved(name) {
-			in.header[name] = values
-		}
-	}
-	for _, name := range strings.Split(strings.Join(r.Header.Values("Connection"), ","), ",") {
-		in.header.Del(strings.TrimSpace(name))
-	}
-	in.header.Del("Content-Length")
-	return in, classifier.None
+	out.abort()
 }
 
-// readBody reads the body of a caller's request. The returned kind is None if it is valid.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, in *callerRequest, out *callerResponse) classifier.Kind {
-	if r.ContentLength == 0 {
-		return classifier.None
-	}
-	limit := int64(g.limits().BodyLimit)
-	if r.ContentLength > limit {
-		return classifier.Large
-	}
-	// The response writers of tests support no deadlines.
-	_ = out.controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	var err error
-	in.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = out.controller.SetReadDeadline(time.Time{})
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return classifier.Large
-	case isTimeout(err):
-		return classifier.Stalled
-	case err != nil:
-		return classifier.Invalid
+// endCaller closes the connection of a caller that gets no more of its response.
+func (g *Gateway) endCaller(in *callerRequest, out *callerResponse) {
+	if out.stoppedReading() {
+		g.endedCallers.Add(1)
+		g.cfg.Logger.Warn().Str("request", in.info.AttemptID).Str("cause", errStoppedReading.Error()).
+			Int64("last", out.lastEventID).Msg("caller ended")
 	}
-	return classifier.None
+	out.abort()
 }
 
 // hostOf returns the value of a Host header in lower case without the port.
@@ -313,7 +328,6 @@
 	text := string(kind) + ": " + resp.Message + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(text)))
 	out.finishHeader()
-	out.setWriteDeadline()
 	out.headerWritten = true
 	out.w.WriteHeader(resp.Status)
 	if _, err := io.WriteString(out.w, text); err != nil {
