--- a/internal/apportioner/fleet_test.go
+++ b/internal/apportioner/fleet_test.go
@@ -26,7 +26,7 @@
 
 // fleet plays gateways, stewards and the datagrams between them.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	rng       *rand.Rand
 	now       time.Duration
 	quotas    []registrar.Workspace
@@ -40,6 +40,9 @@
 	delay     func(*rand.Rand) time.Duration
 	part      func(gateway int) int // of the network; stewards are in part index modulo parts
 	parts     int
+	broken    map[[2]int]bool // links between a gateway and a steward
+	place     func(gateway int) float64
+	load      float64
 	demand    func(now time.Duration, gateway int, workspace registrar.WorkspaceName) float64 // requests per second
 	cost      func(*rand.Rand) float64
 	spent     map[registrar.WorkspaceName][]spend
@@ -107,16 +110,18 @@
 	inbox  []datagram
 }
 
+func shortDelay(r *rand.Rand) time.Duration {
+	return time.Millisecond + time.Duration(r.IntN(2000))*time.Microsecond
+}
+
 func workspace(name string, rate, burst float64) registrar.Workspace {
 	return registrar.Workspace{Name: registrar.WorkspaceName(name), Quota: registrar.Quota{Unit: registrar.UnitTokens, Rate: rate, Burst: burst}}
 }
 
-func newFleet(t *testing.T, gateways int, quotas ...registrar.Workspace) *fleet {
+func newFleet(t testing.TB, gateways int, quotas ...registrar.Workspace) *fleet {
 	f := &fleet{
 		t: t, rng: rand.New(rand.NewPCG(7, uint64(gateways))), quotas: quotas, version: 1, parts: 1,
-		delay: func(r *rand.Rand) time.Duration {
-			return time.Millisecond + time.Duration(r.IntN(2000))*time.Microsecond
-		},
+		delay: shortDelay, broken: map[[2]int]bool{},
 		part:   func(int) int { return 0 },
 		demand: func(time.Duration, int, registrar.WorkspaceName) float64 { return 0 },
 		cost:   func(*rand.Rand) float64 { return testCost },
@@ -151,7 +156,7 @@
 }
 
 func (f *fleet) connected(gateway, steward int) bool {
-	return f.part(gateway)%f.parts == steward%f.parts
+	return f.part(gateway)%f.parts == steward%f.parts && !f.broken[[2]int{gateway, steward}]
 }
 
 func (f *fleet) send(d datagram) {
