Let what a ledger saved end with its claims alone; bound the traffic of quotas

That a ledger resets after a pause was not needed: all claims end in it, and with them what is saved. That a gateway leaves its own part alone while it may be counted had no test. The text of limited fits quotas too.

--- a/internal/apportioner/account_test.go
+++ b/internal/apportioner/account_test.go
@@ -122,6 +122,7 @@
 	a, now := testAccount(t)
 	a.balances["w"].tokens = 0
 	require.Equal(t, Pending, a.Take(now, 1, "w", 100).Outcome)
+	require.False(t, a.Take(now+claimTTL, 1, "w", 100).Own, "the issuer may count it still")
 	now += claimTTL + claimMargin
 	a.Settled(now)
 	granted := 0.0
--- a/internal/apportioner/fleet_test.go
+++ b/internal/apportioner/fleet_test.go
@@ -52,6 +52,8 @@
 	shareFrom time.Duration
 	waits     []time.Duration
 	datagrams int
+	bytes     int
+	measure   func(message any) int // nil to count no bytes
 }
 
 // centralBucket is a token bucket that all gateways would share if messages took no time:
@@ -161,6 +163,11 @@
 
 func (f *fleet) send(d datagram) {
 	f.datagrams++
+	if f.measure != nil && d.request != nil {
+		f.bytes += f.measure(d.request)
+	} else if f.measure != nil {
+		f.bytes += f.measure(d.answer)
+	}
 	copies := 1
 	if f.rng.Float64() < f.double {
 		copies = 2
--- a/internal/apportioner/ledger.go
+++ b/internal/apportioner/ledger.go
@@ -71,13 +71,10 @@
 }
 
 // advance moves the ledger on to now. If it has not been called for a while, as in a frozen
-// process, other issuers may have issued tokens for that time.
+// process, all claims have ended, and what is saved ends with them: another issuer may have
+// issued tokens for that time.
 func (l *Ledger) advance(now time.Duration) {
-	if now-l.advancedAt > maxPause {
-		l.reset()
-	} else {
-		l.served += l.share() * (now - l.advancedAt).Seconds()
-	}
+	l.served += l.share() * min(now-l.advancedAt, claimTTL).Seconds()
 	l.advancedAt = now
 	l.recount(now)
 	if now-l.sweptAt >= sweepPeriod {
@@ -85,16 +82,6 @@
 	}
 }
 
-// reset forgets what is saved and who is counted.
-func (l *Ledger) reset() {
-	for _, b := range l.buckets {
-		b.saved, b.filledAt = min(0, b.saved), l.served
-	}
-	for _, c := range l.customers {
-		c.claimedUntil = 0
-	}
-}
-
 func (l *Ledger) recount(now time.Duration) {
 	before := l.counted
 	l.counted = 0
--- a/internal/apportioner/message.go
+++ b/internal/apportioner/message.go
@@ -42,7 +42,6 @@
 	claimTTL                = 600 * time.Millisecond // for which an issuer counts a gateway after its claim
 	claimMargin             = 150 * time.Millisecond // for a claim to arrive
 	balanceTTL              = 3 * time.Second        // of tokens at a gateway that hears no issuer
-	maxPause                = 700 * time.Millisecond // of a ledger; after a longer one others may have issued in its place
 	rosterPeriod            = 4 * time.Second        // between answers with the roster
 	rosterMemory            = 5 * time.Minute        // of gateways that have not been heard
 )
--- a/internal/classifier/kind.go
+++ b/internal/classifier/kind.go
@@ -28,7 +28,7 @@
 	Conflict  Kind = "conflict"  // the idempotency key was used with another request
 	Large     Kind = "large"     // the request body exceeds its limit
 	Stalled   Kind = "stalled"   // the caller did not send the whole request in time
-	Limited   Kind = "limited"   // the caller exceeds its limit of open requests
+	Limited   Kind = "limited"   // the caller exceeds its limit of open requests, or its workspace its quota
 	Busy      Kind = "busy"      // no upstream has a free slot or queue place
 	Late      Kind = "late"      // the latency target cannot be met
 	Leaving   Kind = "leaving"   // the process is shutting down
@@ -71,7 +71,7 @@
 	Conflict:  {409, codes.AlreadyExists, RanNo, false, 0, "the idempotency key was used with another body, use a new key"},
 	Large:     {413, codes.OutOfRange, RanNo, false, 0, "the body is too large"},
 	Stalled:   {408, codes.DeadlineExceeded, RanNo, true, time.Second, "the request was not read whole in time, send it again"},
-	Limited:   {429, codes.ResourceExhausted, RanNo, true, time.Second, "the caller has too many open requests, wait for one to finish"},
+	Limited:   {429, codes.ResourceExhausted, RanNo, true, time.Second, "the caller is over its limit, retry later"},
 	Busy:      {503, codes.ResourceExhausted, RanNo, true, 2 * time.Second, "no upstream has room, retry later"},
 	Late:      {503, codes.DeadlineExceeded, RanNo, true, 2 * time.Second, "the target can't be met, retry later"},
 	Leaving:   {503, codes.Unavailable, RanNo, true, time.Second, "the process is stopping, retry elsewhere"},
