--- a/internal/dispatcher/pace_test.go
+++ b/internal/dispatcher/pace_test.go
@@ -43,3 +43,15 @@
 	}
 	require.Zero(t, h.d.Demands(h.now)[0].Pace)
 }
+
+// Guards against stewards that never learn how fast their runner is.
+func TestAnswersTellThePaceOfTheirRunner(t *testing.T) {
+	h := newHarness(t)
+	h.listRunners(1, "m")
+	for _, pace := range []time.Duration{20, 20, 20, 48} {
+		h.serveStream("m", 20, pace*time.Millisecond)
+	}
+	const address = "10.0.1.0:80"
+	require.Equal(t, []RunnerPace{{address, 100}, {address, 240}}, h.d.TakeRunnerPaces(), "from the third answer on")
+	require.Empty(t, h.d.TakeRunnerPaces())
+}
--- a/internal/dispatcher/shortbudget.go
+++ b/internal/dispatcher/shortbudget.go
@@ -25,6 +25,9 @@
 	if !r.hasShortBudget() {
 		return max(retryAfter, minRetryAfter)
 	}
+	if retryAfter == 0 {
+		retryAfter = minRetryAfter
+	}
 	return min(retryAfter, time.Duration(float64(r.Deadline-now)*retryAfterShare))
 }
 
--- a/internal/dispatcher/shortbudget_test.go
+++ b/internal/dispatcher/shortbudget_test.go
@@ -127,6 +127,13 @@
 	}
 }
 
+// Guards against the default Retry-After, which is longer than the whole budget, where a
+// refusal names none.
+func TestRefusalWithoutRetryAfterFitsAShortBudget(t *testing.T) {
+	r := &request{Request: Request{Deadline: 600 * time.Millisecond}}
+	require.Equal(t, 150*time.Millisecond, r.usableRetryAfter(100*time.Millisecond, 0))
+}
+
 // Guards against other waits and Retry-Afters for callers with more time.
 func TestLongBudgetKeepsItsRetryAfter(t *testing.T) {
 	r := &request{Request: Request{Deadline: 4 * time.Second}}
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -12,7 +12,9 @@
 // A gateway keeps the paces of the last answers and reports their median for each model
 // with its demand. Stewards combine the reports of all gateways, so that they plan with the
 // same costs and a gateway that relays few answers or has slow callers counts little.
-// Nothing is kept beyond sampleLifetime: a new gateway has learned the paces within seconds.
+// The steward of a runner gets the pace of each of its answers relative to the model's and
+// reports the median as the runner's Slowness. All is kept in memory and learned within
+// seconds.
 package estimator
 
 import (
