--- a/internal/dispatcher/limit.go
+++ b/internal/dispatcher/limit.go
@@ -203,7 +203,7 @@
 	var next *upstream
 	nextHoldsAdapter := false
 	for _, u := range group {
-		if u == chosen || !u.accepting() || !r.eligible(u) || !d.permitsDue(r, u, chosen) {
+		if u == chosen || !u.accepting() || !r.eligible(u) || !d.permitsDue(u, chosen) {
 			continue
 		}
 		model, adapter := u.holds(d.now, r.Model, r.Adapter)
@@ -227,7 +227,7 @@
 
 // permitsDue reports whether permits for an upstream may be requested now. The chosen one
 // for the request at hand may be nil.
-func (d *Dispatcher) permitsDue(r *request, u, chosen *upstream) bool {
+func (d *Dispatcher) permitsDue(u, chosen *upstream) bool {
 	rate := d.limitOf(u)
 	if rate == 0 || d.issuerOf(u) == "" {
 		return false
@@ -239,7 +239,7 @@
 	if u.permits.requestedAt > 0 && d.now < u.permits.requestedAt+period {
 		return false
 	}
-	return chosen == nil || d.cost(r, u) <= d.cost(r, chosen)
+	return chosen == nil || d.cost(u) <= d.cost(chosen)
 }
 
 // limitedRate returns the limit of all upstreams that could run the request together, in
--- a/internal/dispatcher/pace.go
+++ b/internal/dispatcher/pace.go
@@ -50,23 +50,6 @@
 	return float64(u.report.Slowness) / 100
 }
 
-// slownessAt returns how much the slowness of an upstream counts for the request: fully if
-// half of its work is output, more for longer answers and less for shorter ones. The pauses
-// of a long stream grow with the slowness, and so does the time in which prompts of others
-// lengthen them. A long prompt with a short answer disturbs the streams of a fast upstream
-// and gains little there.
-func (r *request) slownessAt(u *upstream, now time.Duration) float64 {
-	slowness, work := u.slowness(now), r.work()
-	if slowness == 1 || work == 0 {
-		return slowness
-	}
-	weight := 2 * (1 - float64(r.PromptTokens)/work)
-	if weight <= 1 {
-		return 1 + (slowness-1)*weight
-	}
-	return slowness * (1 + (slowness-1)*(weight-1))
-}
-
 // startDelay returns the time from the last send to the beginning of its answer, zero if
 // it has not begun.
 func (r *request) startDelay() time.Duration {
--- a/internal/dispatcher/selection.go
+++ b/internal/dispatcher/selection.go
@@ -103,7 +103,7 @@
 			if !u.accepting() || !r.eligible(u) || avoid != avoidedPass || !allowed(u) {
 				continue
 			}
-			cost := d.cost(r, u)
+			cost := d.cost(u)
 			switch {
 			case best == nil || cost < lowestCost:
 				best, lowestCost, ties = u, cost, 1
@@ -123,10 +123,10 @@
 
 // cost ranks an upstream by its load, failure rate and failure domain, in requests of
 // load. Lower is better.
-func (d *Dispatcher) cost(r *request, u *upstream) float64 {
+func (d *Dispatcher) cost(u *upstream) float64 {
 	all, waiting := u.estimateLoad(d.now, d.gatewayCount)
 	// A further request waits for those before it, as long as the runner is slow.
-	slowness := r.slownessAt(u, d.now)
+	slowness := u.slowness(d.now)
 	cost := (all+waitingCost*waiting)*slowness + (slowness - 1) + failureCost*u.currentFailureRate(d.now)
 	if u.info.Domain != d.cfg.Domain {
 		cost += remoteDomainCost
