--- a/internal/apportioner/polling.go
+++ b/internal/apportioner/polling.go
@@ -1,6 +1,7 @@
 package apportioner
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -79,6 +80,7 @@
 func (a *Account) choose(now time.Duration, issuers []string) {
 	if a.underWay && now-a.askedAt >= answerTimeout {
 		a.underWay = false
+		maps.DeleteFunc(a.silentUntil, func(_ string, until time.Duration) bool { return now >= until })
 		a.silentUntil[a.issuer] = now + silentTime
 		a.follow("")
 	}
@@ -111,9 +113,4 @@
 	for _, b := range a.balances {
 		b.announced, b.roomAt = 0, 0
 	}
-	for address, until := range a.silentUntil {
-		if until == 0 {
-			delete(a.silentUntil, address)
-		}
-	}
 }
--- a/internal/apportioner/roster.go
+++ b/internal/apportioner/roster.go
@@ -38,7 +38,9 @@
 		return
 	}
 	r.members[m.Address] = known{heardAt, m.Left}
-	r.count()
+	if !ok || k.left != m.Left {
+		r.count()
+	}
 }
 
 // hear notes a message of a gateway.
--- a/internal/dispatcher/workspace_test.go
+++ b/internal/dispatcher/workspace_test.go
@@ -199,7 +199,7 @@
 	h := newQuotaHarness(t, tokenQuota())
 	h.arrive(900, 100)
 	h.answer(0, 0)
-	h.answer(0, 700*time.Millisecond)
+	h.answer(0, 3*time.Second)
 	logged := 0
 	for range 50 {
 		h.lastID++
@@ -211,4 +211,14 @@
 		}
 	}
 	require.Zero(t, logged, "the first one was logged")
+	h.now += quotaLogDelay
+	h.lastID++
+	for _, effect := range h.d.Reduce(h.now, Arrived{Request{ID: h.lastID, Route: route(registrar.Streaming, 2), Service: runnerService, Model: "m", Workspace: &h.workspace, Deadline: h.now + time.Second}}) {
+		if entry, ok := effect.(Log); ok {
+			require.Equal(t, 51, entry.Refusals)
+			require.Equal(t, registrar.WorkspaceName("w"), entry.Workspace)
+			logged++
+		}
+	}
+	require.Equal(t, 1, logged)
 }
