--- a/internal/apportioner/account_test.go
+++ b/internal/apportioner/account_test.go
@@ -148,3 +148,16 @@
 	require.Equal(t, Refused, settled[1].Outcome)
 	require.Equal(t, -100.0, a.balances["w"].tokens)
 }
+
+// A gateway decides on each request of a workspace with a quota.
+func BenchmarkTake(b *testing.B) {
+	a := NewAccount(Config{Epoch: 1})
+	a.Configure(1, []registrar.Workspace{workspace("w", 1000, 4000)})
+	a.balances["w"].tokens, a.answeredAt = 1e15, time.Second
+	b.ReportAllocs()
+	for b.Loop() {
+		if a.Take(time.Second, 1, "w", 1).Outcome != Granted {
+			b.Fatal("not granted")
+		}
+	}
+}
