Let the fake dispatcher of the memory test send again what was not sent

Traced by its output: 14 sends ended with a time-out of the connection to the fake upstream, which shares the starved processor; the dispatcher sends such a request again, the fake did not.

--- a/internal/relayer/slowcallers_test.go
+++ b/internal/relayer/slowcallers_test.go
@@ -109,7 +109,8 @@
 		events  = 100
 	)
 	before := goMemory()
-	d := newFakeDispatcher(startUpstream(t, serveLongStream(events, func() {})))
+	upstream := startUpstream(t, serveLongStream(events, func() {}))
+	d := newFakeDispatcher(upstream, upstream, upstream) // like the dispatcher, it sends again what was not sent
 	g, address := startBudgetedGateway(t, d, budgeter.ConfigOf(budgeter.Limits{Memory: memory}))
 	conns := make([]net.Conn, callers)
 	for i := range conns {
