--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -62,55 +62,6 @@
 	Counters Counters
 }
 
-// Counters counts requests and sends since the dispatcher was created.
-type Counters struct {
-	Arrived      int `json:"arrived"`  // requests
-	Sent         int `json:"sent"`     // sends
-	SentLimited  int `json:"limited"`  // of these, to upstreams that named a limit
-	Completed    int `json:"whole"`    // requests with a complete answer
-	Refused      int `json:"refused"`  // requests that no upstream ran, answered with an error
-	Isolated     int `json:"isolated"` // of these, like others that crash upstreams
-	Revoked      int `json:"revoked"`  // of these, since their key was not known to be valid any more
-	Lost         int `json:"lost"`     // requests that an upstream may have run, answered with an error
-	Retried      int `json:"repeated"` // retries after an upstream had received the request
-	Resumed      int `json:"resumed"`  // of these, after a part of a stream had reached the caller
-	Disconnected int `json:"left"`     // requests whose caller closed its connection
-	Yielded      int `json:"yielded"`  // refused requests that other workspaces' shares went before
-	Promoted     int `json:"promoted"` // requests that went before more urgent ones, since those of their priority were served too seldom
-	Beyond       int `json:"beyond"`   // sends of requests beyond the share of their workspace
-}
-
-// request is a request without a final answer.
-type request struct {
-	Request
-	arrivedAt     time.Duration
-	stats         *modelStats // of its model
-	upstream      *upstream   // of the send under way, nil while the request waits
-	try           Try         // of the last send, zero before the first
-	runs          int         // sends in which the request may have run
-	refusals      int         // sends that an upstream received and did not run
-	unsent        int         // sends that did not reach their upstream
-	queuePosition int         // among the waiting requests of its model when it was queued, from 1
-	// sendsAtEnqueue is the number of sends for its model when it was queued.
-	sendsAtEnqueue int
-	retryPaid      bool                 // the retry budget has been charged for the next send
-	answerBegan    bool                 // a part of an answer has reached the caller
-	sendBegan      bool                 // a part of the last send's answer has reached the caller
-	beganAt        time.Duration        // when that was
-	failureKept    bool                 // the relayer keeps an upstream's 5xx answer for RelayFailure
-	mayHaveRun     bool                 // an earlier send may have run
-	avoidUpstream  registrar.UpstreamID // of the last send that failed, was refused or stalled
-	sentAt         time.Duration        // time of the last send
-	release        registrar.Release    // the only one that may run it, empty for any
-	search         originSearch         // for release
-	permitted      bool                 // the last send used a permit of an upstream with a limit
-	lastCause      string               // error text of the last send
-	quotaPending   bool                 // it waits for tokens of its workspace's quota
-	quotaPassed    bool                 // its workspace's quota had room for it
-	quotaPassedAt  time.Duration        // when it had
-	share          shareState
-}
-
 // New returns a dispatcher without a configuration.
 func New(cfg Config) *Dispatcher {
 	return &Dispatcher{
