--- a/internal/relayer/identity_test.go
+++ b/internal/relayer/identity_test.go
@@ -53,7 +53,10 @@
 	})
 }
 
-func answerOK(req *http.Request) string { return okResponse(req.Header.Get("Try"), "fine") }
+// answerOK announces that the upstream closes the connection, so that it is not used again.
+func answerOK(req *http.Request) string {
+	return strings.Replace(okResponse(req.Header.Get("Try"), "fine"), "\r\n", "\r\nConnection: close\r\n", 1)
+}
 
 // sendRaw sends the text of a request, with CRLF for each line end, and returns the
 // response.
