--- a/internal/dispatcher/bearing.go
+++ b/internal/dispatcher/bearing.go
@@ -25,12 +25,11 @@
 	bearing := d.bearings[b.service]
 	if bearing == nil {
 		bearing = &budgeter.Bearing{}
+		d.bearings[b.service] = bearing
 	}
 	if !bearing.Crashed(d.now, b.heldBytes, b.heldRequests) {
-		d.bearings[b.service] = bearing
 		return
 	}
-	d.bearings[b.service] = bearing
 	for _, u := range d.upstreamsByService[b.service] {
 		u.bearing = bearing
 	}
