Ask stewards which releases were in service before a stream is resumed

Cause: a gateway that has just started took the one release that it lists for the only one that may have begun a stream, when the caller does not name it or no steward answers. Right after the older release has left, the rest of the stream came from the newer one.

Change: a gateway that has not listed upstreams for a minute asks stewards, who tell all releases of the last minute; without an answer it refuses the resumption as not run. A steward answers without the store if it has seen one release alone for a minute.

Ruled out: streams of callers that name them were searched before; what a search that no steward answers decides was wrong too.

--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -25,11 +25,12 @@
 
 // originSearch is the search for the release that began the stream that a request resumes.
 type originSearch struct {
-	until   time.Duration // zero without a search
-	askedAt time.Duration
-	asks    int // how often stewards have been asked
-	asked   int // stewards that were asked last
-	absent  int // of these, those that don't know the stream
+	until    time.Duration // zero without a search
+	askedAt  time.Duration
+	asks     int  // how often stewards have been asked
+	asked    int  // stewards that were asked last
+	absent   int  // of these, those that don't know the stream
+	answered bool // a steward has told which releases may have begun the stream
 }
 
 // eligible reports whether an upstream may run a request: a stream that has begun goes on
@@ -99,7 +100,7 @@
 		r.release = release
 		return true
 	}
-	if r.Resumes == "" {
+	if r.Resumes == "" && d.releasesOf(r.Service).Complete(d.now) {
 		d.endSearch(r)
 		return false
 	}
@@ -133,15 +134,21 @@
 	}
 }
 
+// releasesOf returns the releases of a service's upstreams.
+func (d *Dispatcher) releasesOf(service registrar.ServiceName) *tracker.Releases {
+	if d.releases[service] == nil {
+		d.releases[service] = tracker.NewReleases()
+	}
+	return d.releases[service]
+}
+
 // endSearch sends a request whose origin is unknown to the only release that may have
-// begun its stream. It refuses the request if there are several.
+// begun its stream. It refuses the request if there are several, or may be.
 func (d *Dispatcher) endSearch(r *request) {
+	known := d.releasesOf(r.Service)
+	releases, certain := known.Recent(d.now), r.search.answered || known.Complete(d.now)
 	r.search = originSearch{}
-	var releases []registrar.Release
-	if known := d.releases[r.Service]; known != nil {
-		releases = known.Recent(d.now)
-	}
-	if len(releases) > 1 {
+	if len(releases) > 1 || !certain {
 		r.lastCause = "the release that began the stream is unknown"
 		d.refuse(r, classifier.Orphaned, orphanRetryAfter)
 		return
@@ -165,17 +172,17 @@
 
 // handleStreamUnknown records the releases that a steward has seen. It ends the search when
 // all stewards that were asked don't know the stream. The first round does not count, since
-// the message about the stream's beginning may still be under way.
+// the message about the stream's beginning may still be under way. The first answer ends the
+// search for a stream that the caller does not name.
 func (d *Dispatcher) handleStreamUnknown(absence tracker.Absence) {
 	for _, r := range d.requestsByID() {
 		if r.search.until == 0 || r.stream() != absence.Stream {
 			continue
 		}
-		if known := d.releases[r.Service]; known != nil {
-			known.See(d.now, absence.Releases)
-		}
+		d.releasesOf(r.Service).See(d.now, absence.Releases)
+		r.search.answered = true
 		r.search.absent++
-		if r.search.asks > 1 && r.search.absent >= r.search.asked {
+		if r.Resumes == "" || r.search.asks > 1 && r.search.absent >= r.search.asked {
 			d.endSearch(r)
 		}
 	}
--- a/internal/dispatcher/resume_test.go
+++ b/internal/dispatcher/resume_test.go
@@ -77,11 +77,9 @@
 	for _, stream := range []string{"a", ""} {
 		h := newHarness(t)
 		h.listReleases("v1", "v2")
-		effects := h.resume(stream)
-		if stream != "" {
-			h.now += originTimeout
-			effects = h.reduce(Tick{})
-		}
+		h.resume(stream)
+		h.now += originTimeout
+		effects := h.reduce(Tick{})
 		answer := h.requireFail(effects)
 		require.Equal(t, classifier.Orphaned, answer.Kind)
 		require.Equal(t, classifier.RanNo, classifier.ResponseOf(answer.Kind).Ran)
@@ -89,13 +87,52 @@
 	}
 }
 
-// A caller that does not name the beginning of its stream must not wait for a search.
+// listForLong lists runners for so long that the gateway has seen all releases that may have
+// begun a stream.
+func (h *harness) listForLong(releases ...registrar.Release) {
+	h.listReleases(releases...)
+	h.now += time.Hour
+	h.listReleases(releases...)
+}
+
+// A caller that does not name the beginning of its stream must not wait for a search, unless
+// the gateway has started lately.
 func TestResumptionWithoutAnOriginIsNotDelayed(t *testing.T) {
 	h := newHarness(t)
-	h.listReleases("v1", "v1")
+	h.listForLong("v1", "v1")
 	h.requireSend(h.resume(""))
 }
 
+// All gateways are killed just after the runners of an older release have left. A gateway
+// that is back lists the newer release alone, and callers don't name the streams that they
+// resume.
+func TestGatewayBackAfterAReleaseLeftDoesNotJoinStreams(t *testing.T) {
+	h := newHarness(t)
+	h.listReleases("v2", "v2")
+	ask := h.resume("")[0].(FindStream)
+	effects := h.reduce(StreamUnknown{tracker.Absence{Stream: ask.Stream, Releases: []registrar.Release{"v1", "v2"}}})
+	require.Equal(t, classifier.Orphaned, h.requireFail(effects).Kind)
+}
+
+func TestGatewayThatIsBackResumesStreamsOfTheOnlyRelease(t *testing.T) {
+	h := newHarness(t)
+	h.listReleases("v2", "v2")
+	ask := h.resume("")[0].(FindStream)
+	h.requireSend(h.reduce(StreamUnknown{tracker.Absence{Stream: ask.Stream, Releases: []registrar.Release{"v2"}}}))
+}
+
+// Without an answer of a steward, a gateway that has just started can't tell which releases
+// may have begun a stream.
+func TestGatewayThatIsBackAndHearsNoStewardDoesNotJoinStreams(t *testing.T) {
+	for _, stream := range []string{"a", ""} {
+		h := newHarness(t)
+		h.listReleases("v2", "v2")
+		h.resume(stream)
+		h.now += originTimeout
+		require.Equal(t, classifier.Orphaned, h.requireFail(h.reduce(Tick{})).Kind)
+	}
+}
+
 // After a loss of power the list may still lack the release that began the stream.
 func TestReleaseThatAStewardHasSeenMayHaveBegunAStream(t *testing.T) {
 	h := newHarness(t)
@@ -122,7 +159,7 @@
 
 func TestStreamOfUnknownOriginGoesOnAtTheOnlyRelease(t *testing.T) {
 	h := newHarness(t)
-	h.listReleases("v1", "v1")
+	h.listForLong("v1", "v1")
 	h.resume("a")
 	h.now += originTimeout
 	h.requireSend(h.reduce(Tick{}))
--- a/internal/dispatcher/upstream.go
+++ b/internal/dispatcher/upstream.go
@@ -6,7 +6,6 @@
 
 	"github.com/egretwall/egretwall/internal/budgeter"
 	"github.com/egretwall/egretwall/internal/registrar"
-	"github.com/egretwall/egretwall/internal/tracker"
 )
 
 // upstream is what the gateway knows of one incarnation of an upstream.
@@ -68,9 +67,7 @@
 	byService := map[registrar.ServiceName][]*registrar.Upstream{}
 	for _, entry := range all {
 		byService[entry.Service] = append(byService[entry.Service], entry)
-		if d.releases[entry.Service] == nil {
-			d.releases[entry.Service] = tracker.NewReleases()
-		}
+		d.releasesOf(entry.Service)
 	}
 	for service, releases := range d.releases {
 		releases.List(d.now, byService[service])
--- a/internal/driver/origins.go
+++ b/internal/driver/origins.go
@@ -78,6 +78,12 @@
 	}
 }
 
+// onlyRelease reports whether one release alone may have begun streams, whatever the store
+// holds.
+func (k *originKeeper) onlyRelease(now time.Duration) bool {
+	return k.releases.Complete(now) && len(k.releases.Recent(now)) == 1
+}
+
 // keepOrigins writes and reads origins until ctx ends.
 func (s *Steward) keepOrigins(ctx context.Context) {
 	ticker := time.NewTicker(originSavePeriod)
@@ -135,7 +141,7 @@
 	switch {
 	case known:
 		m.Origin = &tracker.Origin{Stream: id, Release: release}
-	case s.origins.loaded:
+	case s.origins.loaded || s.origins.onlyRelease(s.syncer.now()):
 		m.Absence = &tracker.Absence{Stream: id, Releases: s.origins.releases.Recent(s.syncer.now())}
 	default:
 		select {
--- a/internal/tracker/releases.go
+++ b/internal/tracker/releases.go
@@ -15,6 +15,8 @@
 // concurrent use.
 type Releases struct {
 	listed []registrar.Release
+	since  time.Duration                       // of the first listing of an upstream
+	known  bool                                // since is set
 	seenAt map[registrar.Release]time.Duration // when each was last listed or seen, if it is not listed now
 }
 
@@ -28,6 +30,9 @@
 	for _, release := range r.listed {
 		r.seenAt[release] = now
 	}
+	if !r.known && len(upstreams) > 0 {
+		r.since, r.known = now, true
+	}
 	r.listed = r.listed[:0]
 	for _, u := range upstreams {
 		if !slices.Contains(r.listed, u.Release) {
@@ -43,6 +48,12 @@
 	}
 }
 
+// Complete reports whether upstreams have been listed for so long that Recent tells all
+// releases. A process that has started lately has not seen those that had left before.
+func (r *Releases) Complete(now time.Duration) bool {
+	return r.known && now-r.since >= releaseMemory
+}
+
 // Recent returns the releases that are listed or were within releaseMemory.
 func (r *Releases) Recent(now time.Duration) []registrar.Release {
 	recent := slices.Clone(r.listed)
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/egretwall/egretwall/internal/registrar"
 )
 
 func TestOriginsAreRememberedForAWhile(t *testing.T) {
@@ -30,3 +32,11 @@
 	}
 	require.LessOrEqual(t, len(tr.current)+len(tr.previous), 2*maxStreams)
 }
+
+func TestReleasesAreCompleteAfterAMinuteOfListing(t *testing.T) {
+	r := NewReleases()
+	require.False(t, r.Complete(time.Hour), "nothing listed")
+	r.List(time.Hour, []*registrar.Upstream{{Release: "v1"}})
+	require.False(t, r.Complete(time.Hour))
+	require.True(t, r.Complete(time.Hour+releaseMemory))
+}
