Send a runner the requests that it can begin until its next report

Cause: gateways divided a runner's free slots, of which it has 64, though it reads the prompts of about eight requests a second. A model that demand moves to got 20 to 40 prompts at once; its engine then read without a pause, answers under way took 100 ms and more for an event and ended at their deadlines, and later requests waited behind others that were late already.

Change: stewards measure how many answers their runner begins per second while requests wait for it, from the progress of its runs in its report. Gateways divide what it begins until its next report instead of its slots, and estimate their waits by the same rate.

--- a/internal/dispatcher/batch_test.go
+++ b/internal/dispatcher/batch_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretwall/egretwall/internal/estimator"
 	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
@@ -247,8 +248,16 @@
 			}
 		}
 	}
+	pace := estimator.Engine{}
 	s.schedulePeriodic(reportPeriod, reportPeriod, func() {
-		rep := Report{Address: u.Address, Residents: u.Residents, Gateways: gateways, Running: len(s.engine.running), Waiting: len(s.engine.waiting)}
+		var runs []estimator.Progress
+		for _, stream := range s.engine.running {
+			runs = append(runs, estimator.Progress{Request: fmt.Sprint(stream.send.ID), Events: 1})
+		}
+		reading := min(1, len(s.engine.waiting))
+		rep := Report{Address: u.Address, Residents: u.Residents, Gateways: gateways, Running: len(s.engine.running) + reading, Waiting: len(s.engine.waiting) - reading}
+		pace.Observe(s.now, runs, rep.Waiting)
+		rep.StartRate = pace.StartRate()
 		for g := range s.gateways {
 			s.deliver(g, Reported{rep})
 		}
@@ -285,3 +294,23 @@
 		require.GreaterOrEqual(t, longServed, 0.9, "the more urgent requests, %v requests a second", c.rate)
 	}
 }
+
+// The only copy of a model is asked for twice what its engine can read. Prompts that all
+// gateways send it at once would make it read without a pause, so that answers end too late
+// and the requests that could still begin in time wait behind others.
+func TestEngineGetsTheRequestsThatItCanBegin(t *testing.T) {
+	for _, c := range []struct{ rate, minOnTime float64 }{{rate: 12, minOnTime: 0.35}, {rate: 16, minOnTime: 0.2}} {
+		const seeds = 4
+		var onTime, lost, longServed float64
+		for seed := range uint64(seeds) {
+			classes := runBatch(c.rate, seed)
+			short, long := classes[0], classes[1]
+			onTime += float64(short.onTime) / float64(short.asked) / seeds
+			lost += float64(short.failed) / float64(short.asked) / seeds
+			longServed += long.served() / seeds
+		}
+		require.GreaterOrEqual(t, onTime, c.minOnTime, "%v requests a second", c.rate)
+		require.LessOrEqual(t, lost, 0.02, "%v requests a second", c.rate)
+		require.GreaterOrEqual(t, longServed, 0.9, "the more urgent requests, %v requests a second", c.rate)
+	}
+}
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -194,6 +194,7 @@
 	LoadQueued     bool                      `json:"claimed,omitempty" cbor:"16,keyasint,omitempty"`  // the load of Loading is announced but waits for the weight store's rate limit
 	SinceStoreLoad time.Duration             `json:"stored,omitempty" cbor:"17,keyasint"`             // time since the last load from the weight store began, negative before the first
 	Slowness       estimator.Percent         `json:"slowness,omitempty" cbor:"18,keyasint,omitempty"` // time that the runner takes for a token, of that of others; zero if it is unknown
+	StartRate      float64                   `json:"starts,omitempty" cbor:"19,keyasint,omitempty"`   // answers that the runner begins per second while requests wait for it, zero if it is unknown
 }
 
 func (Tick) event()               {}
--- a/internal/dispatcher/quota.go
+++ b/internal/dispatcher/quota.go
@@ -56,7 +56,7 @@
 // drawQuota draws the quota from the free slots in the upstream's last report and the
 // requests that wait for them.
 func (d *Dispatcher) drawQuota(u *upstream) sendQuota {
-	free := float64(d.slots(u) - u.report.Running - u.report.Waiting - (u.inFlight - u.inFlightAtReport))
+	free := u.room(d.slots(u))
 	own, others := d.waitingFor(u, func(m *modelStats) *averagedCount { return &m.onTimeWaiting })
 	ownLate, othersLate := d.waitingFor(u, func(m *modelStats) *averagedCount { return &m.lateWaiting })
 	if d.shares.enabled {
@@ -73,6 +73,20 @@
 	}
 }
 
+// room returns the number of further requests of all gateways that the upstream can take
+// until its next report: its free slots or, once its rate is known, those that it can begin
+// by then. More would wait there for prompts that are read one after the other, and the more
+// prompts an engine reads, the more slowly it makes the tokens of the answers under way.
+func (u *upstream) room(slots int) float64 {
+	sentSince := u.inFlight - u.inFlightAtReport
+	free := float64(slots - u.report.Running - u.report.Waiting - sentSince)
+	if u.report.StartRate == 0 {
+		return free
+	}
+	startable := max(1, u.report.StartRate*reportDelay.Seconds())
+	return min(free, startable-float64(u.report.Waiting+max(0, sentSince)))
+}
+
 // share returns the part of own in own plus others, and 1 if others is zero.
 func share(own, others float64) float64 {
 	if others <= 0 {
--- a/internal/dispatcher/selection.go
+++ b/internal/dispatcher/selection.go
@@ -254,7 +254,20 @@
 		return wait
 	}
 	stats.sendRate.decay(d.now)
-	return max(wait, time.Duration(float64(ahead)/max(stats.sendRate.value, minSendRate)*float64(time.Second)))
+	return max(wait, time.Duration(float64(ahead)/max(stats.sendRate.value, d.startRateShare(r), minSendRate)*float64(time.Second)))
+}
+
+// startRateShare returns this gateway's equal share of the answers that the upstreams with
+// the request's model can begin per second, as far as it is known. Few sends of one gateway
+// tell no rate.
+func (d *Dispatcher) startRateShare(r *request) float64 {
+	rate := 0.0
+	for _, u := range d.holders(modelKeyOf(r)) {
+		if u.accepting() && r.eligible(u) && u.hasFreshReport(d.now) {
+			rate += u.report.StartRate
+		}
+	}
+	return rate / float64(max(1, d.gatewayCount))
 }
 
 // estimateLateWait estimates the wait of requests that can no longer meet their
--- a/internal/reconciler/event.go
+++ b/internal/reconciler/event.go
@@ -69,6 +69,7 @@
 	Busy            bool                      `json:"Busy"` // an order for a model is being executed
 	Running         int                       `json:"Running"`
 	Waiting         int                       `json:"Waiting"`
+	Runs            []estimator.Progress      `json:"Runs,omitempty"` // of the requests that it runs
 	KVUsed          registrar.Tokens          `json:"Used"`
 	KVTotal         registrar.Tokens          `json:"Total"`
 	InHostMemory    []registrar.ModelName     `json:"Warm"` // models with their weights in the host's memory
