Refuse late requests that those in time leave no room for

Cause: the wait of a late request was taken from the number of late ones at its gateway, one of which might wait without an end.

Change: where the rate is known at which the model's runners begin answers, a late request waits for what requests in time leave of the gateway's part of it, and is refused at once if that takes longer than its caller waits. The estimates of waits are in a file of their own.

--- a/internal/dispatcher/batch_test.go
+++ b/internal/dispatcher/batch_test.go
@@ -37,6 +37,7 @@
 	target, timeout            time.Duration
 	asked, onTime, late        int // requests, those complete and begun within the target, and those complete and begun later
 	failed, refused            int // requests that were sent and not completed, and the others
+	heldLong                   int // of the refused ones, those that waited for half of the time that callers wait for a first event
 	open                       int // requests without an answer at the end
 	workspace                  *registrar.Workspace
 	gateways                   int           // that its callers use, all if zero
@@ -172,6 +173,9 @@
 					r.class.failed++
 				default:
 					r.class.refused++
+					if s.now-r.arrivedAt > callerTimeoutTargets*r.class.target/2 {
+						r.class.heldLong++
+					}
 				}
 			}
 		}
@@ -215,7 +219,11 @@
 // runBatch plays a load of so many requests a second on one engine and returns the
 // classes with their counts.
 func runBatch(requestRate float64, seed uint64) []*batchClass {
-	return runClasses(requestRate, seed, 5, nil, []*batchClass{
+	return runBatchAt(5, requestRate, seed)
+}
+
+func runBatchAt(gateways int, requestRate float64, seed uint64) []*batchClass {
+	return runClasses(requestRate, seed, gateways, nil, []*batchClass{
 		{share: 0.75, priority: 1, promptTokens: 1800, outputTokens: 22, target: 800 * time.Millisecond, timeout: 5 * time.Second},
 		{share: 0.25, priority: 0, promptTokens: 1110, outputTokens: 172, target: 2 * time.Second, timeout: 15 * time.Second},
 	})
@@ -314,3 +322,14 @@
 		require.GreaterOrEqual(t, longServed, 0.9, "the more urgent requests, %v requests a second", c.rate)
 	}
 }
+
+// At many gateways each has few requests for an engine that is asked for twice what it can
+// read. Those that are late already, and that others leave no room for, must be refused while
+// their callers have time to come back.
+func TestLateRequestsWithoutRoomAreNotHeld(t *testing.T) {
+	for _, gateways := range []int{5, 25} {
+		short := runBatchAt(gateways, 16, 1)[0]
+		require.LessOrEqual(t, float64(short.heldLong), 0.02*float64(short.asked), "%d gateways", gateways)
+		require.Positive(t, short.refused)
+	}
+}
--- a/internal/dispatcher/selection.go
+++ b/internal/dispatcher/selection.go
@@ -237,55 +237,6 @@
 	return classifier.None, 0
 }
 
-// estimateWait estimates how long a request must wait for those ahead of it in the
-// queues of its model, for any adapter, from the recent send rate of the model. Limits of
-// all its upstreams bound the rate.
-func (d *Dispatcher) estimateWait(r *request) time.Duration {
-	stats := d.statsOf(r)
-	ahead := r.queuePosition - (stats.sends - r.sendsAtEnqueue)
-	wait := time.Duration(0)
-	if rate := d.limitedRate(r); rate > 0 {
-		wait = time.Duration(float64(ahead) / rate * float64(time.Second))
-	}
-	if !r.onTime(d.now) {
-		return max(wait, d.estimateLateWaitOf(r))
-	}
-	if ahead <= queueAllowance {
-		return wait
-	}
-	stats.sendRate.decay(d.now)
-	return max(wait, time.Duration(float64(ahead)/max(stats.sendRate.value, d.startRateShare(r), minSendRate)*float64(time.Second)))
-}
-
-// startRateShare returns this gateway's equal share of the answers that the upstreams with
-// the request's model can begin per second, as far as it is known. Few sends of one gateway
-// tell no rate.
-func (d *Dispatcher) startRateShare(r *request) float64 {
-	rate := 0.0
-	for _, u := range d.holders(modelKeyOf(r)) {
-		if u.accepting() && r.eligible(u) && u.hasFreshReport(d.now) {
-			rate += u.report.StartRate
-		}
-	}
-	return rate / float64(max(1, d.gatewayCount))
-}
-
-// estimateLateWait estimates the wait of requests that can no longer meet their
-// target. Requests that can are sent first, so only the send rate of late ones
-// counts.
-func (m *modelStats) estimateLateWait(now time.Duration) time.Duration {
-	return m.lateWait(now, m.lateWaiting.current)
-}
-
-// lateWait estimates the wait of the last of count such requests.
-func (m *modelStats) lateWait(now time.Duration, count float64) time.Duration {
-	if count <= lateQueueAllowance {
-		return 0
-	}
-	m.lateSendRate.decay(now)
-	return time.Duration((count - lateQueueAllowance) / max(m.lateSendRate.value, minSendRate) * float64(time.Second))
-}
-
 // loadTime returns the time that a load of the request's model from the weight store
 // takes.
 func (d *Dispatcher) loadTime(r *request) time.Duration {
