Resume streams of unknown origin only after a steward's answer

A gateway that had listed upstreams for a minute still went by its own list, which is old when it is cut off from the store. Now all gateways ask, and refuse the resumption as not run without an answer; services without stewards go by the list of the last minute. Failed requests are logged with the time to the first part of their answer.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -375,6 +375,7 @@
 func (d *Dispatcher) fail(r *request, kind classifier.Kind, retryAfter time.Duration) {
 	entry := d.logEvent("request failed", r, r.upstream)
 	entry.Kind, entry.Cause, entry.TimeToSend, entry.Elapsed = kind, r.lastCause, r.timeToSend(d.now), d.now-r.arrivedAt
+	entry.StartDelay = r.timeToStart()
 	entry.Workspace, entry.YieldedTo = r.workspaceName(), r.share.yieldedTo
 	d.emit(entry)
 	d.emit(Fail{ID: r.ID, Kind: kind, RetryAfter: retryAfter})
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -100,7 +100,7 @@
 		r.release = release
 		return true
 	}
-	if r.Resumes == "" && d.releasesOf(r.Service).Complete(d.now) {
+	if !d.hasStewards(r.Service) {
 		d.endSearch(r)
 		return false
 	}
@@ -142,11 +142,21 @@
 	return d.releases[service]
 }
 
+// hasStewards reports whether the upstreams of a service have stewards. Those of others have
+// nobody who tells what this gateway has not seen.
+func (d *Dispatcher) hasStewards(service registrar.ServiceName) bool {
+	return d.configuration != nil && d.configuration.Services[service].Engine != nil
+}
+
 // endSearch sends a request whose origin is unknown to the only release that may have
-// begun its stream. It refuses the request if there are several, or may be.
+// begun its stream. It refuses the request if there are several, or if there may be: a
+// gateway that has just started, or is cut off, does not see all of them.
 func (d *Dispatcher) endSearch(r *request) {
 	known := d.releasesOf(r.Service)
-	releases, certain := known.Recent(d.now), r.search.answered || known.Complete(d.now)
+	releases, certain := known.Recent(d.now), r.search.answered
+	if !d.hasStewards(r.Service) {
+		certain = known.Complete(d.now)
+	}
 	r.search = originSearch{}
 	if len(releases) > 1 || !certain {
 		r.lastCause = "the release that began the stream is unknown"
--- a/internal/dispatcher/resume_test.go
+++ b/internal/dispatcher/resume_test.go
@@ -87,20 +87,27 @@
 	}
 }
 
-// listForLong lists runners for so long that the gateway has seen all releases that may have
-// begun a stream.
-func (h *harness) listForLong(releases ...registrar.Release) {
-	h.listReleases(releases...)
-	h.now += time.Hour
-	h.listReleases(releases...)
+// A caller that does not name the beginning of its stream waits for one answer, which tells
+// the releases.
+func TestResumptionWithoutAnOriginIsNotDelayed(t *testing.T) {
+	h := newHarness(t)
+	h.listReleases("v1", "v1")
+	ask := h.resume("")[0].(FindStream)
+	h.requireSend(h.reduce(StreamUnknown{tracker.Absence{Stream: ask.Stream, Releases: []registrar.Release{"v1"}}}))
 }
 
-// A caller that does not name the beginning of its stream must not wait for a search, unless
-// the gateway has started lately.
-func TestResumptionWithoutAnOriginIsNotDelayed(t *testing.T) {
+// Services without model runners have no stewards to ask.
+func TestStreamOfAPlainServiceIsResumedAtTheOnlyReleaseOfTheLastMinute(t *testing.T) {
 	h := newHarness(t)
-	h.listForLong("v1", "v1")
-	h.requireSend(h.resume(""))
+	h.listUpstreams(plainService, 2)
+	resume := func() []Effect {
+		h.lastID++
+		return h.reduce(Arrived{Request{ID: h.lastID, AttemptID: "a", Route: route(registrar.Streaming, 2), Service: plainService, Deadline: h.now + 4*time.Second, Resumed: true}})
+	}
+	require.Equal(t, classifier.Orphaned, h.requireFail(resume()).Kind)
+	h.now += time.Hour
+	h.listUpstreams(plainService, 2)
+	h.requireSend(resume())
 }
 
 // All gateways are killed just after the runners of an older release have left. A gateway
@@ -114,19 +121,14 @@
 	require.Equal(t, classifier.Orphaned, h.requireFail(effects).Kind)
 }
 
-func TestGatewayThatIsBackResumesStreamsOfTheOnlyRelease(t *testing.T) {
-	h := newHarness(t)
-	h.listReleases("v2", "v2")
-	ask := h.resume("")[0].(FindStream)
-	h.requireSend(h.reduce(StreamUnknown{tracker.Absence{Stream: ask.Stream, Releases: []registrar.Release{"v2"}}}))
-}
-
-// Without an answer of a steward, a gateway that has just started can't tell which releases
-// may have begun a stream.
-func TestGatewayThatIsBackAndHearsNoStewardDoesNotJoinStreams(t *testing.T) {
+// Without an answer of a steward, a gateway that has just started, or whose list is old in a
+// cut, can't tell which releases may have begun a stream.
+func TestGatewayThatHearsNoStewardDoesNotJoinStreams(t *testing.T) {
 	for _, stream := range []string{"a", ""} {
 		h := newHarness(t)
 		h.listReleases("v2", "v2")
+		h.now += time.Hour
+		h.listReleases("v2", "v2")
 		h.resume(stream)
 		h.now += originTimeout
 		require.Equal(t, classifier.Orphaned, h.requireFail(h.reduce(Tick{})).Kind)
@@ -159,8 +161,9 @@
 
 func TestStreamOfUnknownOriginGoesOnAtTheOnlyRelease(t *testing.T) {
 	h := newHarness(t)
-	h.listForLong("v1", "v1")
+	h.listReleases("v1", "v1")
 	h.resume("a")
+	h.reduce(StreamUnknown{tracker.Absence{Stream: "a", Releases: []registrar.Release{"v1"}}})
 	h.now += originTimeout
 	h.requireSend(h.reduce(Tick{}))
 }
@@ -176,6 +179,7 @@
 	h.now += time.Minute
 	h.listReleases("v2", "v2")
 	h.resume("b")
+	h.reduce(StreamUnknown{tracker.Absence{Stream: "b", Releases: []registrar.Release{"v2"}}})
 	h.now += originTimeout
 	h.requireSend(h.reduce(Tick{}))
 }
