Bound the Retry-After of waits without an end

The wait of a late request that others leave no room for is endless, and went into Retry-After as minutes. It is now the route's timeout at most. Rates in reports that are no numbers count as unknown.

--- a/internal/dispatcher/quota.go
+++ b/internal/dispatcher/quota.go
@@ -80,7 +80,7 @@
 func (u *upstream) room(slots int) float64 {
 	sentSince := u.inFlight - u.inFlightAtReport
 	free := float64(slots - u.report.Running - u.report.Waiting - sentSince)
-	if u.report.StartRate == 0 {
+	if !(u.report.StartRate > 0) { // not a number in an invalid report
 		return free
 	}
 	startable := max(1, u.report.StartRate*reportDelay.Seconds())
--- a/internal/dispatcher/selection.go
+++ b/internal/dispatcher/selection.go
@@ -223,7 +223,7 @@
 		return classifier.Busy, d.spread(pause, r.Route.TargetLatency)
 	case holders > 0 && (loadRemaining < 0 || loadRemaining > timeLeft):
 		if wait := d.estimateWait(r); wait > timeLeft {
-			return classifier.Busy, max(wait, loadRemaining)
+			return classifier.Busy, max(min(wait, r.Route.Timeout), loadRemaining)
 		}
 	case accepting == 0:
 		if wait := d.estimateWait(r); wait > timeLeft || d.now-r.arrivedAt > time.Duration(coldWaitShare*float64(timeLeft)) {
