Let the measured rate of a runner rise with what it begins

Found on reading: the rate is measured only while requests wait. After a stall it is so low that gateways send one request in a report's time, none waits any more, and the rate stays; at last it rounds to zero, which means unknown, and a stalled runner gets requests for all its slots. TestRateRisesAgainAfterAStall failed before.

--- a/internal/estimator/engine.go
+++ b/internal/estimator/engine.go
@@ -5,9 +5,10 @@
 	"time"
 )
 
-// startRateTimeConstant is the time over which the rate of an engine is averaged. Only time
-// in which requests wait for it counts.
-const startRateTimeConstant = time.Second
+const (
+	startRateTimeConstant = time.Second // over which the rates of an engine are averaged
+	minStartRate          = 0.1         // answers per second; an engine whose rate was measured is never taken for one of unknown rate
+)
 
 // Progress is how far an engine has come with one request.
 type Progress struct {
@@ -21,7 +22,8 @@
 	begun      map[string]bool // requests whose answers had begun at observedAt
 	waiting    bool            // requests waited then
 	observedAt time.Duration
-	rate       float64
+	busyRate   float64 // answers begun per second while requests waited, zero before any did
+	rate       float64 // answers begun per second
 }
 
 // Observe takes the progress of the requests that the engine runs, and how many wait for it.
@@ -36,19 +38,26 @@
 			fresh++
 		}
 	}
-	if elapsed := (now - e.observedAt).Seconds(); elapsed > 0 && e.waiting && waiting > 0 {
-		rate := float64(fresh) / elapsed
-		if e.rate == 0 {
-			e.rate = rate
-		} else {
-			e.rate += (rate - e.rate) * -math.Expm1(-elapsed/startRateTimeConstant.Seconds())
+	if elapsed := (now - e.observedAt).Seconds(); elapsed > 0 {
+		rate, weight := float64(fresh)/elapsed, -math.Expm1(-elapsed/startRateTimeConstant.Seconds())
+		e.rate += (rate - e.rate) * weight
+		switch {
+		case !e.waiting || waiting == 0:
+		case e.busyRate == 0:
+			e.busyRate = max(rate, minStartRate)
+		default:
+			e.busyRate = max(e.busyRate+(rate-e.busyRate)*weight, minStartRate)
 		}
 	}
 	e.begun, e.waiting, e.observedAt = begun, waiting > 0, now
 }
 
 // StartRate returns how many answers the engine begins per second while requests wait, zero
-// while that is unknown.
+// while that is unknown. It is at least the present rate: an engine that gets no more than it
+// was once able to begin would otherwise never show that it can begin more.
 func (e *Engine) StartRate() float64 {
-	return e.rate
+	if e.busyRate == 0 {
+		return 0
+	}
+	return max(e.busyRate, e.rate)
 }
--- a/internal/estimator/engine_test.go
+++ b/internal/estimator/engine_test.go
@@ -44,3 +44,16 @@
 	e.Observe(2*time.Second, []Progress{{"a", 0}, {"b", 3}, {"c", 0}}, 4)
 	require.InDelta(t, 1, e.StartRate(), 0.01)
 }
+
+// An engine stalls for a while, and gets few requests afterwards because of that. Its rate must
+// rise with what it begins, although none has to wait.
+func TestRateRisesAgainAfterAStall(t *testing.T) {
+	e := &Engine{}
+	observeBusy(e, 30, 5, 100*time.Millisecond)
+	for range 100 {
+		e.Observe(e.observedAt+100*time.Millisecond, nil, 5)
+	}
+	require.Equal(t, minStartRate, e.StartRate(), "still measured")
+	observeBusy(e, 30, 0, 150*time.Millisecond)
+	require.InDelta(t, 6.7, e.StartRate(), 0.5)
+}
