--- a/internal/estimator/engine.go
+++ b/internal/estimator/engine.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	startRateTimeConstant = time.Second // over which the rates of an engine are averaged
-	minStartRate          = 0.1         // answers per second; an engine whose rate was measured is never taken for one of unknown rate
+	startRateTimeConstant = time.Second     // over which the rate while requests wait is averaged
+	sustainedTimeConstant = 5 * time.Second // over which the rate is averaged whether or not requests wait; longer than bursts of short prompts
+	minStartRate          = 0.1             // answers per second; an engine whose rate was measured is never taken for one of unknown rate
 )
 
 // Progress is how far an engine has come with one request.
@@ -23,7 +24,7 @@
 	waiting    bool            // requests waited then
 	observedAt time.Duration
 	busyRate   float64 // answers begun per second while requests waited, zero before any did
-	rate       float64 // answers begun per second
+	rate       float64 // answers begun per second, over a longer time
 }
 
 // Observe takes the progress of the requests that the engine runs, and how many wait for it.
@@ -40,7 +41,7 @@
 	}
 	if elapsed := (now - e.observedAt).Seconds(); elapsed > 0 {
 		rate, weight := float64(fresh)/elapsed, -math.Expm1(-elapsed/startRateTimeConstant.Seconds())
-		e.rate += (rate - e.rate) * weight
+		e.rate += (rate - e.rate) * -math.Expm1(-elapsed/sustainedTimeConstant.Seconds())
 		switch {
 		case !e.waiting || waiting == 0:
 		case e.busyRate == 0:
@@ -53,7 +54,7 @@
 }
 
 // StartRate returns how many answers the engine begins per second while requests wait, zero
-// while that is unknown. It is at least the present rate: an engine that gets no more than it
+// while that is unknown. It is at least the sustained rate: an engine that gets no more than it
 // was once able to begin would otherwise never show that it can begin more.
 func (e *Engine) StartRate() float64 {
 	if e.busyRate == 0 {
