Hear all asked stewards before an unnamed stream is resumed

The first answer ended the search, and it may be that of a steward which has just started and has not seen the release that left. The test failed before.

--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -181,9 +181,9 @@
 }
 
 // handleStreamUnknown records the releases that a steward has seen. It ends the search when
-// all stewards that were asked don't know the stream. The first round does not count, since
-// the message about the stream's beginning may still be under way. The first answer ends the
-// search for a stream that the caller does not name.
+// all stewards that were asked don't know the stream, since one that has just started may not
+// have seen all releases. The first round does not count, since the message about the stream's
+// beginning may still be under way, unless the caller does not name the stream.
 func (d *Dispatcher) handleStreamUnknown(absence tracker.Absence) {
 	for _, r := range d.requestsByID() {
 		if r.search.until == 0 || r.stream() != absence.Stream {
@@ -192,7 +192,7 @@
 		d.releasesOf(r.Service).See(d.now, absence.Releases)
 		r.search.answered = true
 		r.search.absent++
-		if r.Resumes == "" || r.search.asks > 1 && r.search.absent >= r.search.asked {
+		if r.search.absent >= r.search.asked && (r.search.asks > 1 || r.Resumes == "") {
 			d.endSearch(r)
 		}
 	}
--- a/internal/dispatcher/resume_test.go
+++ b/internal/dispatcher/resume_test.go
@@ -87,13 +87,15 @@
 	}
 }
 
-// A caller that does not name the beginning of its stream waits for one answer, which tells
-// the releases.
+// A caller that does not name the beginning of its stream waits for one round of answers, which
+// tell the releases.
 func TestResumptionWithoutAnOriginIsNotDelayed(t *testing.T) {
 	h := newHarness(t)
 	h.listReleases("v1", "v1")
 	ask := h.resume("")[0].(FindStream)
-	h.requireSend(h.reduce(StreamUnknown{tracker.Absence{Stream: ask.Stream, Releases: []registrar.Release{"v1"}}}))
+	absence := StreamUnknown{tracker.Absence{Stream: ask.Stream, Releases: []registrar.Release{"v1"}}}
+	require.Empty(t, h.reduce(absence))
+	h.requireSend(h.reduce(absence))
 }
 
 // Services without model runners have no stewards to ask.
@@ -117,6 +119,8 @@
 	h := newHarness(t)
 	h.listReleases("v2", "v2")
 	ask := h.resume("")[0].(FindStream)
+	justStarted := StreamUnknown{tracker.Absence{Stream: ask.Stream, Releases: []registrar.Release{"v2"}}}
+	require.Empty(t, h.reduce(justStarted), "a steward that was killed too")
 	effects := h.reduce(StreamUnknown{tracker.Absence{Stream: ask.Stream, Releases: []registrar.Release{"v1", "v2"}}})
 	require.Equal(t, classifier.Orphaned, h.requireFail(effects).Kind)
 }
