--- a/internal/dispatcher/batch_test.go
+++ b/internal/dispatcher/batch_test.go
@@ -256,7 +256,7 @@
 			}
 		}
 	}
-	pace := estimator.Engine{}
+	meter := estimator.StartMeter{}
 	s.schedulePeriodic(reportPeriod, reportPeriod, func() {
 		var runs []estimator.Progress
 		for _, stream := range s.engine.running {
@@ -264,8 +264,8 @@
 		}
 		reading := min(1, len(s.engine.waiting))
 		rep := Report{Address: u.Address, Residents: u.Residents, Gateways: gateways, Running: len(s.engine.running) + reading, Waiting: len(s.engine.waiting) - reading}
-		pace.Observe(s.now, runs, rep.Waiting)
-		rep.StartRate = pace.StartRate()
+		meter.Observe(s.now, runs, rep.Waiting)
+		rep.StartRate = meter.StartRate()
 		for g := range s.gateways {
 			s.deliver(g, Reported{rep})
 		}
--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -1,5 +1,5 @@
 // Package estimator estimates what requests for each model cost the engines that run them,
-// from the pace of the answers that gateways relay.
+// from the pace of the answers that gateways relay, and how many an engine can begin.
 //
 // Usage:
 //
@@ -8,13 +8,18 @@
 //	pace, ok := paces.Pace(now, "tariff-nl")
 //	costs := estimator.Costs(observations) // of all gateways
 //
+//	meter := estimator.StartMeter{}
+//	meter.Observe(now, runs, waiting) // each time that the runner reports its requests
+//	rate := meter.StartRate()         // answers per second, zero while it is unknown
+//
 // Engines run some models several times as fast as others, and no configuration says which.
 // A gateway keeps the paces of the last answers and reports their median for each model
 // with its demand. Stewards combine the reports of all gateways, so that they plan with the
 // same costs and a gateway that relays few answers or has slow callers counts little.
 // The steward of a runner gets the pace of each of its answers relative to the model's and
-// reports the median as the runner's Slowness. All is kept in memory and learned within
-// seconds.
+// reports the median as the runner's Slowness. From its runner's reports it measures the rate
+// at which answers begin while requests wait, which bounds what gateways send. All is kept in
+// memory and learned within seconds.
 package estimator
 
 import (
--- a/internal/estimator/engine.go
+++ b/internal/estimator/startmeter.go
@@ -17,9 +17,9 @@
 	Events  int // of the answer, that it has made
 }
 
-// Engine measures how many answers an engine begins per second while requests wait for it.
+// StartMeter measures how many answers an engine begins per second while requests wait for it.
 // It is not safe for concurrent use.
-type Engine struct {
+type StartMeter struct {
 	begun      map[string]bool // requests whose answers had begun at observedAt
 	waiting    bool            // requests waited then
 	observedAt time.Duration
@@ -28,37 +28,37 @@
 }
 
 // Observe takes the progress of the requests that the engine runs, and how many wait for it.
-func (e *Engine) Observe(now time.Duration, running []Progress, waiting int) {
+func (m *StartMeter) Observe(now time.Duration, running []Progress, waiting int) {
 	begun, fresh := make(map[string]bool, len(running)), 0
 	for _, p := range running {
 		if p.Events == 0 {
 			continue // its prompt is being read
 		}
 		begun[p.Request] = true
-		if !e.begun[p.Request] {
+		if !m.begun[p.Request] {
 			fresh++
 		}
 	}
-	if elapsed := (now - e.observedAt).Seconds(); elapsed > 0 {
+	if elapsed := (now - m.observedAt).Seconds(); elapsed > 0 {
 		rate, weight := float64(fresh)/elapsed, -math.Expm1(-elapsed/startRateTimeConstant.Seconds())
-		e.rate += (rate - e.rate) * -math.Expm1(-elapsed/sustainedTimeConstant.Seconds())
+		m.rate += (rate - m.rate) * -math.Expm1(-elapsed/sustainedTimeConstant.Seconds())
 		switch {
-		case !e.waiting || waiting == 0:
-		case e.busyRate == 0:
-			e.busyRate = max(rate, minStartRate)
+		case !m.waiting || waiting == 0:
+		case m.busyRate == 0:
+			m.busyRate = max(rate, minStartRate)
 		default:
-			e.busyRate = max(e.busyRate+(rate-e.busyRate)*weight, minStartRate)
+			m.busyRate = max(m.busyRate+(rate-m.busyRate)*weight, minStartRate)
 		}
 	}
-	e.begun, e.waiting, e.observedAt = begun, waiting > 0, now
+	m.begun, m.waiting, m.observedAt = begun, waiting > 0, now
 }
 
 // StartRate returns how many answers the engine begins per second while requests wait, zero
 // while that is unknown. It is at least the sustained rate: an engine that gets no more than it
 // was once able to begin would otherwise never show that it can begin more.
-func (e *Engine) StartRate() float64 {
-	if e.busyRate == 0 {
+func (m *StartMeter) StartRate() float64 {
+	if m.busyRate == 0 {
 		return 0
 	}
-	return max(e.busyRate, e.rate)
+	return max(m.busyRate, m.rate)
 }
--- a/internal/estimator/engine_test.go
+++ b/internal/estimator/startmeter_test.go
@@ -9,7 +9,7 @@
 )
 
 // observeBusy lets an engine with so many waiting requests begin one answer in each period.
-func observeBusy(e *Engine, periods, waiting int, period time.Duration) {
+func observeBusy(e *StartMeter, periods, waiting int, period time.Duration) {
 	now := e.observedAt
 	var running []Progress
 	for i := range periods {
@@ -20,7 +20,7 @@
 }
 
 func TestStartRateOfABusyEngine(t *testing.T) {
-	e := &Engine{}
+	e := &StartMeter{}
 	observeBusy(e, 30, 5, 100*time.Millisecond)
 	require.InDelta(t, 10, e.StartRate(), 0.5)
 	observeBusy(e, 40, 5, 200*time.Millisecond)
@@ -30,7 +30,7 @@
 // The rate of an engine that nobody waits for tells how many requests come, not how many it
 // could begin.
 func TestIdleEngineTellsNoRate(t *testing.T) {
-	e := &Engine{}
+	e := &StartMeter{}
 	observeBusy(e, 30, 0, 100*time.Millisecond)
 	require.Zero(t, e.StartRate())
 	observeBusy(e, 30, 5, 100*time.Millisecond)
@@ -39,7 +39,7 @@
 }
 
 func TestRequestWhosePromptIsReadHasNotBegun(t *testing.T) {
-	e := &Engine{}
+	e := &StartMeter{}
 	e.Observe(time.Second, nil, 4)
 	e.Observe(2*time.Second, []Progress{{"a", 0}, {"b", 3}, {"c", 0}}, 4)
 	require.InDelta(t, 1, e.StartRate(), 0.01)
@@ -48,7 +48,7 @@
 // An engine stalls for a while, and gets few requests afterwards because of that. Its rate must
 // rise with what it begins, although none has to wait.
 func TestRateRisesAgainAfterAStall(t *testing.T) {
-	e := &Engine{}
+	e := &StartMeter{}
 	observeBusy(e, 30, 5, 100*time.Millisecond)
 	for range 600 {
 		e.Observe(e.observedAt+100*time.Millisecond, nil, 5)
--- a/internal/reconciler/reconciler.go
+++ b/internal/reconciler/reconciler.go
@@ -58,7 +58,7 @@
 	consecutiveAdapterOrders int                                   // reset by a decision that orders none
 	adapterUsedAt            map[registrar.AdapterID]time.Duration // last request for each adapter, for LRU eviction
 	slowness                 estimator.Slowness
-	pace                     estimator.Engine
+	startMeter               estimator.StartMeter
 	Counters                 Counters
 }
 
@@ -197,9 +197,9 @@
 	if st.Incarnation != r.state.Incarnation {
 		r.evicting, r.loading = "", ""
 		r.slowness.Reset()
-		r.pace = estimator.Engine{}
+		r.startMeter = estimator.StartMeter{}
 	}
-	r.pace.Observe(r.now, st.Runs, st.Waiting)
+	r.startMeter.Observe(r.now, st.Runs, st.Waiting)
 	r.state, r.stateFresh, r.unreachable = st, true, false
 	if !r.holds(r.evicting) {
 		r.evicting = ""
@@ -255,7 +255,7 @@
 		Address: r.cfg.Address, Incarnation: r.state.Incarnation, Sequence: r.state.Sequence, Loading: r.loading,
 		LoadRemaining: max(0, r.loadDoneAt-r.now), Running: r.state.Running, Waiting: r.state.Waiting, SinceStoreLoad: -1,
 		KVUsed: r.state.KVUsed, KVTotal: r.state.KVTotal, Draining: r.state.Draining, Busy: r.state.Busy, Unreachable: r.unreachable, Gateways: r.GatewayCount(),
-		Slowness: r.slowness.Value(r.now), StartRate: math.Round(10*r.pace.StartRate()) / 10,
+		Slowness: r.slowness.Value(r.now), StartRate: math.Round(10*r.startMeter.StartRate()) / 10,
 	}
 	if r.storeLoaded {
 		report.SinceStoreLoad = r.now - r.storeLoadAt
