--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -21,14 +21,15 @@
 	EndedCallers      int64                   `json:"ended"` // callers that were ended since they stopped reading
 	OpenRequests      int                     `json:"open" metric:"gauge"`
 	WaitingRequests   int                     `json:"waiting" metric:"gauge"`
-	Overloads         int64                   `json:"overloads"`            // requests refused for want of processor time
-	TickDelay         int64                   `json:"delay" metric:"gauge"` // of the last tick in ms, for which each step of all work waits
-	ConfigurationAge  int64                   `json:"age" metric:"gauge"`   // ms since the store confirmed the configuration in force, -1 if it never did
-	ConnectionsOpened int64                   `json:"connections"`          // to upstreams, since the start
-	DroppedLogLines   int64                   `json:"dropped"`              // because of the rate limit or a slow reader
-	TimeToSend        observer.LatencySummary `json:"held"`                 // until its last send to an upstream
-	TimeToFirstByte   observer.LatencySummary `json:"first"`                // until the first part of the answer was written to the caller
-	TimeToLastByte    observer.LatencySummary `json:"whole"`                // until the answer was complete
+	Overloads         int64                   `json:"overloads"`             // requests refused for want of processor time
+	TickDelay         int64                   `json:"delay" metric:"gauge"`  // of the last tick in ms, for which each step of all work waits
+	ConfigurationAge  int64                   `json:"age" metric:"gauge"`    // ms since the store confirmed the configuration in force, -1 if it never did
+	Lag               int64                   `json:"behind" metric:"gauge"` // ms since a peer first announced a newer configuration, zero if none has
+	ConnectionsOpened int64                   `json:"connections"`           // to upstreams, since the start
+	DroppedLogLines   int64                   `json:"dropped"`               // because of the rate limit or a slow reader
+	TimeToSend        observer.LatencySummary `json:"held"`                  // until its last send to an upstream
+	TimeToFirstByte   observer.LatencySummary `json:"first"`                 // until the first part of the answer was written to the caller
+	TimeToLastByte    observer.LatencySummary `json:"whole"`                 // until the answer was complete
 }
 
 // ProcessDump is the part of a dump that gateways and stewards have in common.
@@ -93,7 +94,7 @@
 		Counters: g.dispatcher.Counters, AccountCounters: g.dispatcher.QuotaCounters(), Denied: g.relayer.Denied(),
 		OpenRequests: g.dispatcher.Open(), WaitingRequests: g.dispatcher.Waiting(),
 		Holdings: g.relayer.Held(), EndedCallers: g.relayer.EndedCallers(),
-		Overloads: g.relayer.Overloads(), TickDelay: g.processor.Delay().Milliseconds(), ConfigurationAge: g.syncer.confirmations.age().Milliseconds(), ConnectionsOpened: g.connectionsOpened.Load(), DroppedLogLines: g.cfg.Log.Limiter.Dropped(),
+		Overloads: g.relayer.Overloads(), TickDelay: g.processor.Delay().Milliseconds(), ConfigurationAge: g.syncer.confirmations.age().Milliseconds(), Lag: g.syncer.lag().Milliseconds(), ConnectionsOpened: g.connectionsOpened.Load(), DroppedLogLines: g.cfg.Log.Limiter.Dropped(),
 		TimeToSend: g.timeToSend.Summary(), TimeToFirstByte: g.timeToFirstByte.Summary(), TimeToLastByte: g.timeToLastByte.Summary(),
 	}
 }
--- a/internal/driver/syncer.go
+++ b/internal/driver/syncer.go
@@ -140,6 +140,7 @@
 			continue
 		}
 		s.mu.Lock()
+		behind := s.lag()
 		if source == fromStore {
 			s.confirmations.unusable = err != nil
 		}
@@ -149,7 +150,7 @@
 		} else if s.registrar.Install(c) {
 			s.currentRecord, s.behindSince = exchanger.Record{Key: r.Key, Value: r.Value}, 0
 			s.logger.Info().Int64("version", int64(c.Version)).Int("routes", len(c.Routes)).Int("workspaces", len(c.Workspaces)).
-				Str("source", string(source)).Int64("idle", idle.Milliseconds()).Msg("configuration in force")
+				Str("source", string(source)).Int64("idle", idle.Milliseconds()).Int("bytes", len(r.Value)).Int64("behind", behind.Milliseconds()).Msg("configuration in force")
 			if names := c.WorkspacesWithSharedKeys(); len(names) > 0 {
 				s.logger.Warn().Int64("version", int64(c.Version)).Any("workspaces", names).Msg("keys of these workspaces belong to others too")
 			}
@@ -175,6 +176,15 @@
 	return s.announced > s.version()
 }
 
+// lag returns how long ago a peer first announced a newer version than the one in force, zero
+// if none has. The caller holds mu.
+func (s *syncer) lag() time.Duration {
+	if !s.behind() || s.behindSince == 0 {
+		return 0
+	}
+	return s.now() - s.behindSince
+}
+
 // models returns the names of the models in the configuration in force, sorted. The
 // caller holds mu.
 func (s *syncer) models() []registrar.ModelName {
@@ -223,12 +233,13 @@
 // also serves its configuration, and installs it. Peers have announced a newer version
 // since behindSince.
 func (s *syncer) fetchFrom(from netip.AddrPort, v registrar.Version, behindSince time.Duration) {
+	startedAt := s.now()
 	r, err := s.fetch(context.Background(), from.String())
-	decoded := true
+	took, decoded := (s.now() - startedAt).Milliseconds(), true
 	if err != nil {
-		s.logger.Warn().Str("peer", from.String()).Int64("version", int64(v)).Err(err).Msg("configuration not fetched")
+		s.logger.Warn().Str("peer", from.String()).Int64("version", int64(v)).Int64("took", took).Err(err).Msg("configuration not fetched")
 	} else {
-		s.logger.Info().Str("peer", from.String()).Int64("version", int64(v)).Msg("configuration fetched")
+		s.logger.Info().Str("peer", from.String()).Int64("version", int64(v)).Int64("took", took).Int("bytes", len(r.Value)).Msg("configuration fetched")
 		decoded = s.installConfigurations([]watcher.Record{{Key: r.Key, Value: r.Value}}, fromPeer, s.now()-behindSince)
 	}
 	s.mu.Lock()
