--- a/internal/faker/relay.go
+++ b/internal/faker/relay.go
@@ -15,16 +15,18 @@
 	listener net.Listener
 	bytes    atomic.Int64
 
-	mu    sync.Mutex
-	conns map[*relayConn]bool
-	fault RelayFault
+	mu         sync.Mutex
+	conns      map[*relayConn]bool
+	fault      RelayFault
+	linkFreeAt time.Time // when the bytes received so far have passed at the Rate of the fault
 }
 
-// RelayFault delays or drops the bytes that a Relay receives while it is set. Once
+// RelayFault delays, slows or drops the bytes that a Relay receives while it is set. Once
 // a connection has dropped bytes in a direction, it drops all later bytes in that
 // direction too, since TCP delivers no stream with gaps.
 type RelayFault struct {
 	Delay    time.Duration // of each read
+	Rate     int           // bytes per second that all connections share, zero for no limit
 	DropUp   bool          // drop bytes to the target
 	DropDown bool          // drop bytes from the target
 }
@@ -160,7 +162,7 @@
 			}
 			continue
 		}
-		time.Sleep(fault.Delay)
+		time.Sleep(fault.Delay + c.relay.linkDelay(n))
 		if n > 0 {
 			if _, err := to.Write(buf[:n]); err != nil {
 				c.close()
@@ -174,6 +176,22 @@
 	}
 }
 
+// linkDelay returns how long n bytes take to pass at the Rate of the fault, behind those
+// received before.
+func (r *Relay) linkDelay(n int) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fault.Rate == 0 {
+		return 0
+	}
+	now := time.Now()
+	if r.linkFreeAt.Before(now) {
+		r.linkFreeAt = now
+	}
+	r.linkFreeAt = r.linkFreeAt.Add(time.Duration(n) * time.Second / time.Duration(r.fault.Rate))
+	return r.linkFreeAt.Sub(now)
+}
+
 func (r *Relay) currentFault() RelayFault {
 	r.mu.Lock()
 	defer r.mu.Unlock()
