Give up answers with a configuration for silence and not for their length

Cause: every read of a configuration had a time limit for the whole answer (1.5 s and 2.4 s at the store, 2 s at peers), after which it was thrown away and begun anew. With 4,250 routes it is larger than what comes in that time, the more so as the store's answer and three fetches shared the link, each fetch in base64.

Gateways far behind read the newest record in place of all.

Ruled out: shortage of processor time (delay 0 at all seven gateways), records that can't be decoded (none).

--- /dev/null
+++ b/internal/driver/announcements.go
@@ -0,0 +1,112 @@
+package driver
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+const (
+	claimLifetime = 3 * time.Second // several messages of a peer, some of which may be lost
+	maxHeard      = 100             // versions whose first announcement is remembered
+)
+
+// announcements tells for how long it has been known that a newer configuration than the one
+// in force exists, from what peers announce and from responses of the store that bring one.
+type announcements struct {
+	newest   registrar.Version // that a peer has ever announced
+	claims   map[netip.AddrPort]claim
+	heard    []heardVersion    // newer than the one in force
+	unusable registrar.Version // the newest one that can't be decoded; older ones don't count either
+
+	pendingSince time.Duration // when the store began to send one; zero if it does not
+	pendingAt    time.Duration // when the last part of it came
+}
+
+// claim is what a peer announced last.
+type claim struct {
+	version registrar.Version
+	at      time.Duration
+	refuted bool // the peer did not have it
+}
+
+// heardVersion is a version with the time of its first announcement.
+type heardVersion struct {
+	version registrar.Version
+	at      time.Duration
+}
+
+func newAnnouncements() announcements {
+	return announcements{claims: map[netip.AddrPort]claim{}}
+}
+
+// announce records the version that a peer has announced.
+func (a *announcements) announce(now time.Duration, peer netip.AddrPort, v, inForce registrar.Version) {
+	a.newest = max(a.newest, v)
+	refuted := a.claims[peer].refuted && a.claims[peer].version == v
+	a.claims[peer] = claim{version: v, at: now, refuted: refuted}
+	known := slices.ContainsFunc(a.heard, func(h heardVersion) bool { return h.version == v })
+	if v > inForce && !known && len(a.heard) < maxHeard {
+		a.heard = append(a.heard, heardVersion{v, now})
+	}
+}
+
+// refute records that a peer did not have the version that it announced.
+func (a *announcements) refute(peer netip.AddrPort, v registrar.Version) {
+	if c := a.claims[peer]; c.version == v {
+		c.refuted = true
+		a.claims[peer] = c
+	}
+}
+
+// pending records that the store sends records which were not read before.
+func (a *announcements) pending(now time.Duration) {
+	if a.pendingSince == 0 || now-a.pendingAt >= claimLifetime {
+		a.pendingSince = now
+	}
+	a.pendingAt = now
+}
+
+// installed records that a version is in force.
+func (a *announcements) installed(v registrar.Version) {
+	a.heard = slices.DeleteFunc(a.heard, func(h heardVersion) bool { return h.version <= v })
+	a.pendingSince = 0
+}
+
+// read records that all records of the store have been read.
+func (a *announcements) read() { a.pendingSince = 0 }
+
+// heardAt returns when a newer version was first announced, or now.
+func (a *announcements) heardAt(now time.Duration) time.Duration {
+	at := now
+	for _, h := range a.heard {
+		at = min(at, h.at)
+	}
+	return at
+}
+
+// lag returns how long it has been known that a newer version than the one in force exists,
+// zero if none is known to. An announcement counts while its peer repeats it.
+func (a *announcements) lag(now time.Duration, inForce registrar.Version) time.Duration {
+	since, newest := now, inForce
+	if a.pendingSince > 0 && now-a.pendingAt < claimLifetime {
+		since = a.pendingSince
+	}
+	for peer, c := range a.claims {
+		if now-c.at >= claimLifetime {
+			delete(a.claims, peer)
+			continue
+		}
+		if !c.refuted && c.version > a.unusable {
+			newest = max(newest, c.version)
+		}
+	}
+	for _, h := range a.heard {
+		if h.version > inForce && h.version <= newest {
+			since = min(since, h.at)
+		}
+	}
+	return now - since
+}
--- a/internal/driver/configuration_test.go
+++ b/internal/driver/configuration_test.go
@@ -145,20 +145,24 @@
 	}
 }
 
-func (f *fleet) fetch(ctx context.Context, address string) (exchanger.Record, error) {
+func (f *fleet) fetch(ctx context.Context, r exchanger.Request) (exchanger.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchanger.CallTimeout)
 	defer cancel()
 	f.mu.Lock()
-	hangs := f.hangs[address]
+	hangs := f.hangs[r.Address]
 	f.mu.Unlock()
 	if hangs {
 		<-ctx.Done()
 		return exchanger.Record{}, ctx.Err()
 	}
 	for i, s := range f.processes {
-		if addressOf(i).String() == address {
-			return s.current(), nil
+		if addressOf(i).String() != r.Address {
+			continue
 		}
+		if c := s.current(); c.Version > r.After {
+			return c, nil
+		}
+		return exchanger.Record{}, exchanger.ErrNotNewer
 	}
 	return exchanger.Record{}, errStore
 }
@@ -189,7 +193,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.registrar, s.currentRecord = registrar.New(registrar.Config{OutageGrace: outageGrace}), exchanger.Record{}
-	s.announced, s.behindSince, s.nextFetchAt = 0, 0, 0
+	s.announcements, s.nextFetchAt = newAnnouncements(), 0
 }
 
 func (f *fleet) publish(v registrar.Version) {
--- a/internal/driver/overload_test.go
+++ b/internal/driver/overload_test.go
@@ -63,7 +63,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSyncer(&fleetStore{fleet: &fleet{}}, zerolog.Nop(), gatewayPollTiming(maxDrainDelay, maxApplyDelay, 0))
 		s.onConfiguration = func(*registrar.Configuration) {}
-		s.fetch = func(context.Context, string) (exchanger.Record, error) { return exchanger.Record{}, errStore }
+		s.fetch = func(context.Context, exchanger.Request) (exchanger.Record, error) {
+			return exchanger.Record{}, errStore
+		}
 		start := time.Now()
 		s.confirmations.clock = func() time.Duration { return time.Since(start) }
 		g := &Gateway{cfg: GatewayConfig{MaxApplyDelay: maxApplyDelay}, syncer: s}
--- a/internal/driver/syncer.go
+++ b/internal/driver/syncer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"sync"
 	"time"
@@ -17,9 +18,9 @@
 const (
 	listPollTimeout = 500 * time.Millisecond  // long-poll timeout of reads of the upstream list, which heartbeats mostly end sooner
 	outageGrace     = 2300 * time.Millisecond // after an outage of the store; instances whose entries expired in it have registered again by then
-	peerFetchDelay  = 300 * time.Millisecond  // time for the store, or a peer, to deliver a newer configuration before it is fetched from the next peer
+	peerFetchDelay  = 300 * time.Millisecond  // time for the store to deliver a newer configuration, or a part of it for a peer, before it is fetched from the next peer
 	unusableDelay   = 5 * time.Second         // after a peer's configuration that can't be decoded, until the next fetch
-	maxFetches      = 3                       // fetches under way; more than one only while peers don't answer
+	maxFetches      = 3                       // fetches under way; more than one only while nothing comes of those before
 )
 
 // Store is the client of the platform's store, which gateways and stewards use. It knows
@@ -43,8 +44,8 @@
 	mu        sync.Mutex
 	registrar *registrar.Registrar
 	store     Store
-	// fetch fetches the record of a peer's configuration from its address.
-	fetch  func(ctx context.Context, address string) (exchanger.Record, error)
+	// fetch fetches the record of a peer's configuration.
+	fetch  func(context.Context, exchanger.Request) (exchanger.Record, error)
 	logger zerolog.Logger
 	start  time.Time
 	timing pollTiming
@@ -53,12 +54,17 @@
 	onList          func()
 
 	confirmations confirmations
-	currentRecord exchanger.Record        // of the configuration in force, zero before the first
-	announced     registrar.Version       // newest one that a peer has announced
-	behindSince   time.Duration           // when a peer first announced a newer version, zero when none has
-	nextFetchAt   time.Duration           // before it, no further fetch from a peer begins
-	fetches       map[netip.AddrPort]bool // peers from which a fetch is under way
-	fetchedFrom   netip.AddrPort          // the last one; another peer is asked next
+	currentRecord exchanger.Record // of the configuration in force, zero before the first
+	announcements announcements
+	nextFetchAt   time.Duration // before it, no further fetch from a peer begins
+	fetches       map[netip.AddrPort]fetch
+	fetchedFrom   netip.AddrPort // the last peer; another one is asked next
+}
+
+// fetch is a fetch under way of the version that a peer has announced.
+type fetch struct {
+	version registrar.Version
+	cancel  context.CancelFunc
 }
 
 // pollTiming configures how often the store is polled.
@@ -72,7 +78,7 @@
 func newSyncer(store Store, logger zerolog.Logger, timing pollTiming) *syncer {
 	return &syncer{
 		registrar: registrar.New(registrar.Config{OutageGrace: outageGrace}), store: store, fetch: exchanger.Fetch, logger: logger, start: time.Now(), timing: timing,
-		confirmations: newConfirmations(timing.maxConfirmationAge), fetches: map[netip.AddrPort]bool{},
+		confirmations: newConfirmations(timing.maxConfirmationAge), announcements: newAnnouncements(), fetches: map[netip.AddrPort]fetch{},
 	}
 }
 
@@ -96,6 +102,12 @@
 				s.mu.Lock()
 				defer s.mu.Unlock()
 				s.confirmations.confirm(askedAt)
+				s.announcements.read()
+			},
+			OnPending: func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.announcements.pending(s.now())
 			},
 		})
 		w.Run(ctx)
@@ -148,7 +160,13 @@
 			s.logger.Error().Str("key", r.Key).Str("source", string(source)).Err(err).Int64("version", int64(s.version())).Msg("cannot decode configuration, the one in force stays")
 			decoded = false
 		} else if s.registrar.Install(c) {
-			s.currentRecord, s.behindSince = exchanger.Record{Key: r.Key, Value: r.Value}, 0
+			s.currentRecord = exchanger.Record{Key: r.Key, Value: r.Value, Version: c.Version}
+			s.announcements.installed(c.Version)
+			for _, f := range s.fetches {
+				if f.version <= c.Version {
+					f.cancel()
+				}
+			}
 			s.logger.Info().Int64("version", int64(c.Version)).Int("routes", len(c.Routes)).Int("workspaces", len(c.Workspaces)).
 				Str("source", string(source)).Int64("idle", idle.Milliseconds()).Int("bytes", len(r.Value)).Int64("behind", behind.Milliseconds()).Msg("configuration in force")
 			if names := c.WorkspacesWithSharedKeys(); len(names) > 0 {
@@ -170,19 +188,19 @@
 	return 0
 }
 
-// behind reports whether a peer has announced a newer version than the one in force. The
-// caller holds mu.
+// behind reports whether a newer version than the one in force may exist: a peer has ever
+// announced one, or the store is sending one. The caller holds mu.
 func (s *syncer) behind() bool {
-	return s.announced > s.version()
+	return s.announcements.newest > s.version() || s.lag() > 0
 }
 
-// lag returns how long ago a peer first announced a newer version than the one in force, zero
-// if none has. The caller holds mu.
+// lag returns how long it has been known that a newer version than the one in force exists,
+// zero if none is known to or it can't be decoded here. The caller holds mu.
 func (s *syncer) lag() time.Duration {
-	if !s.behind() || s.behindSince == 0 {
+	if s.confirmations.unusable {
 		return 0
 	}
-	return s.now() - s.behindSince
+	return s.announcements.lag(s.now(), s.version())
 }
 
 // models returns the names of the models in the configuration in force, sorted. The
@@ -203,51 +221,62 @@
 
 // handlePeerVersion handles the configuration version that a peer announced in a
 // datagram. If it is newer and the store does not deliver it within peerFetchDelay, the
-// configuration is fetched from that peer, and from the next one that announces it if the
-// fetch takes longer than that. The caller holds mu.
+// configuration is fetched from that peer, and from the next one that announces it when
+// nothing comes of the fetch for so long. The caller holds mu.
 func (s *syncer) handlePeerVersion(from netip.AddrPort, v registrar.Version) {
-	if v > max(s.announced, s.version()) {
-		s.logger.Info().Str("peer", from.String()).Int64("version", int64(s.version())).Int64("announced", int64(v)).Msg("peer has a newer configuration")
+	now, inForce := s.now(), s.version()
+	if v > max(s.announcements.newest, inForce) {
+		s.logger.Info().Str("peer", from.String()).Int64("version", int64(inForce)).Int64("announced", int64(v)).Msg("peer has a newer configuration")
 	}
-	s.announced = max(s.announced, v)
-	if v <= s.version() || s.fetches[from] || len(s.fetches) >= maxFetches {
+	s.announcements.announce(now, from, v, inForce)
+	if v <= inForce {
 		return
 	}
-	if from == s.fetchedFrom && s.now() < s.nextFetchAt+peerFetchDelay {
-		return // it did not bring the version that it announced
-	}
-	now := s.now()
-	if s.behindSince == 0 {
-		s.behindSince = now
-		s.nextFetchAt = max(s.nextFetchAt, now+peerFetchDelay)
-	}
-	if now < s.nextFetchAt {
+	s.nextFetchAt = max(s.nextFetchAt, s.announcements.heardAt(now)+peerFetchDelay)
+	if _, fetching := s.fetches[from]; fetching || len(s.fetches) >= maxFetches || now < s.nextFetchAt {
 		return
 	}
-	s.nextFetchAt = now + peerFetchDelay
-	s.fetches[from], s.fetchedFrom = true, from
-	go s.fetchFrom(from, v, s.behindSince)
+	if from == s.fetchedFrom && now < s.nextFetchAt+peerFetchDelay {
+		return // it did not bring the version that it announced
+	}
+	s.nextFetchAt, s.fetchedFrom = now+peerFetchDelay, from
+	ctx, cancel := context.WithCancel(context.Background())
+	s.fetches[from] = fetch{v, cancel}
+	go s.fetchFrom(ctx, from, v, inForce)
 }
 
-// fetchFrom fetches a peer's configuration from the address of its datagrams, where it
-// also serves its configuration, and installs it. Peers have announced a newer version
-// since behindSince.
-func (s *syncer) fetchFrom(from netip.AddrPort, v registrar.Version, behindSince time.Duration) {
+// fetchFrom fetches a newer configuration than inForce from the address of a peer's
+// datagrams, where it also serves its configuration, and installs it. The peer has announced
+// version v.
+func (s *syncer) fetchFrom(ctx context.Context, from netip.AddrPort, v, inForce registrar.Version) {
 	startedAt := s.now()
-	r, err := s.fetch(context.Background(), from.String())
-	took, decoded := (s.now() - startedAt).Milliseconds(), true
-	if err != nil {
+	r, err := s.fetch(ctx, exchanger.Request{Address: from.String(), After: inForce, Progress: func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.nextFetchAt = max(s.nextFetchAt, s.now()+peerFetchDelay)
+	}})
+	s.mu.Lock()
+	took, lag, decoded := (s.now() - startedAt).Milliseconds(), s.lag(), true
+	s.mu.Unlock()
+	switch {
+	case ctx.Err() != nil: // the version came from elsewhere
+	case err != nil:
 		s.logger.Warn().Str("peer", from.String()).Int64("version", int64(v)).Int64("took", took).Err(err).Msg("configuration not fetched")
-	} else {
+	default:
 		s.logger.Info().Str("peer", from.String()).Int64("version", int64(v)).Int64("took", took).Int("bytes", len(r.Value)).Msg("configuration fetched")
-		decoded = s.installConfigurations([]watcher.Record{{Key: r.Key, Value: r.Value}}, fromPeer, s.now()-behindSince)
+		decoded = s.installConfigurations([]watcher.Record{{Key: r.Key, Value: r.Value}}, fromPeer, lag)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.fetches[from].cancel()
 	delete(s.fetches, from)
 	if !decoded {
+		s.announcements.unusable = max(s.announcements.unusable, v)
 		s.nextFetchAt = s.now() + unusableDelay
 	}
+	if (err == nil || errors.Is(err, exchanger.ErrNotNewer)) && s.version() < v {
+		s.announcements.refute(from, v)
+	}
 }
 
 // applyList applies records of the upstream list. If all is true, they replace the list;
--- a/internal/driver/syncer_test.go
+++ b/internal/driver/syncer_test.go
@@ -119,11 +119,12 @@
 		defer s.mu.Unlock()
 		return len(s.fetches) > 0
 	}
-	s.mu.Lock()
-	s.start, s.behindSince = s.start.Add(-time.Hour), 1
-	s.handlePeerVersion(peer, 7)
-	s.mu.Unlock()
-	require.True(t, fetching())
+	require.Eventually(t, func() bool {
+		s.mu.Lock()
+		s.handlePeerVersion(peer, 7)
+		s.mu.Unlock()
+		return fetching()
+	}, time.Minute, time.Millisecond)
 	require.Eventually(t, func() bool { return !fetching() }, time.Minute, time.Millisecond)
 	s.mu.Lock()
 	s.handlePeerVersion(peer, 7)
@@ -160,7 +161,7 @@
 		s := newSyncer(&fleetStore{fleet: &fleet{}}, zerolog.Nop(), gatewayPollTiming(maxDrainDelay, maxApplyDelay, 0))
 		s.onConfiguration = func(*registrar.Configuration) {}
 		records := map[string]exchanger.Record{addressOf(1).String(): {Key: "k", Value: []byte{6}}, addressOf(2).String(): {Key: "k", Value: []byte{7}}}
-		s.fetch = func(_ context.Context, address string) (exchanger.Record, error) { return records[address], nil }
+		s.fetch = func(_ context.Context, r exchanger.Request) (exchanger.Record, error) { return records[r.Address], nil }
 		for range 10 {
 			for peer := 1; peer <= 2; peer++ {
 				s.mu.Lock()
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -19,15 +19,20 @@
 	"github.com/rs/zerolog"
 )
 
-// ErrExpired is returned by a Store when it has deleted the requested records.
-var ErrExpired = errors.New("the store has dropped these records")
+// Errors of a Store.
+var (
+	// ErrExpired says that the store has deleted the requested records.
+	ErrExpired = errors.New("the store has dropped these records")
+	// ErrMalformed says that the records can't be told apart.
+	ErrMalformed = errors.New("the store's answer is malformed")
+)
 
 // retryDelay is the pause after a failed call to the store. It is well below the time
 // within which a change must be applied.
 const retryDelay = 250 * time.Millisecond
 
-// answerGrace is the time from the end of a long poll's timeout to its response, after
-// which the connection is taken for dead.
+// answerGrace is the time from the end of a long poll's timeout to its response, and between
+// two parts of the response, after which the connection is taken for dead.
 const answerGrace = 1200 * time.Millisecond
 
 // warmupDelay is the longest pause between calls while a process starts, when many
@@ -45,10 +50,12 @@
 type Batch struct {
 	Records    []Record
 	NextOffset int64 // from which Read continues
+	End        int64 // of the topic at the time of a Read; it was not read whole if that is beyond NextOffset
 	Era        Era   // in which NextOffset is valid
 }
 
-// Store is the client of a store with keyed topics.
+// Store is the client of a store with keyed topics. Its calls tell the Trace of their context
+// what comes.
 type Store interface {
 	// ReadLatest returns the latest record of each key.
 	ReadLatest(ctx context.Context, topic string) (Batch, error)
@@ -81,6 +88,9 @@
 	// were written before that call have been passed on. Both may be nil.
 	OnCall    func()
 	OnCurrent func()
+	// OnPending is called while a response comes that has records which were not read before.
+	// It may be nil.
+	OnPending func()
 	Logger    zerolog.Logger
 }
 
@@ -138,6 +148,8 @@
 			// The call may have failed only because the restore cancelled it.
 			w.synced = false
 			continue
+		case errors.Is(err, ErrMalformed):
+			w.synced = false // records after the malformed one may be readable
 		case errors.Is(err, ErrExpired):
 			w.cfg.Logger.Info().Str("topic", w.cfg.Topic).Int64("offset", w.nextOffset).Msg("records expired before they were read")
 			w.synced, err, delay = false, nil, 0
@@ -179,8 +191,12 @@
 	if !w.synced {
 		return w.readLatest(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, w.cfg.PollTimeout+answerGrace)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	// The Store notices a dead connection by the same means, but later.
+	timer := time.AfterFunc(w.cfg.PollTimeout+answerGrace, func() { cancel(context.DeadlineExceeded) })
+	defer timer.Stop()
+	trace := &Trace{OnProgress: func() { timer.Reset(answerGrace) }, OnPending: w.cfg.OnPending}
 	_, risen := w.cfg.Store.Era()
 	if w.outdated() {
 		return nil
@@ -188,11 +204,14 @@
 	go func() {
 		select {
 		case <-risen:
-			cancel() // a long poll of the earlier era would wait for an offset that may never come
+			cancel(nil) // a long poll of the earlier era would wait for an offset that may never come
 		case <-ctx.Done():
 		}
 	}()
-	batch, err := w.cfg.Store.Read(ctx, w.cfg.Topic, w.nextOffset, w.cfg.PollTimeout)
+	batch, err := w.cfg.Store.Read(WithTrace(ctx, trace), w.cfg.Topic, w.nextOffset, w.cfg.PollTimeout)
+	if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return context.DeadlineExceeded
+	}
 	if err != nil {
 		return err
 	}
@@ -204,7 +223,12 @@
 	if len(batch.Records) > 0 {
 		w.cfg.OnChange(w.dropUnreadable(batch.Records))
 	}
-	w.reportCurrent()
+	switch behind := batch.End - batch.NextOffset; {
+	case behind > 1:
+		w.synced = false // the newest record of each key is less than all that follow
+	case behind <= 0:
+		w.reportCurrent()
+	}
 	return nil
 }
 
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -158,3 +158,84 @@
 		})
 	}
 }
+
+// slowStore is a store whose answer to a Read comes in parts.
+type slowStore struct {
+	*scriptedStore
+	pause time.Duration // between two parts
+	parts int
+}
+
+func (s *slowStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (Batch, error) {
+	trace := TraceOf(ctx)
+	time.Sleep(wait)
+	for range s.parts {
+		trace.Progress(nil)
+		trace.Pending()
+		select {
+		case <-time.After(s.pause):
+		case <-ctx.Done():
+			return Batch{}, ctx.Err()
+		}
+	}
+	return s.scriptedStore.Read(ctx, topic, from, wait)
+}
+
+func TestAnswerThatTakesLongIsReadWhole(t *testing.T) {
+	for pause, read := range map[time.Duration]bool{answerGrace - time.Millisecond: true, answerGrace + time.Millisecond: false} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &slowStore{newScriptedStore(recordsStep(5, "a"), recordsStep(6, "b")), pause, 10}
+			pending := 0
+			var seen []Record
+			ctx, cancel := context.WithCancel(t.Context())
+			w := New(Config{
+				Store: store, PollTimeout: time.Second, Logger: zerolog.Nop(),
+				OnReplace: func([]Record) {}, OnChange: func(r []Record) { seen = append(seen, r...) }, OnReachable: func(bool) {},
+				OnPending: func() { pending++ },
+			})
+			go w.Run(ctx)
+			time.Sleep(time.Second + 10*pause + time.Millisecond)
+			synctest.Wait()
+			require.Equal(t, read, len(seen) == 1, "pause %s", pause)
+			require.Positive(t, pending)
+			cancel()
+			time.Sleep(2 * time.Second)
+			synctest.Wait()
+		})
+	}
+}
+
+func TestRecordsFarBehindAreNotReadOneByOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		partial := func(next, end int64) func() (Batch, error) {
+			return func() (Batch, error) { return Batch{Records: []Record{{Key: "b"}}, NextOffset: next, End: end}, nil }
+		}
+		store := newScriptedStore(recordsStep(5, "a"), partial(6, 7), partial(7, 9), recordsStep(9, "c"), partial(10, 10))
+		current := 0
+		ctx, cancel := context.WithCancel(t.Context())
+		w := New(Config{
+			Store: store, PollTimeout: time.Second, Logger: zerolog.Nop(), OnReplace: func([]Record) {}, OnChange: func([]Record) {}, OnReachable: func(bool) {},
+			OnCurrent: func() { current++ },
+		})
+		go w.Run(ctx)
+		synctest.Wait()
+		require.Equal(t, []string{"latest", "read", "read", "latest", "read", "read"}, store.calls)
+		require.Equal(t, 3, current, "not with answers that left records unread")
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestMalformedAnswerIsFollowedByTheNewestRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newScriptedStore(recordsStep(5, "a"), failureStep(ErrMalformed), recordsStep(9, "c"))
+		ctx, cancel := context.WithCancel(t.Context())
+		w := New(Config{Store: store, PollTimeout: time.Second, Logger: zerolog.Nop(), OnReplace: func([]Record) {}, OnChange: func([]Record) {}, OnReachable: func(bool) {}})
+		go w.Run(ctx)
+		time.Sleep(retryDelay)
+		synctest.Wait()
+		require.Equal(t, []string{"latest", "read", "latest", "read"}, store.calls)
+		cancel()
+		synctest.Wait()
+	})
+}
