Take nothing by a configuration that is known to be outdated

Change: a gateway that has known of a newer version for half of the bound, from peers that go on announcing it or from an answer of the store that brings it, refuses new requests as stale, not run, and is not ready.

--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -252,8 +252,8 @@
 }
 
 // serveHealth answers requests for ReadinessPath: 200 if the gateway has a configuration
-// and the upstream list, has tried to read the verdicts, has processor time and is not
-// draining, otherwise 503.
+// that is not outdated and the upstream list, has tried to read the verdicts, has processor
+// time and is not draining, otherwise 503.
 func (g *Gateway) serveHealth(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != g.cfg.ReadinessPath {
 		w.WriteHeader(http.StatusNotFound)
@@ -263,7 +263,7 @@
 	verdictsDue := g.verdictsRead || g.syncer.now() >= verdictsGrace
 	ready := verdictsDue && g.listReceived && g.configuration.Load() != nil && !g.relayer.Draining()
 	g.syncer.mu.Unlock()
-	if !ready || g.processor.ShortWithin(g.syncer.now(), overloadHold) {
+	if !ready || g.Outdated() || g.processor.ShortWithin(g.syncer.now(), overloadHold) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/driver/keys.go
+++ b/internal/driver/keys.go
@@ -21,8 +21,16 @@
 	return g.syncer.confirmations.age()
 }
 
-// MayLag reports whether a newer configuration may have to be in force: a peer has one, or the
-// store has not confirmed the one in force for long.
+// Outdated reports whether a newer configuration has been known to exist for so long that it
+// should be in force. What the one in force allows may not be allowed any more.
+func (g *Gateway) Outdated() bool {
+	g.syncer.mu.Lock()
+	defer g.syncer.mu.Unlock()
+	return g.syncer.lag() >= g.cfg.MaxApplyDelay/2
+}
+
+// MayLag reports whether a newer configuration may have to be in force: one is known to
+// exist, or the store has not confirmed the one in force for long.
 func (g *Gateway) MayLag() bool {
 	g.syncer.mu.Lock()
 	defer g.syncer.mu.Unlock()
--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -33,11 +33,12 @@
 	shedRetryAfter     = 100 * time.Millisecond // of requests without room here; callers return at any gateway
 )
 
-// errNoRoom is the cause of requests that are refused by what the gateway holds, errNoTime
-// of those that are refused for want of processor time.
+// Causes of refusals by what the gateway holds, for want of processor time, and by its
+// configuration.
 var (
-	errNoRoom = errors.New("this gateway has no memory or descriptors for it")
-	errNoTime = errors.New("this gateway has no processor time for it")
+	errNoRoom   = errors.New("this gateway has no memory or descriptors for it")
+	errNoTime   = errors.New("this gateway has no processor time for it")
+	errOutdated = errors.New("a newer configuration than that of this gateway exists")
 )
 
 // Config configures a Gateway.
@@ -203,7 +204,12 @@
 		return
 	}
 	if g.cfg.Dispatcher.Overloaded() {
-		g.rejectForTime(out, in)
+		g.overloads.Add(1)
+		g.sendElsewhere(out, in, classifier.Busy, errNoTime)
+		return
+	}
+	if g.cfg.Dispatcher.Outdated() {
+		g.sendElsewhere(out, in, classifier.Stale, errOutdated)
 		return
 	}
 	a := g.admit(in)
@@ -236,13 +242,12 @@
 	g.writeError(out, in.info.AttemptID, kind, retryAfter)
 }
 
-// rejectForTime refuses a request that there is no processor time for. The connection is
-// closed, so that its caller opens one to a gateway that has some.
-func (g *Gateway) rejectForTime(out *callerResponse, in *callerRequest) {
-	g.overloads.Add(1)
-	g.cfg.Logger.Warn().Str("request", in.info.AttemptID).Str("kind", string(classifier.Busy)).Str("cause", errNoTime.Error()).Msg("request rejected")
+// sendElsewhere refuses a request that other gateways can serve. The connection is closed, so
+// that its caller opens one to another gateway.
+func (g *Gateway) sendElsewhere(out *callerResponse, in *callerRequest, kind classifier.Kind, cause error) {
+	g.cfg.Logger.Warn().Str("request", in.info.AttemptID).Str("kind", string(kind)).Str("cause", cause.Error()).Msg("request rejected")
 	out.w.Header().Set("Connection", "close")
-	g.writeError(out, in.info.AttemptID, classifier.Busy, shedRetryAfter)
+	g.writeError(out, in.info.AttemptID, kind, shedRetryAfter)
 }
 
 // Overloads returns the number of requests that were refused for want of processor time.
--- a/internal/relayer/gateway_test.go
+++ b/internal/relayer/gateway_test.go
@@ -85,6 +85,7 @@
 	unconfirmed bool          // keys are
 	deadline    time.Duration // of the last request
 	delay       time.Duration // of the processor
+	outdated    bool
 	overloaded  bool          // there is no processor time
 	lags        bool          // the configuration may not be the newest one
 	confirm     func()        // called by each question whether it may, before the answer; nil without one
@@ -106,6 +107,7 @@
 func (d *fakeDispatcher) Configuration() *registrar.Configuration { return d.cfg }
 func (d *fakeDispatcher) KeysConfirmed() bool                     { return !d.unconfirmed }
 func (d *fakeDispatcher) ConfigurationAge() time.Duration         { return 1500 * time.Millisecond }
+func (d *fakeDispatcher) Outdated() bool                          { return d.outdated }
 func (d *fakeDispatcher) Overloaded() bool                        { return d.overloaded }
 func (d *fakeDispatcher) ProcessorDelay() time.Duration           { return d.delay }
 func (d *fakeDispatcher) Now() time.Duration                      { return d.now }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -102,6 +102,9 @@
 	// MayLag reports whether a newer configuration may have to be in force, so that what is
 	// unknown here may be known elsewhere.
 	MayLag() bool
+	// Outdated reports whether a newer configuration should be in force by now, so that the one
+	// in force allows nothing any more.
+	Outdated() bool
 	// Overloaded reports whether there is too little processor time for a further request.
 	Overloaded() bool
 	// ProcessorDelay returns for how long each step of any work waits for the processor now.
