Tell that a stream is unknown only by a list read since the question

Cause: a gateway that does not know a stream asks three stewards, and goes on at the only release that it and they know of. Stewards answered by the list that they had, up to 4 s old in calm and any age in a cut; a gateway of a service without stewards by its own. The stewards that were told of the stream need not be among those asked, since a gateway that has not seen the new runners chooses from others. Besides, an instance that starts again under its name and address kept the listed release.

Change: a steward answers that it does not know a stream only by a list whose read began after the first question about it, and reads the list at once for that; a gateway without stewards to ask does the same. An instance whose steward reports a later incarnation gets nothing until it is listed, and its streams are bound to no release.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -47,6 +47,7 @@
 	limits             *limiter.Table
 	streams            *tracker.Tracker
 	releases           map[registrar.ServiceName]*tracker.Releases
+	listConfirmedAt    time.Duration // as of which the list is known
 	verdicts           *isolator.Verdicts
 	breakages          map[registrar.UpstreamID]*breakage
 	bearings           map[registrar.ServiceName]*budgeter.Bearing // what is known of the memory of upstreams
@@ -108,6 +109,8 @@
 	case UpstreamsListed:
 		d.handleUpstreamsListed(ev.Upstreams)
 		d.sendWaiting()
+	case ListConfirmed:
+		d.handleListConfirmed(ev.At)
 	case Reported:
 		d.handleReport(ev.Report)
 		d.sendWaiting()
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -51,6 +51,10 @@
 // UpstreamsListed carries the live upstreams of all services.
 type UpstreamsListed struct{ Upstreams []*registrar.Upstream }
 
+// ListConfirmed says that the upstreams of the last UpstreamsListed are those of the list at a
+// time or later.
+type ListConfirmed struct{ At time.Duration }
+
 // Reported carries the state of a runner as its steward sent it.
 type Reported struct{ Report Report }
 
@@ -202,6 +206,7 @@
 func (KeysConfirmed) event()      {}
 func (Stopping) event()           {}
 func (UpstreamsListed) event()    {}
+func (ListConfirmed) event()      {}
 func (Reported) event()           {}
 func (Arrived) event()            {}
 func (CallerDisconnected) event() {}
@@ -254,6 +259,9 @@
 	Kind classifier.Kind
 }
 
+// ReadList asks for a read of the list of upstreams now; ListConfirmed follows.
+type ReadList struct{}
+
 // LoadAdapter asks a runner's steward to load an adapter of a model that the runner
 // holds.
 type LoadAdapter struct {
@@ -338,6 +346,7 @@
 func (Abort) effect()          {}
 func (Failover) effect()       {}
 func (LoadAdapter) effect()    {}
+func (ReadList) effect()       {}
 func (RequestPermits) effect() {}
 func (RecordStream) effect()   {}
 func (FindStream) effect()     {}
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -13,7 +13,7 @@
 
 // Timing and numbers of the search for the release that began a stream.
 const (
-	originTimeout     = 300 * time.Millisecond // for stewards to answer
+	originTimeout     = 400 * time.Millisecond // for stewards to answer, which may have to read the list first
 	reporterTimeout   = time.Second            // for stewards to report, which a gateway that has just started must wait for
 	originRetryPeriod = 60 * time.Millisecond  // before they are asked again, in case the datagram or its answer was lost
 	orphanRetryAfter  = time.Second            // of a stream whose origin is unknown
@@ -33,6 +33,9 @@
 	answered bool // a steward has told which releases may have begun the stream
 }
 
+// unknownRelease is that of a stream which no upstream can go on with.
+const unknownRelease registrar.Release = "\x00unknown"
+
 // eligible reports whether an upstream may run a request: a stream that has begun goes on
 // at the release that began it.
 func (r *request) eligible(u *upstream) bool {
@@ -53,6 +56,10 @@
 	if r.Route.Kind != registrar.Streaming || !r.Route.Repeatable() {
 		return
 	}
+	if r.upstream.outdated {
+		r.release = unknownRelease
+		return
+	}
 	r.release = r.upstream.info.Release
 	o := tracker.Origin{Stream: r.stream(), Release: r.release}
 	d.streams.Record(d.now, o)
@@ -100,15 +107,35 @@
 		r.release = release
 		return true
 	}
+	r.search.until = min(d.now+reporterTimeout, r.Deadline-answerMargin)
 	if !d.hasStewards(r.Service) {
-		d.endSearch(r)
+		d.readList(r)
 		return false
 	}
-	r.search.until = min(d.now+reporterTimeout, r.Deadline-answerMargin)
 	d.askForOrigin(r)
 	return false
 }
 
+// readList asks for the list, since a gateway that was cut off may not have seen yet which
+// releases of the service have joined.
+func (d *Dispatcher) readList(r *request) {
+	if !d.releasesOf(r.Service).Complete(d.now) {
+		d.endSearch(r)
+		return
+	}
+	d.emit(ReadList{})
+}
+
+// handleListConfirmed ends the searches of requests that came before the list was read.
+func (d *Dispatcher) handleListConfirmed(at time.Duration) {
+	d.listConfirmedAt = max(d.listConfirmedAt, at)
+	for _, r := range d.requestsByID() {
+		if r.search.until > 0 && !d.hasStewards(r.Service) && r.arrivedAt <= d.listConfirmedAt {
+			d.endSearch(r)
+		}
+	}
+}
+
 // askForOrigin asks stewards for the release that began the stream of a request.
 func (d *Dispatcher) askForOrigin(r *request) {
 	r.search.askedAt = d.now
@@ -129,7 +156,7 @@
 	switch {
 	case d.now >= r.search.until:
 		d.endSearch(r)
-	case d.now >= r.search.askedAt+originRetryPeriod:
+	case d.hasStewards(r.Service) && d.now >= r.search.askedAt+originRetryPeriod:
 		d.askForOrigin(r)
 	}
 }
@@ -155,7 +182,7 @@
 	known := d.releasesOf(r.Service)
 	releases, certain := known.Recent(d.now), r.search.answered
 	if !d.hasStewards(r.Service) {
-		certain = known.Complete(d.now)
+		certain = known.Complete(d.now) && r.arrivedAt <= d.listConfirmedAt
 	}
 	r.search = originSearch{}
 	if len(releases) > 1 || !certain {
--- a/internal/dispatcher/resume_test.go
+++ b/internal/dispatcher/resume_test.go
@@ -109,7 +109,20 @@
 	require.Equal(t, classifier.Orphaned, h.requireFail(resume()).Kind)
 	h.now += time.Hour
 	h.listUpstreams(plainService, 2)
-	h.requireSend(resume())
+	require.Equal(t, []Effect{ReadList{}}, resume())
+	h.requireSend(h.reduce(ListConfirmed{h.now}))
+}
+
+func TestStreamOfAPlainServiceIsNotResumedByAListFromBefore(t *testing.T) {
+	h := newHarness(t)
+	h.listUpstreams(plainService, 2)
+	h.now += time.Hour
+	h.listUpstreams(plainService, 2)
+	h.lastID++
+	h.reduce(Arrived{Request{ID: h.lastID, AttemptID: "a", Route: route(registrar.Streaming, 2), Service: plainService, Deadline: h.now + 4*time.Second, Resumed: true}})
+	require.Empty(t, h.reduce(ListConfirmed{h.now - 1}))
+	h.now += reporterTimeout
+	require.Equal(t, classifier.Orphaned, h.requireFail(h.reduce(Tick{})).Kind)
 }
 
 // All gateways are killed just after the runners of an older release have left. A gateway
@@ -225,3 +238,30 @@
 	h.now += 100*time.Millisecond - answerMargin
 	require.Equal(t, classifier.Orphaned, h.requireFail(h.reduce(Tick{})).Kind)
 }
+
+// An instance that starts again under its name and address may have another release, which only
+// its report tells of until the list is read.
+func TestStreamOfAnUpstreamThatStartedAgainIsNotBoundToItsListedRelease(t *testing.T) {
+	h := newHarness(t)
+	upstream := func(id string, incarnation int64) *registrar.Upstream {
+		return &registrar.Upstream{
+			ID: registrar.UpstreamID(id), Service: runnerService, Address: id + ":80", Domain: "a", State: registrar.Ready, Slots: 6, Release: "v1",
+			Incarnation: incarnation, Residents: []registrar.ResidentModel{{Model: "m"}},
+		}
+	}
+	report := func(id string, incarnation int64) []Effect {
+		return h.reduce(Reported{Report{Address: id + ":80", Incarnation: incarnation, Residents: []registrar.ResidentModel{{Model: "m"}}, Gateways: 1}})
+	}
+	h.reduce(UpstreamsListed{[]*registrar.Upstream{upstream("u1", 5)}})
+	report("u1", 5)
+	id, effects := h.submit(route(registrar.Streaming, 3), "m")
+	send := h.requireSend(effects)
+	report("u1", 9)
+	_, effects = h.submit(route(registrar.Streaming, 3), "m")
+	require.Empty(t, effects, "its release is unknown")
+	h.reduce(UpstreamsListed{[]*registrar.Upstream{upstream("u1", 5), upstream("u2", 1)}})
+	report("u2", 1)
+	require.Empty(t, h.reduce(AnswerBegan{ID: id, Try: send.Try}), "no steward is told")
+	answer := h.requireFail(h.reduce(SendEnded{ID: id, Try: send.Try, Outcome: Interrupted}))
+	require.Equal(t, classifier.Broken, answer.Kind)
+}
--- a/internal/dispatcher/resumehistory_test.go
+++ b/internal/dispatcher/resumehistory_test.go
@@ -14,15 +14,17 @@
 	"github.com/egretwall/egretwall/internal/tracker"
 )
 
-// streamFleet is several gateways and stewards before runners of two releases. Datagrams
-// may be lost, and gateways and stewards restart without memory.
+// streamFleet is several gateways and stewards before runners of two releases, of which the
+// newer one joins. Datagrams may be lost, gateways and stewards restart without memory, and any
+// of them may be out of step, that is read no list while others go on.
 type streamFleet struct {
 	rt       *rapid.T
 	now      time.Duration
 	lastID   RequestID
 	gateways []*Dispatcher
-	stewards map[string]*tracker.Tracker // by the address of their runner
-	runners  []*registrar.Upstream
+	stewards map[string]*tracker.Keeper // by the address of their runner
+	runners  []*registrar.Upstream      // all, of which the first listed ones have joined
+	listed   int
 	streams  map[RequestID]tracker.StreamID
 	origins  map[tracker.StreamID]registrar.Release // of streams that have begun
 	open     []openStream
@@ -35,27 +37,49 @@
 }
 
 func newStreamFleet(rt *rapid.T) *streamFleet {
-	f := &streamFleet{rt: rt, stewards: map[string]*tracker.Tracker{}, streams: map[RequestID]tracker.StreamID{}, origins: map[tracker.StreamID]registrar.Release{}}
+	f := &streamFleet{rt: rt, stewards: map[string]*tracker.Keeper{}, listed: 3, streams: map[RequestID]tracker.StreamID{}, origins: map[tracker.StreamID]registrar.Release{}}
 	for i := range 6 {
 		address := fmt.Sprintf("10.0.0.%d:80", i+1)
 		f.runners = append(f.runners, &registrar.Upstream{
 			ID: registrar.UpstreamID(fmt.Sprint("u", i)), Service: runnerService, Address: address, Domain: "a", State: registrar.Ready, Slots: 64,
-			Release: registrar.Release(fmt.Sprint("v", i%2)), Residents: []registrar.ResidentModel{{Model: "m"}},
+			Release: registrar.Release(fmt.Sprint("v", i/3)), Residents: []registrar.ResidentModel{{Model: "m"}},
 		})
-		f.stewards[address] = tracker.New()
+		f.stewards[address] = tracker.NewKeeper()
+	}
+	for address := range f.stewards {
+		f.restartSteward(address)
 	}
 	for range 3 {
 		f.gateways = append(f.gateways, nil)
 		f.restart(len(f.gateways) - 1)
 	}
+	f.now = time.Hour
+	for address := range f.stewards {
+		f.readList(address)
+	}
 	return f
 }
 
+func (f *streamFleet) list() []*registrar.Upstream { return f.runners[:f.listed] }
+
+func (f *streamFleet) restartSteward(address string) {
+	f.stewards[address] = tracker.NewKeeper()
+	f.readList(address)
+}
+
+// readList lets a steward read the list and what the store has of streams, which is nothing.
+func (f *streamFleet) readList(steward string) {
+	k := f.stewards[steward]
+	k.Releases.List(f.now, f.list())
+	k.ConfirmList(f.now)
+	k.Load(f.now, nil)
+}
+
 func (f *streamFleet) restart(g int) {
 	d := New(Config{Domain: "a", Seed: 5, RetryBudget: RetryBudget{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}})
 	engine := &registrar.Engine{Slots: 64, Models: map[registrar.ModelName]registrar.Model{"m": {Name: "m"}}}
 	d.Reduce(f.now, Configured{&registrar.Configuration{Services: map[registrar.ServiceName]registrar.Service{runnerService: {Name: runnerService, Engine: engine}}}})
-	d.Reduce(f.now, UpstreamsListed{f.runners})
+	d.Reduce(f.now, UpstreamsListed{f.list()})
 	f.gateways[g] = d
 	f.open = slices.DeleteFunc(f.open, func(o openStream) bool { return o.gateway == g })
 }
@@ -73,7 +97,7 @@
 		case RecordStream:
 			for _, address := range ef.Addresses {
 				if rapid.IntRange(0, 4).Draw(f.rt, "delivered") > 0 {
-					f.stewards[address].Record(f.now, ef.Origin)
+					f.stewards[address].Streams.Record(f.now, ef.Origin)
 				}
 			}
 		case FindStream:
@@ -81,11 +105,7 @@
 				if rapid.IntRange(0, 4).Draw(f.rt, "answered") == 0 {
 					continue
 				}
-				var answer Event = StreamUnknown{tracker.Absence{Stream: ef.Stream, Releases: []registrar.Release{"v0", "v1"}}}
-				if release, ok := f.stewards[address].Release(ef.Stream); ok {
-					answer = StreamFound{tracker.Origin{Stream: ef.Stream, Release: release}}
-				}
-				if err := f.reduce(g, answer); err != nil {
+				if err := f.ask(g, address, ef.Stream); err != nil {
 					return err
 				}
 			}
@@ -94,6 +114,21 @@
 	return nil
 }
 
+// ask lets a steward answer a gateway's question. It may reach the store for that.
+func (f *streamFleet) ask(g int, address string, stream tracker.StreamID) error {
+	k := f.stewards[address]
+	answer := k.Ask(f.now, stream)
+	switch {
+	case answer.Origin != nil:
+		return f.reduce(g, StreamFound{*answer.Origin})
+	case answer.Absence != nil:
+		return f.reduce(g, StreamUnknown{*answer.Absence})
+	case rapid.Bool().Draw(f.rt, "store reached"):
+		f.readList(address)
+	}
+	return nil
+}
+
 func (f *streamFleet) releaseOf(s Send) registrar.Release {
 	for _, u := range f.runners {
 		if u.ID == s.Upstream {
@@ -106,22 +141,23 @@
 // runStreams plays a random history. A forgetful fleet takes resumptions for new streams.
 func runStreams(rt *rapid.T, forgetful bool) error {
 	f := newStreamFleet(rt)
-	for range 60 {
+	for range 100 {
 		f.now += time.Duration(rapid.IntRange(0, 100).Draw(rt, "ms")) * time.Millisecond
 		g := rapid.IntRange(0, len(f.gateways)-1).Draw(rt, "gateway")
 		var err error
-		switch step := rapid.IntRange(0, 11).Draw(rt, "step"); {
+		switch step := rapid.IntRange(0, 14).Draw(rt, "step"); {
 		case step == 0:
 			f.restart(g)
 		case step == 1:
-			f.stewards[f.runners[rapid.IntRange(0, len(f.runners)-1).Draw(rt, "steward")].Address] = tracker.New()
+			f.restartSteward(f.runners[rapid.IntRange(0, len(f.runners)-1).Draw(rt, "steward")].Address)
 		case step <= 3:
-			for _, u := range f.runners {
+			for _, u := range f.list() {
 				err = errors.Join(err, f.reduce(g, Reported{Report{Address: u.Address, Residents: u.Residents, Gateways: 3}}))
 			}
 		case step == 4 && len(f.open) > 0:
-			o := f.open[0]
-			f.open = f.open[1:]
+			i := rapid.IntRange(0, len(f.open)-1).Draw(rt, "send")
+			o := f.open[i]
+			f.open = slices.Delete(f.open, i, i+1)
 			if stream := f.streams[o.send.ID]; f.origins[stream] == "" {
 				f.origins[stream] = f.releaseOf(o.send)
 			}
@@ -134,6 +170,12 @@
 			}
 		case step <= 8:
 			err = f.reduce(g, Tick{})
+		case step == 9:
+			f.listed = len(f.runners)
+		case step == 10:
+			err = f.reduce(g, UpstreamsListed{f.list()})
+		case step == 11:
+			f.readList(f.runners[rapid.IntRange(0, len(f.runners)-1).Draw(rt, "steward")].Address)
 		default:
 			err = f.arrive(g, "", false)
 		}
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -142,7 +142,7 @@
 	b.refill(d.now, d.cfg.RetryBudget, d.gatewayCount, 0)
 	timeLeft := r.Deadline - d.now
 	_, _, onTrial := d.onTrial(r)
-	if !r.Route.Repeatable() || r.runs >= max(1, r.Route.AttemptLimit) || timeLeft < minRunTime(r) || onTrial || d.isolates(r) || d.keyRefusal(r) != classifier.None || !r.retryPaid && !b.take() {
+	if !r.Route.Repeatable() || r.release == unknownRelease || r.runs >= max(1, r.Route.AttemptLimit) || timeLeft < minRunTime(r) || onTrial || d.isolates(r) || d.keyRefusal(r) != classifier.None || !r.retryPaid && !b.take() {
 		d.failAfterRun(r, kind)
 		return
 	}
--- a/internal/dispatcher/shortbudget.go
+++ b/internal/dispatcher/shortbudget.go
@@ -63,7 +63,7 @@
 // mayRunAgain reports whether the route and the time left allow a run after the one under
 // way.
 func (d *Dispatcher) mayRunAgain(r *request) bool {
-	return !r.retryPaid && r.Route.Repeatable() && r.runs+1 < max(1, r.Route.AttemptLimit) && r.Deadline-d.now >= minRunTime(r)
+	return !r.retryPaid && r.Route.Repeatable() && r.release != unknownRelease && r.runs+1 < max(1, r.Route.AttemptLimit) && r.Deadline-d.now >= minRunTime(r)
 }
 
 // failOver cancels the send under way if another upstream can take the request now and the
--- a/internal/dispatcher/upstream.go
+++ b/internal/dispatcher/upstream.go
@@ -29,6 +29,7 @@
 	permits            permitState
 	backlog            backlog
 	replaced           bool // another instance answers at its address
+	outdated           bool // its steward reports a later incarnation, whose release the list does not tell yet
 	connectionRefused  bool // nothing listened at its address when its last heartbeat was heartbeatAtRefusal
 	heartbeatAtRefusal int64
 	failureRate        decayingRate // share of recent sends that failed, from 0 to 1
@@ -81,6 +82,9 @@
 		d.gatewayCount = report.Gateways
 	}
 	for _, u := range d.upstreams {
+		if u.info.Address == report.Address && u.info.Incarnation > 0 {
+			u.outdated = report.Incarnation > u.info.Incarnation
+		}
 		if u.info.Address != report.Address || report.Incarnation != u.info.Incarnation || u.reported && report.Sequence < u.report.Sequence {
 			continue
 		}
@@ -221,7 +225,7 @@
 	if u.connectionRefused && u.info.Heartbeat <= u.heartbeatAtRefusal {
 		return false
 	}
-	return u.listed && !u.leaving && !u.replaced && u.info.State == registrar.Ready
+	return u.listed && !u.leaving && !u.replaced && !u.outdated && u.info.State == registrar.Ready
 }
 
 // slots returns the number of requests that the upstream runs at once.
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -139,6 +139,7 @@
 		g.listReceived = true
 		g.refreshUpstreams()
 	}
+	g.syncer.onListConfirmed = func(at time.Duration) { g.apply(dispatcher.ListConfirmed{At: at}) }
 	g.relayer = relayer.New(relayer.Config{HeaderCodec: cfg.HeaderCodec, Dispatcher: g, Logger: cfg.Log.Logger, Budget: budgeter.ConfigOf(cfg.limits())})
 	peer, err := netip.ParseAddrPort(cfg.PeerAddress)
 	if err != nil {
--- a/internal/driver/origins.go
+++ b/internal/driver/origins.go
@@ -8,7 +8,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/egretwall/egretwall/internal/messenger"
-	"github.com/egretwall/egretwall/internal/registrar"
 	"github.com/egretwall/egretwall/internal/tracker"
 )
 
@@ -33,26 +32,24 @@
 // when it is first asked for a stream that it does not know. Its fields but store and
 // logger are guarded by the steward's syncer.mu.
 type originKeeper struct {
-	store    OriginStore
-	logger   zerolog.Logger
-	streams  *tracker.Tracker
-	releases *tracker.Releases
-	saving   bool             // the service has several releases
-	pending  []tracker.Origin // to be written
-	loaded   bool             // the store has been read
-	load     chan struct{}    // asks for that
+	*tracker.Keeper
+	store   OriginStore
+	logger  zerolog.Logger
+	saving  bool             // the service has several releases
+	pending []tracker.Origin // to be written
+	load    chan struct{}    // asks for the store to be read
 }
 
 func newOriginKeeper(store OriginStore, logger zerolog.Logger) *originKeeper {
-	return &originKeeper{store: store, logger: logger, streams: tracker.New(), releases: tracker.NewReleases(), load: make(chan struct{}, 1)}
+	return &originKeeper{Keeper: tracker.NewKeeper(), store: store, logger: logger, load: make(chan struct{}, 1)}
 }
 
 // record stores an origin that a gateway told.
 func (k *originKeeper) record(now time.Duration, o tracker.Origin) {
-	if _, known := k.streams.Release(o.Stream); known {
+	if _, known := k.Streams.Release(o.Stream); known {
 		return
 	}
-	k.streams.Record(now, o)
+	k.Streams.Record(now, o)
 	if k.saving && len(k.pending) < maxPendingOrigins {
 		k.pending = append(k.pending, o)
 	}
@@ -61,9 +58,9 @@
 // takePending returns the origins to write now. When the service gets a second release,
 // these are all that are known.
 func (k *originKeeper) takePending(now time.Duration) []tracker.Origin {
-	several := len(k.releases.Recent(now)) > 1
+	several := len(k.Releases.Recent(now)) > 1
 	if several && !k.saving {
-		k.pending = k.streams.Origins()
+		k.pending = k.Streams.Origins()
 	}
 	k.saving = several
 	pending := k.pending
@@ -78,12 +75,6 @@
 	}
 }
 
-// onlyRelease reports whether one release alone may have begun streams, whatever the store
-// holds.
-func (k *originKeeper) onlyRelease(now time.Duration) bool {
-	return k.releases.Complete(now) && len(k.releases.Recent(now)) == 1
-}
-
 // keepOrigins writes and reads origins until ctx ends.
 func (s *Steward) keepOrigins(ctx context.Context) {
 	ticker := time.NewTicker(originSavePeriod)
@@ -125,32 +116,24 @@
 	s.origins.logger.Info().Int("streams", len(origins)).Msg("origins of streams read")
 	s.syncer.mu.Lock()
 	defer s.syncer.mu.Unlock()
-	s.origins.loaded = true
-	for _, o := range origins {
-		s.origins.streams.Record(s.syncer.now(), o)
-		s.origins.releases.See(s.syncer.now(), []registrar.Release{o.Release})
-	}
+	s.origins.Load(s.syncer.now(), origins)
 }
 
 // tellOrigin tells a gateway which release began a stream, or that this is not known. If the
-// store has not been read yet, it is read, and the gateway asks again. The caller holds
+// list or the store must be read for that, the gateway asks again. The caller holds
 // syncer.mu.
 func (s *Steward) tellOrigin(to netip.AddrPort, id tracker.StreamID) {
-	m := messenger.Message{Sender: s.cfg.Name, Version: s.syncer.version()}
-	release, known := s.origins.streams.Release(id)
-	switch {
-	case known:
-		m.Origin = &tracker.Origin{Stream: id, Release: release}
-	case s.origins.loaded || s.origins.onlyRelease(s.syncer.now()):
-		m.Absence = &tracker.Absence{Stream: id, Releases: s.origins.releases.Recent(s.syncer.now())}
-	default:
-		select {
-		case s.origins.load <- struct{}{}:
-		default:
-		}
+	answer := s.origins.Ask(s.syncer.now(), id)
+	if answer.ReadList {
+		wake(s.syncer.listNow)
+	}
+	if answer.ReadStored {
+		wake(s.origins.load)
+	}
+	if answer.Origin == nil && answer.Absence == nil {
 		return
 	}
-	data, err := messenger.Encode(m)
+	data, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, Version: s.syncer.version(), Origin: answer.Origin, Absence: answer.Absence})
 	if err != nil {
 		s.cfg.Log.Logger.Error().Err(err).Msg("cannot encode origin of a stream")
 		return
--- a/internal/driver/origins_test.go
+++ b/internal/driver/origins_test.go
@@ -16,11 +16,11 @@
 func TestOriginsAreWrittenWhileThereAreSeveralReleases(t *testing.T) {
 	k := newOriginKeeper(nil, zerolog.Nop())
 	one, two := &registrar.Upstream{Release: "v1"}, &registrar.Upstream{Release: "v2"}
-	k.releases.List(0, []*registrar.Upstream{one})
+	k.Releases.List(0, []*registrar.Upstream{one})
 	a, b, c := tracker.Origin{Stream: "a", Release: "v1"}, tracker.Origin{Stream: "b", Release: "v2"}, tracker.Origin{Stream: "c", Release: "v2"}
 	k.record(0, a)
 	require.Empty(t, k.takePending(0))
-	k.releases.List(time.Second, []*registrar.Upstream{one, two})
+	k.Releases.List(time.Second, []*registrar.Upstream{one, two})
 	require.Equal(t, []tracker.Origin{a}, k.takePending(time.Second))
 	k.record(time.Second, b)
 	k.record(time.Second, b)
@@ -29,7 +29,7 @@
 	k.record(2*time.Second, c)
 	k.giveBack(pending)
 	require.Equal(t, []tracker.Origin{b, c}, k.takePending(3*time.Second), "written again after a failure")
-	k.releases.List(4*time.Second, []*registrar.Upstream{two})
+	k.Releases.List(4*time.Second, []*registrar.Upstream{two})
 	k.record(4*time.Second, tracker.Origin{Stream: "d", Release: "v2"})
 	require.Len(t, k.takePending(4*time.Second), 1, "the release that is gone may have begun streams")
 	k.takePending(2 * time.Minute)
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -103,6 +103,8 @@
 			g.forget(ef.ID)
 		case dispatcher.LoadAdapter:
 			g.send(stewardAddress(ef.Address, g.peerPort), messenger.Message{RequestedAdapter: &ef.Adapter})
+		case dispatcher.ReadList:
+			wake(g.syncer.listNow)
 		case dispatcher.RequestPermits:
 			g.send(stewardAddress(ef.Address, g.peerPort), messenger.Message{PermitRequest: &ef.Request, Version: g.syncer.version()})
 		case dispatcher.RequestTokens:
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -105,6 +105,7 @@
 	s.reconciler = reconciler.New(reconciler.Config{Address: cfg.RunnerAddress, Holder: cfg.Name, Window: cfg.LoadWindow})
 	s.syncer.onConfiguration = func(c *registrar.Configuration) { s.apply(reconciler.ConfigurationChanged{Configuration: c}) }
 	s.syncer.onList = s.refreshRunners
+	s.syncer.onListConfirmed = s.origins.ConfirmList
 	peer, err := netip.ParseAddrPort(cfg.PeerAddress)
 	if err != nil {
 		return nil, classifier.Wrap(classifier.Invalid, err, "peer address")
@@ -282,7 +283,7 @@
 	if incarnation > s.incarnation {
 		s.incarnation, s.pausedUntil = incarnation, 0 // a pause holds for the incarnation that asked for it
 	}
-	s.origins.releases.List(s.syncer.now(), all)
+	s.origins.Releases.List(s.syncer.now(), all)
 	s.apply(reconciler.RunnersListed{Upstreams: all})
 }
 
--- a/internal/driver/syncer.go
+++ b/internal/driver/syncer.go
@@ -49,9 +49,12 @@
 	logger zerolog.Logger
 	start  time.Time
 	timing pollTiming
-	// onConfiguration and onList run with mu held.
+	// The following run with mu held.
 	onConfiguration func(*registrar.Configuration)
 	onList          func()
+	onListConfirmed func(at time.Duration) // the list is known as of that time; nil if nobody asks
+
+	listNow chan struct{} // asks for a read of the list without delay
 
 	confirmations confirmations
 	currentRecord exchanger.Record // of the configuration in force, zero before the first
@@ -78,7 +81,7 @@
 func newSyncer(store Store, logger zerolog.Logger, timing pollTiming) *syncer {
 	return &syncer{
 		registrar: registrar.New(registrar.Config{OutageGrace: outageGrace}), store: store, fetch: exchanger.Fetch, logger: logger, start: time.Now(), timing: timing,
-		confirmations: newConfirmations(timing.maxConfirmationAge), announcements: newAnnouncements(), fetches: map[netip.AddrPort]fetch{},
+		confirmations: newConfirmations(timing.maxConfirmationAge), announcements: newAnnouncements(), fetches: map[netip.AddrPort]fetch{}, listNow: make(chan struct{}, 1),
 	}
 }
 
@@ -113,8 +116,17 @@
 		w.Run(ctx)
 	})
 	g.Go(func() {
+		var askedAt time.Duration
 		watcher.New(watcher.Config{
 			Store: s.store, Topic: s.store.UpstreamTopic(), PollTimeout: listPollTimeout, PollDelay: s.timing.listDelay, Warmup: s.timing.listWarmup, Logger: s.logger,
+			PollNow: s.listNow, OnCall: func() { askedAt = s.now() },
+			OnCurrent: func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if s.onListConfirmed != nil {
+					s.onListConfirmed(askedAt)
+				}
+			},
 			OnReplace: func(r []watcher.Record) { s.applyList(r, true) },
 			OnChange:  func(r []watcher.Record) { s.applyList(r, false) },
 			OnRestored: func() {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -74,6 +74,8 @@
 	PollTimeout time.Duration // of a long poll: how long Read waits for a record
 	PollDelay   time.Duration // pause between calls after the first that succeeds
 	Warmup      time.Duration // time from the start in which the pause is at most warmupDelay
+	// PollNow ends the pause; the next call then does not wait for a record. It may be nil.
+	PollNow <-chan struct{}
 	// OnReplace receives the latest record of each key, which replace all earlier records.
 	// OnChange receives later records.
 	OnReplace func([]Record)
@@ -103,6 +105,7 @@
 	era            Era  // of the last ReadLatest, in which nextOffset is valid
 	reachable      bool
 	statusReported bool
+	hurry          bool          // the next call does not wait for a record
 	answeredAt     time.Time     // when the store last answered a call; zero before
 	idle           time.Duration // between the last two answers
 }
@@ -166,7 +169,20 @@
 		case err != nil:
 			delay = retryDelay
 		}
-		sleep(ctx, delay)
+		w.pause(ctx, delay)
+	}
+}
+
+// pause waits for a time, or until PollNow.
+func (w *Watcher) pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(max(0, d))
+	defer t.Stop()
+	w.hurry = false
+	select {
+	case <-w.cfg.PollNow:
+		w.hurry = true
+	case <-t.C:
+	case <-ctx.Done():
 	}
 }
 
@@ -208,7 +224,11 @@
 		case <-ctx.Done():
 		}
 	}()
-	batch, err := w.cfg.Store.Read(WithTrace(ctx, trace), w.cfg.Topic, w.nextOffset, w.cfg.PollTimeout)
+	wait := w.cfg.PollTimeout
+	if w.hurry {
+		wait = 0
+	}
+	batch, err := w.cfg.Store.Read(WithTrace(ctx, trace), w.cfg.Topic, w.nextOffset, wait)
 	if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return context.DeadlineExceeded
 	}
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -239,3 +239,36 @@
 		synctest.Wait()
 	})
 }
+
+func TestWantedPollDoesNotWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &waitingStore{scriptedStore: newScriptedStore(recordsStep(5, "a"), recordsStep(5), recordsStep(5))}
+		now := make(chan struct{}, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		w := New(Config{
+			Store: store, PollTimeout: time.Second, PollDelay: time.Minute, PollNow: now, Logger: zerolog.Nop(),
+			OnReplace: func([]Record) {}, OnChange: func([]Record) {}, OnReachable: func(bool) {},
+		})
+		go w.Run(ctx)
+		synctest.Wait()
+		now <- struct{}{}
+		synctest.Wait()
+		require.Equal(t, []time.Duration{0}, store.waits)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		require.Equal(t, []time.Duration{0, time.Second}, store.waits)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// waitingStore records for how long each Read may wait.
+type waitingStore struct {
+	*scriptedStore
+	waits []time.Duration
+}
+
+func (s *waitingStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (Batch, error) {
+	s.waits = append(s.waits, wait)
+	return s.scriptedStore.Read(ctx, topic, from, wait)
+}
