Pass nothing on late in a planned stop

Reported by other operators: requests that came late in the grace were taken and cut at its end, among them some that may not be repeated (LOST). It can happen here.

Cause: net/http drops requests whose headers come after Shutdown, so that no late request is taken on an idle or fresh connection. But one whose body comes slowly, or that waits here, was still passed on up to 0.8 s before the end, and its connection broke with the process.

Change: a gateway that stops refuses what it has read, or what still waits, from 3 s after SIGTERM on, when the load balancer sends it nothing any more; runs have the rest of the grace. A run without any answer 0.5 s before the end of the grace is told that it may have run.

TestRequestThatComesLateInAStopIsRefused and TestRunWithoutAnAnswerAtTheEndOfAStopMayHaveRun failed before.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -57,7 +57,7 @@
 	gatewayCount       int
 	account            *apportioner.Account // of workspaces' quotas
 	quotas             quotaState
-	refuseAt           time.Duration // of Stopping, zero before it
+	refuseAt, endAt    time.Duration // of Stopping, zero before it
 	shares             shares
 
 	Counters Counters
@@ -115,7 +115,7 @@
 		d.handleReport(ev.Report)
 		d.sendWaiting()
 	case Stopping:
-		d.refuseAt = ev.RefuseAt
+		d.refuseAt, d.endAt = ev.RefuseAt, ev.EndAt
 	case Arrived:
 		d.handleArrival(ev.Request)
 	case CallerDisconnected:
@@ -187,6 +187,10 @@
 	r := &request{Request: req, arrivedAt: d.now}
 	r.stats = d.statsOf(r)
 	d.requests[r.ID] = r
+	if d.refuseAt > 0 && d.now >= d.refuseAt {
+		d.refuse(r, classifier.Leaving, 0)
+		return
+	}
 	if d.refuseForKey(r) {
 		return
 	}
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -58,9 +58,10 @@
 // Reported carries the state of a runner as its steward sent it.
 type Reported struct{ Report Report }
 
-// Stopping says that this gateway shuts down. Requests that still wait at RefuseAt
-// are refused, so that their callers can retry at another gateway.
-type Stopping struct{ RefuseAt time.Duration }
+// Stopping says that this gateway shuts down. Requests that still wait at RefuseAt, and
+// those that come later, are refused, so that their callers can retry at another gateway. Those
+// without any part of an answer at EndAt are told that they may have run.
+type Stopping struct{ RefuseAt, EndAt time.Duration }
 
 // Arrived carries a request that has been read completely from its caller.
 type Arrived struct{ Request Request }
--- a/internal/dispatcher/overload_test.go
+++ b/internal/dispatcher/overload_test.go
@@ -105,6 +105,41 @@
 	require.Positive(t, answer.RetryAfter)
 }
 
+func TestRequestThatComesLateInAStopIsRefused(t *testing.T) {
+	h := newHarness(t)
+	h.listUpstreams(plainService, 2)
+	h.reduce(Stopping{RefuseAt: 3 * time.Second, EndAt: 7 * time.Second})
+	for _, kind := range []registrar.Kind{registrar.NonIdempotent, registrar.Idempotent, registrar.Streaming} {
+		h.now = 2 * time.Second
+		_, effects := h.submit(route(kind, 2), "")
+		h.requireSend(effects)
+		h.now = 3 * time.Second
+		_, effects = h.submit(route(kind, 2), "")
+		require.Equal(t, classifier.Leaving, h.requireFail(effects).Kind)
+	}
+}
+
+// The platform ends the process soon, with which the connections of callers break.
+func TestRunWithoutAnAnswerAtTheEndOfAStopMayHaveRun(t *testing.T) {
+	h := newHarness(t)
+	h.listUpstreams(plainService, 2)
+	id, effects := h.submit(route(registrar.NonIdempotent, 2), "")
+	h.requireSend(effects)
+	begun, effects := h.submit(route(registrar.Streaming, 2), "")
+	send := h.requireSend(effects)
+	h.reduce(AnswerBegan{ID: begun, Try: send.Try})
+	h.reduce(Stopping{RefuseAt: time.Second, EndAt: 2 * time.Second})
+	h.now = 2*time.Second - TickPeriod
+	require.Empty(t, h.reduce(Tick{}))
+	h.now = 2 * time.Second
+	effects = h.reduce(Tick{})
+	require.Contains(t, effects, Effect(Abort{id, classifier.Lost}))
+	answer := h.requireFail(effects)
+	require.Equal(t, id, answer.ID)
+	require.Equal(t, classifier.RanUnknown, classifier.ResponseOf(answer.Kind).Ran)
+	require.Equal(t, 1, h.d.Open(), "the stream goes on as long as it can")
+}
+
 // If the runner that holds an adapter is full, the adapter must be requested at another
 // runner of the model that has room. If none has, a request would only displace
 // another adapter.
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -208,6 +208,12 @@
 		}
 		if r.upstream != nil {
 			d.avoidSilent(r)
+			if d.endAt > 0 && d.now >= d.endAt && !r.answerBegan {
+				r.lastCause = "this gateway stops"
+				d.emit(Abort{r.ID, classifier.Lost})
+				d.failAfterRun(r, classifier.Lost)
+				continue
+			}
 		}
 		if d.now < limit-answerMargin {
 			if r.upstream == nil {
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -26,9 +26,9 @@
 	minDemandPeriod        = 250 * time.Millisecond // between demand reports to stewards; well below the time that a load takes
 	demandPeriodPerSteward = 8 * time.Millisecond   // lengthens the period with the number of stewards, to limit the rate of datagrams
 	idleSweepPeriod        = time.Second            // between closings of idle connections to upstreams
-	drainDelay             = 3 * time.Second        // the load balancer checks health once a second and acts on two failures
+	drainDelay             = 3 * time.Second        // for which a gateway that stops takes requests; the load balancer checks health once a second and acts on two failures
 	shutdownMargin         = 300 * time.Millisecond // between the end of the drain and the end of the grace period, when the platform kills the process
-	refusalMargin          = 500 * time.Millisecond // before the end of the drain, for refusals to reach their callers
+	answerMargin           = 200 * time.Millisecond // before the end of the drain, for the last answers to reach their callers
 )
 
 // pollTurns is the number of times that a call to the store waits for the processor, with a
@@ -220,7 +220,8 @@
 	g.syncer.mu.Unlock()
 	g.cfg.Log.Logger.Info().Int("open", g.relayer.Open()).Msg("draining")
 	g.relayer.Drain()
-	g.Reduce(dispatcher.Stopping{RefuseAt: g.Now() + gracePeriod - shutdownMargin - refusalMargin})
+	endAt := g.Now() + gracePeriod - shutdownMargin - answerMargin
+	g.Reduce(dispatcher.Stopping{RefuseAt: min(g.Now()+drainDelay, endAt), EndAt: endAt})
 	time.Sleep(drainDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(gracePeriod-shutdownMargin))
 	defer cancel()
