--- a/internal/apportioner/account.go
+++ b/internal/apportioner/account.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/converter"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -170,7 +171,7 @@
 	spread := minSpread
 	if b.quota.Rate > 0 {
 		excess := b.demand * float64(max(1, a.gateways)) / b.quota.Rate
-		spread = max(minSpread, min(maxSpread, time.Duration(excess*float64(minSpread))))
+		spread = max(minSpread, min(maxSpread, converter.Seconds(excess*minSpread.Seconds())))
 	}
 	return Decision{Outcome: Refused, RetryAfter: wait + time.Duration(a.rng.Float64()*float64(spread))}
 }
--- a/internal/apportioner/balance.go
+++ b/internal/apportioner/balance.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/converter"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -90,7 +91,7 @@
 // retryPeriod returns the time after a denial before the issuer is asked again. It is
 // shorter than the period if tokens would not be saved up for so long.
 func (b *balance) retryPeriod(period time.Duration) time.Duration {
-	saved := max(minBurstTime, time.Duration(b.quota.Burst/b.quota.Rate*float64(time.Second)))
+	saved := max(minBurstTime, converter.Seconds(b.quota.Burst/b.quota.Rate))
 	return min(period, saved/retriesPerBurst)
 }
 
--- a/internal/apportioner/bucket.go
+++ b/internal/apportioner/bucket.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/converter"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -95,7 +96,7 @@
 	if rate <= 0 {
 		return unknownWait
 	}
-	return max(minWait, min(maxWait, time.Duration((tokens-b.saved)/rate*float64(time.Second))))
+	return max(minWait, min(maxWait, converter.Seconds((tokens-b.saved)/rate)))
 }
 
 // wholeUnits returns the largest multiple of unit up to tokens, since smaller parts at many
--- a/internal/apportioner/ownpart.go
+++ b/internal/apportioner/ownpart.go
@@ -1,6 +1,10 @@
 package apportioner
 
-import "time"
+import (
+	"time"
+
+	"github.com/egretwall/egretwall/internal/converter"
+)
 
 // ownPart is a gateway's own part of a quota, which it uses while no issuer counts it.
 type ownPart struct {
@@ -32,5 +36,5 @@
 		return maxWait
 	}
 	need := min(cost, max(burst, rate*minBurstTime.Seconds())) - o.tokens
-	return max(minWait, min(maxWait, time.Duration(need/rate*float64(time.Second))))
+	return max(minWait, min(maxWait, converter.Seconds(need/rate)))
 }
--- a/internal/dispatcher/limit.go
+++ b/internal/dispatcher/limit.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/converter"
 	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/placer"
 )
@@ -234,7 +235,7 @@
 	}
 	period := max(permitRetryPeriod, time.Duration(d.gatewayCount)*permitPeriodPerGateway)
 	if chosen != nil {
-		period = max(period, time.Duration(float64(d.gatewayCount)/rate*float64(time.Second)))
+		period = max(period, converter.Seconds(float64(d.gatewayCount)/rate))
 	}
 	if u.permits.requestedAt > 0 && d.now < u.permits.requestedAt+period {
 		return false
--- a/internal/messenger/demands.go
+++ b/internal/messenger/demands.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/converter"
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
@@ -65,7 +66,8 @@
 	}
 	all := make([]dispatcher.Demand, 0, len(d.Rows))
 	for _, row := range d.Rows {
-		if len(row) < minRowLength || row[0] < 0 || int(row[0]) >= len(names) {
+		odd := slices.ContainsFunc(row[:min(len(row), minRowLength+1)], func(x float64) bool { return !converter.Amount(x) })
+		if odd || len(row) < minRowLength || row[0] >= float64(len(names)) {
 			return nil, fmt.Errorf("invalid row %v in demand report", row)
 		}
 		demand := dispatcher.Demand{Model: names[int(row[0])], WorkRate: row[1], RecentWorkRate: row[2], RecentRequests: row[3]}
--- a/internal/messenger/demands_test.go
+++ b/internal/messenger/demands_test.go
@@ -33,7 +33,7 @@
 	}
 	_, err = packed.Unpack(names[:2])
 	require.ErrorContains(t, err, "other model names")
-	for _, row := range [][]float64{{}, {3, 1, 1, 1}, {-1, 1, 1, 1}} {
+	for _, row := range [][]float64{{}, {3, 1, 1, 1}, {-1, 1, 1, 1}, {math.NaN(), 1, 1, 1}, {math.Inf(1), 1, 1, 1}, {1e300, 1, 1, 1}, {0, -1, 1, 1}, {0, math.NaN(), 1, 1}, {0, 1, math.Inf(1), 1}, {0, 1, 1, 1, math.NaN()}} {
 		_, err = PackedDemands{NamesChecksum: packed.NamesChecksum, Rows: [][]float64{row}}.Unpack(names)
 		require.ErrorContains(t, err, "invalid row")
 	}
