Count a newer version only when it is announced again

A single odd message with a high version made a gateway refuse everything for two seconds, from one second after it on, and answer unknown routes as stale for good.

Change: versions that are announced once count for three seconds and only to keep refusals from being final; those that peers repeat count as before. Stewards repeat theirs at least each second.

--- a/internal/driver/announcements.go
+++ b/internal/driver/announcements.go
@@ -14,9 +14,9 @@
 )
 
 // announcements tells for how long it has been known that a newer configuration than the one
-// in force exists, from what peers announce and from responses of the store that bring one.
+// in force exists, from what peers announce and from responses of the store that bring one. A
+// single message may be an odd one; versions that were announced again count.
 type announcements struct {
-	newest   registrar.Version // that a peer has ever announced
 	claims   map[netip.AddrPort]claim
 	heard    []heardVersion    // newer than the one in force
 	unusable registrar.Version // the newest one that can't be decoded; older ones don't count either
@@ -32,25 +32,46 @@
 	refuted bool // the peer did not have it
 }
 
-// heardVersion is a version with the time of its first announcement.
+// heardVersion is a version that was announced.
 type heardVersion struct {
-	version registrar.Version
-	at      time.Duration
+	version  registrar.Version
+	at       time.Duration // of the first announcement
+	repeated bool          // there was another one
 }
 
 func newAnnouncements() announcements {
 	return announcements{claims: map[netip.AddrPort]claim{}}
 }
 
-// announce records the version that a peer has announced.
-func (a *announcements) announce(now time.Duration, peer netip.AddrPort, v, inForce registrar.Version) {
-	a.newest = max(a.newest, v)
+// announce records the version that a peer has announced, and reports whether it is newer than
+// all before.
+func (a *announcements) announce(now time.Duration, peer netip.AddrPort, v, inForce registrar.Version) bool {
 	refuted := a.claims[peer].refuted && a.claims[peer].version == v
 	a.claims[peer] = claim{version: v, at: now, refuted: refuted}
-	known := slices.ContainsFunc(a.heard, func(h heardVersion) bool { return h.version == v })
-	if v > inForce && !known && len(a.heard) < maxHeard {
-		a.heard = append(a.heard, heardVersion{v, now})
+	if v <= inForce {
+		return false
+	}
+	a.heard = slices.DeleteFunc(a.heard, func(h heardVersion) bool { return !h.repeated && now-h.at >= claimLifetime })
+	newest := inForce
+	for i := range a.heard {
+		if a.heard[i].version == v {
+			a.heard[i].repeated = true
+			return false
+		}
+		newest = max(newest, a.heard[i].version)
+	}
+	if len(a.heard) < maxHeard {
+		a.heard = append(a.heard, heardVersion{version: v, at: now})
 	}
+	return v > newest
+}
+
+// exists reports whether a newer version than the one in force may exist, also if nobody
+// announces it any more.
+func (a *announcements) exists(now time.Duration, inForce registrar.Version) bool {
+	return slices.ContainsFunc(a.heard, func(h heardVersion) bool {
+		return h.version > inForce && (h.repeated || now-h.at < claimLifetime)
+	})
 }
 
 // refute records that a peer did not have the version that it announced.
@@ -88,7 +109,7 @@
 }
 
 // lag returns how long it has been known that a newer version than the one in force exists,
-// zero if none is known to. An announcement counts while its peer repeats it.
+// zero if none is known to. An announcement counts while peers go on repeating it.
 func (a *announcements) lag(now time.Duration, inForce registrar.Version) time.Duration {
 	since, newest := now, inForce
 	if a.pendingSince > 0 && now-a.pendingAt < claimLifetime {
@@ -99,7 +120,7 @@
 			delete(a.claims, peer)
 			continue
 		}
-		if !c.refuted && c.version > a.unusable {
+		if !c.refuted && c.version > a.unusable && a.repeated(c.version) {
 			newest = max(newest, c.version)
 		}
 	}
@@ -110,3 +131,7 @@
 	}
 	return now - since
 }
+
+func (a *announcements) repeated(v registrar.Version) bool {
+	return slices.ContainsFunc(a.heard, func(h heardVersion) bool { return h.version == v && h.repeated })
+}
--- a/internal/driver/syncer.go
+++ b/internal/driver/syncer.go
@@ -200,10 +200,10 @@
 	return 0
 }
 
-// behind reports whether a newer version than the one in force may exist: a peer has ever
+// behind reports whether a newer version than the one in force may exist: a peer has
 // announced one, or the store is sending one. The caller holds mu.
 func (s *syncer) behind() bool {
-	return s.announcements.newest > s.version() || s.lag() > 0
+	return s.announcements.exists(s.now(), s.version()) || s.lag() > 0
 }
 
 // lag returns how long it has been known that a newer version than the one in force exists,
@@ -237,10 +237,9 @@
 // nothing comes of the fetch for so long. The caller holds mu.
 func (s *syncer) handlePeerVersion(from netip.AddrPort, v registrar.Version) {
 	now, inForce := s.now(), s.version()
-	if v > max(s.announcements.newest, inForce) {
+	if s.announcements.announce(now, from, v, inForce) {
 		s.logger.Info().Str("peer", from.String()).Int64("version", int64(inForce)).Int64("announced", int64(v)).Msg("peer has a newer configuration")
 	}
-	s.announcements.announce(now, from, v, inForce)
 	if v <= inForce {
 		return
 	}
