--- a/internal/linker/client.go
+++ b/internal/linker/client.go
@@ -18,7 +18,8 @@
 // Timeouts and limits of connections.
 const (
 	openTimeout = 400 * time.Millisecond // to connect and receive the agent's welcome message
-	callTimeout = 800 * time.Millisecond // for QueryResidents and FetchConfiguration
+	callTimeout = 800 * time.Millisecond // without any progress, for QueryResidents and FetchConfiguration
+	maxCallTime = 30 * time.Second       // for these, however they progress
 	// MaxMessageBytes is the size limit of a gRPC message between two processes.
 	MaxMessageBytes = 16 << 20
 )
@@ -72,7 +73,7 @@
 func (c *Client) serve(ctx context.Context, d reducer.Dial, conn *clientConn) {
 	defer conn.cancel()
 	defer c.cfg.Post(reducer.AgentDisconnected{Peer: d.Peer, Epoch: d.Epoch})
-	cc, err := newGRPCConn(d.Address, c.cfg.Credentials)
+	cc, err := newGRPCConn(d.Address, c.cfg.Credentials, nil)
 	if err != nil {
 		return
 	}
@@ -137,15 +138,34 @@
 	}
 }
 
+// observedConn calls onRead when bytes come.
+type observedConn struct {
+	net.Conn
+	onRead func()
+}
+
+// Read reads from the connection.
+func (c observedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.onRead()
+	}
+	return n, err
+}
+
 // newGRPCConn returns a connection that is opened on first use and never retries a call
-// by itself.
-func newGRPCConn(address string, creds credentials.TransportCredentials) (*grpc.ClientConn, error) {
+// by itself. It calls onRead, if that is not nil, when bytes come.
+func newGRPCConn(address string, creds credentials.TransportCredentials, onRead func()) (*grpc.ClientConn, error) {
 	return grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(creds),
 		grpc.WithDisableRetry(),
 		grpc.WithNoProxy(),
 		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
-			return (&net.Dialer{Timeout: openTimeout}).DialContext(ctx, "tcp", addr)
+			conn, err := (&net.Dialer{Timeout: openTimeout}).DialContext(ctx, "tcp", addr)
+			if err != nil || onRead == nil {
+				return conn, err
+			}
+			return observedConn{conn, onRead}, nil
 		}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
 	)
@@ -169,10 +189,12 @@
 
 // callAgent calls m over a connection of its own.
 func callAgent[A any](ctx context.Context, address string, creds credentials.TransportCredentials, m rpcMethod[A]) (A, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxCallTime)
 	defer cancel()
+	timer := time.AfterFunc(callTimeout, cancel)
+	defer timer.Stop()
 	var zero A
-	cc, err := newGRPCConn(address, creds)
+	cc, err := newGRPCConn(address, creds, func() { timer.Reset(callTimeout) })
 	if err != nil {
 		return zero, err
 	}
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -9,11 +9,11 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/puller"
 	"github.com/egretwall/egretwall/pkg/configurator"
 )
 
@@ -37,7 +37,7 @@
 }
 
 const (
-	listTimeout  = time.Second
+	listTimeout  = time.Second // without any progress
 	maxListBytes = 16 << 20
 )
 
@@ -50,11 +50,13 @@
 type Client struct {
 	cfg    Config
 	client *http.Client
+	puller *puller.Puller
 }
 
 // NewClient returns a client. It connects on the first request.
 func NewClient(cfg Config) *Client {
-	return &Client{cfg: cfg, client: &http.Client{Timeout: listTimeout, Transport: &http.Transport{}}}
+	client := &http.Client{Transport: &http.Transport{}}
+	return &Client{cfg: cfg, client: client, puller: puller.New(puller.Config{Client: client, Timeout: listTimeout, MaxBytes: maxListBytes})}
 }
 
 // List returns all listed instances and the size of the response in bytes. Its errors
@@ -64,21 +66,16 @@
 	if err != nil {
 		return nil, 0, classifier.Wrap(classifier.Internal, err, "list instances")
 	}
-	res, err := c.client.Do(req)
+	res, err := c.puller.Pull(req, puller.Options{})
 	if err != nil {
 		c.client.CloseIdleConnections()
 		return nil, 0, classifier.Wrap(classifier.Lost, err, "list instances")
 	}
-	defer func() { _ = res.Body.Close() }()
 	var instances []Instance
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxListBytes))
-	if err == nil {
-		err = json.Unmarshal(data, &instances)
-	}
-	if err != nil {
+	if err := json.Unmarshal(res.Body, &instances); err != nil {
 		return nil, 0, classifier.Wrap(classifier.Lost, err, "read list of instances")
 	}
-	return instances, len(data), nil
+	return instances, len(res.Body), nil
 }
 
 // Close closes the idle connections.
--- a/internal/recorder/client.go
+++ b/internal/recorder/client.go
@@ -5,21 +5,20 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/egretwall/egretwall/internal/classifier"
+	"github.com/egretwall/egretwall/internal/puller"
 )
 
 // Timeouts and limits of the client.
 const (
 	dialTimeout      = 300 * time.Millisecond
-	appendTimeout    = time.Second
+	callTimeout      = time.Second             // without any progress, after which a connection is unresponsive
 	readWait         = 1500 * time.Millisecond // how long the log waits for new records before it responds
-	readTimeout      = 2500 * time.Millisecond // longer than readWait, so that only an unresponsive connection times out
 	maxResponseBytes = 16 << 20
 )
 
@@ -33,7 +32,7 @@
 type Client struct {
 	cfg       Config
 	transport *http.Transport
-	client    *http.Client
+	puller    *puller.Puller
 }
 
 // NewClient returns a client. It connects on the first request.
@@ -42,7 +41,9 @@
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 4,
 	}
-	return &Client{cfg: cfg, transport: transport, client: &http.Client{Transport: transport}}
+	return &Client{cfg: cfg, transport: transport, puller: puller.New(puller.Config{
+		Client: &http.Client{Transport: transport}, Timeout: callTimeout, MaxBytes: maxResponseBytes,
+	})}
 }
 
 // RawRecord is a record that has not been decoded, as the log returns it.
@@ -72,14 +73,12 @@
 	if err != nil {
 		return 0, classifier.Wrap(classifier.Internal, err, "encode log record")
 	}
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
 	var response AppendResponse
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url("append", stream), bytes.NewReader(data))
 	if err != nil {
 		return 0, classifier.Wrap(classifier.Internal, err, "append to log")
 	}
-	if err := c.do(req, &response); err != nil {
+	if err := c.do(req, 0, &response); err != nil {
 		return 0, err
 	}
 	return response.Offset, nil
@@ -88,15 +87,13 @@
 // Read returns the records at or after offset from. If there are none, it waits up to
 // readWait for one. Records that can't be decoded are skipped.
 func (c *Client) Read(ctx context.Context, stream Stream, from Offset) (Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	address := fmt.Sprintf("%s&from=%d&wait=%d", c.url("read", stream), from, readWait.Milliseconds())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return Batch{}, classifier.Wrap(classifier.Internal, err, "read log")
 	}
 	var response ReadResponse
-	if err := c.do(req, &response); err != nil {
+	if err := c.do(req, readWait, &response); err != nil {
 		return Batch{}, err
 	}
 	batch := Batch{FirstOffset: response.FirstOffset, NextOffset: response.NextOffset, LogTimeMs: response.LogTimeMs}
@@ -120,22 +117,17 @@
 	c.transport.CloseIdleConnections()
 }
 
-// do sends a request and decodes the JSON response.
-func (c *Client) do(req *http.Request, response any) error {
-	res, err := c.client.Do(req)
+// do sends a request, which the log may hold for wait, and decodes the JSON response.
+func (c *Client) do(req *http.Request, wait time.Duration, response any) error {
+	res, err := c.puller.Pull(req, puller.Options{Wait: wait})
 	if err != nil {
 		c.transport.CloseIdleConnections()
 		return classifier.Wrap(classifier.Lost, err, "send request to log")
 	}
-	defer func() { _ = res.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
-	if err != nil {
-		return classifier.Wrap(classifier.Lost, err, "read response of log")
-	}
-	if res.StatusCode != http.StatusOK {
-		return classifier.New(classifier.Busy, "log responded with status %d", res.StatusCode)
+	if res.Status != http.StatusOK {
+		return classifier.New(classifier.Busy, "log responded with status %d", res.Status)
 	}
-	if err := json.Unmarshal(data, response); err != nil {
+	if err := json.Unmarshal(res.Body, response); err != nil {
 		return classifier.Wrap(classifier.Lost, err, "decode response of log")
 	}
 	return nil
--- a/internal/recorder/client_test.go
+++ b/internal/recorder/client_test.go
@@ -1,6 +1,7 @@
 package recorder_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -50,3 +51,23 @@
 	require.Len(t, batch.Records, 1, "the record has been appended once")
 	require.Equal(t, "1", batch.Records[0].ID)
 }
+
+func TestManyRecordsAreReadOverASlowLink(t *testing.T) {
+	server, err := faker.Serve("127.0.0.1:0", faker.NewLog(time.Hour))
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	relay, err := faker.NewRelay("127.0.0.1:0", server.Address())
+	require.NoError(t, err)
+	t.Cleanup(relay.Close)
+	client := recorder.NewClient(recorder.Config{Address: relay.Address()})
+	t.Cleanup(client.Close)
+	record := recorder.Record{ID: "1", Kind: recorder.KindState, State: &recorder.Snapshot{Data: []byte(`"` + strings.Repeat("x", 256<<10) + `"`)}}
+	for range 4 {
+		_, err := client.Append(t.Context(), recorder.MainStream, record)
+		require.NoError(t, err)
+	}
+	relay.SetFault(faker.RelayFault{Rate: 400 << 10}) // over 3 s
+	batch, err := client.Read(t.Context(), recorder.MainStream, 0)
+	require.NoError(t, err)
+	require.Len(t, batch.Records, 4)
+}
