Take nothing that the store still sends for newer than what a peer has brought

A gateway on a slow link gets a large configuration from a peer within a second, while the store's answer with the same one goes on coming for seconds. That answer counted as a newer version, so that the gateway would have refused everything meanwhile. Found by reading.

Change: records up to the end of the topic that was seen when a version came in force don't count, unless the store has been restored since.

--- a/internal/driver/announcements.go
+++ b/internal/driver/announcements.go
@@ -23,6 +23,8 @@
 
 	pendingSince time.Duration // when the store began to send one; zero if it does not
 	pendingAt    time.Duration // when the last part of it came
+	pendingEnd   int64         // end of the store's topic then
+	installedEnd int64         // pendingEnd when a version came in force
 }
 
 // claim is what a peer announced last.
@@ -82,8 +84,13 @@
 	}
 }
 
-// pending records that the store sends records which were not read before.
-func (a *announcements) pending(now time.Duration) {
+// pending records that the store sends records before end which were not read before. They may
+// hold the version in force, if that came from a peer meanwhile.
+func (a *announcements) pending(now time.Duration, end int64) {
+	a.pendingEnd = end
+	if end <= a.installedEnd {
+		return
+	}
 	if a.pendingSince == 0 || now-a.pendingAt >= claimLifetime {
 		a.pendingSince = now
 	}
@@ -93,9 +100,12 @@
 // installed records that a version is in force.
 func (a *announcements) installed(v registrar.Version) {
 	a.heard = slices.DeleteFunc(a.heard, func(h heardVersion) bool { return h.version <= v })
-	a.pendingSince = 0
+	a.pendingSince, a.installedEnd = 0, a.pendingEnd
 }
 
+// restored records that the store has come back from an older copy, whose offsets are others.
+func (a *announcements) restored() { a.pendingSince, a.pendingEnd, a.installedEnd = 0, 0, 0 }
+
 // read records that all records of the store have been read.
 func (a *announcements) read() { a.pendingSince = 0 }
 
--- a/internal/driver/configuration_test.go
+++ b/internal/driver/configuration_test.go
@@ -24,6 +24,7 @@
 	clientTimeout     = 1500 * time.Millisecond
 	maxDrainDelay     = 2 * time.Second // from the announcement that an upstream drains until it gets nothing new
 	stableWindow      = 3 * time.Second // after which the loss of connections excuses no delay
+	transferParts     = 50              // of an answer
 	simulatedGateways = 6
 	simulatedStewards = 9
 )
@@ -75,6 +76,7 @@
 	wakes     bool // long polls answer at once with a new record
 	listed    int  // changes of the upstream list
 	silentAt  time.Time
+	transfer  time.Duration // that an answer with a configuration takes over the links of gateways
 	processes []*syncer
 	stores    []*fleetStore
 	frozen    map[int]chan struct{} // processes that don't run, until the channel is closed
@@ -271,9 +273,25 @@
 	if err == nil && batch.NextOffset <= from {
 		return watcher.Batch{NextOffset: from}, nil
 	}
+	if err == nil && topic == f.ConfigurationTopic() {
+		err = f.receive(ctx, batch.NextOffset)
+	}
 	return batch, err
 }
 
+// receive waits while an answer with records before end comes over the link of a gateway.
+func (f *fleetStore) receive(ctx context.Context, end int64) error {
+	trace := watcher.TraceOf(ctx)
+	for range transferParts {
+		trace.Progress(nil)
+		trace.Pending(end)
+		if f.process < simulatedGateways {
+			time.Sleep(f.transfer / transferParts)
+		}
+	}
+	return ctx.Err()
+}
+
 func (*fleetStore) Era() (watcher.Era, <-chan struct{}) { return 0, nil }
 
 func (*fleetStore) ConfigurationTopic() string { return "operator" }
@@ -344,6 +362,41 @@
 	})
 }
 
+func TestConfigurationThatIsLargeForTheLinksOfGatewaysIsInForceInTime(t *testing.T) {
+	for _, transfer := range []time.Duration{maxApplyDelay, 10 * time.Second, time.Minute} {
+		playFleet(t, func(f *fleet) time.Duration {
+			f.transfer = transfer
+			return maxApplyDelay
+		})
+	}
+}
+
+// A gateway that has the newest version from a peer must not take what the store still sends
+// for a newer one.
+func TestGatewayIsNotOutdatedByWhatAPeerHasBrought(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		f := newFleet(ctx, &g)
+		f.transfer = 20 * time.Second
+		time.Sleep(10 * time.Second)
+		f.publish(2)
+		time.Sleep(maxApplyDelay)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			for _, s := range f.processes[:simulatedGateways] {
+				s.mu.Lock()
+				require.EqualValues(t, 2, s.version())
+				require.Zero(t, s.lag())
+				s.mu.Unlock()
+			}
+		}
+		cancel()
+		time.Sleep(time.Minute)
+		g.Wait()
+	})
+}
+
 func TestConfigurationIsInForceInTimeWhenPeersHang(t *testing.T) {
 	playFleet(t, func(f *fleet) time.Duration {
 		f.mu.Lock()
--- a/internal/driver/syncer.go
+++ b/internal/driver/syncer.go
@@ -99,7 +99,12 @@
 		w = watcher.New(watcher.Config{
 			Store: s.store, Topic: s.store.ConfigurationTopic(), PollTimeout: s.timing.configurationTimeout, Logger: s.logger,
 			// The configuration in force stays after a restore: only a higher version replaces it.
-			OnReplace: install, OnChange: install, OnRestored: func() {}, OnReachable: func(bool) {},
+			OnReplace: install, OnChange: install, OnReachable: func(bool) {},
+			OnRestored: func() {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.announcements.restored()
+			},
 			OnCall: func() { askedAt = s.confirmations.clock() },
 			OnCurrent: func() {
 				s.mu.Lock()
@@ -107,10 +112,10 @@
 				s.confirmations.confirm(askedAt)
 				s.announcements.read()
 			},
-			OnPending: func() {
+			OnPending: func(end int64) {
 				s.mu.Lock()
 				defer s.mu.Unlock()
-				s.announcements.pending(s.now())
+				s.announcements.pending(s.now(), end)
 			},
 		})
 		w.Run(ctx)
--- a/internal/watcher/trace.go
+++ b/internal/watcher/trace.go
@@ -4,8 +4,8 @@
 
 // Trace is told what comes of the response to a call.
 type Trace struct {
-	OnProgress func() // with each part; may be nil
-	OnPending  func() // with each part of a response that has records which were not read before; may be nil
+	OnProgress func()          // with each part; may be nil
+	OnPending  func(end int64) // with each part of a response that has records which were not read before, before end; may be nil
 }
 
 // Progress is called by a Store with what has come of the body after each part.
@@ -15,10 +15,11 @@
 	}
 }
 
-// Pending is called by a Store when the response has records from the requested offset on.
-func (t *Trace) Pending() {
+// Pending is called by a Store when the response has records from the requested offset on; end
+// is the end of the topic.
+func (t *Trace) Pending(end int64) {
 	if t.OnPending != nil {
-		t.OnPending()
+		t.OnPending(end)
 	}
 }
 
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -90,9 +90,9 @@
 	// were written before that call have been passed on. Both may be nil.
 	OnCall    func()
 	OnCurrent func()
-	// OnPending is called while a response comes that has records which were not read before.
-	// It may be nil.
-	OnPending func()
+	// OnPending is called while a response comes that has records which were not read before;
+	// end is the end of the topic. It may be nil.
+	OnPending func(end int64)
 	Logger    zerolog.Logger
 }
 
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -171,7 +171,7 @@
 	time.Sleep(wait)
 	for range s.parts {
 		trace.Progress(nil)
-		trace.Pending()
+		trace.Pending(6)
 		select {
 		case <-time.After(s.pause):
 		case <-ctx.Done():
@@ -191,7 +191,7 @@
 			w := New(Config{
 				Store: store, PollTimeout: time.Second, Logger: zerolog.Nop(),
 				OnReplace: func([]Record) {}, OnChange: func(r []Record) { seen = append(seen, r...) }, OnReachable: func(bool) {},
-				OnPending: func() { pending++ },
+				OnPending: func(int64) { pending++ },
 			})
 			go w.Run(ctx)
 			time.Sleep(time.Second + 10*pause + time.Millisecond)
