Decode a configuration once that a peer and the store bring

A gateway of 0.1 cores decoded a configuration with thousands of routes again when the store's answer came after a peer's. By reading, no figure was taken.

Evidence: TestConfigurationOfTwoSourcesIsDecodedOnce failed before.

--- a/internal/driver/syncer.go
+++ b/internal/driver/syncer.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/netip"
@@ -164,6 +165,9 @@
 func (s *syncer) installConfigurations(records []watcher.Record, source configurationSource, idle time.Duration) bool {
 	decoded := true
 	for _, r := range records {
+		if s.inForce(r, source) {
+			continue
+		}
 		c, err := s.store.DecodeConfiguration(r)
 		if c == nil && err == nil {
 			continue
@@ -196,6 +200,20 @@
 	return decoded
 }
 
+// inForce reports whether a record is that of the configuration in force, which another source
+// has brought. Decoding thousands of routes takes long on a fraction of a core.
+func (s *syncer) inForce(r watcher.Record, source configurationSource) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Value == nil || r.Key != s.currentRecord.Key || !bytes.Equal(r.Value, s.currentRecord.Value) {
+		return false
+	}
+	if source == fromStore {
+		s.confirmations.unusable = false
+	}
+	return true
+}
+
 // version returns the version of the configuration in force, zero before the first. The
 // caller holds mu.
 func (s *syncer) version() registrar.Version {
--- a/internal/driver/syncer_test.go
+++ b/internal/driver/syncer_test.go
@@ -174,3 +174,35 @@
 		require.EqualValues(t, 7, s.version())
 	})
 }
+
+// countingStore counts the configurations that it decodes.
+type countingStore struct {
+	fleetStore
+	decoded int
+}
+
+func (s *countingStore) DecodeConfiguration(r watcher.Record) (*registrar.Configuration, error) {
+	s.decoded++
+	if r.Value[0] == 0 {
+		return nil, errors.New("unknown kind of route")
+	}
+	return s.fleetStore.DecodeConfiguration(r)
+}
+
+func TestConfigurationOfTwoSourcesIsDecodedOnce(t *testing.T) {
+	store := &countingStore{fleetStore: fleetStore{fleet: &fleet{}}}
+	s := newSyncer(store, zerolog.Nop(), gatewayPollTiming(maxDrainDelay, maxApplyDelay, 0))
+	s.onConfiguration = func(*registrar.Configuration) {}
+	record := watcher.Record{Key: "k", Value: []byte{7}}
+	require.True(t, s.installConfigurations([]watcher.Record{record}, fromPeer, 0))
+	require.True(t, s.installConfigurations([]watcher.Record{record}, fromStore, 0))
+	require.Equal(t, 1, store.decoded)
+	require.EqualValues(t, 7, s.version())
+
+	require.False(t, s.installConfigurations([]watcher.Record{{Key: "k", Value: []byte{0}}}, fromStore, 0))
+	require.True(t, s.confirmations.unusable)
+	require.True(t, s.installConfigurations([]watcher.Record{record}, fromStore, 0))
+	require.False(t, s.confirmations.unusable, "the store's newest one is in force")
+	require.True(t, s.installConfigurations([]watcher.Record{{Key: "k", Value: []byte{8}}}, fromStore, 0))
+	require.EqualValues(t, 8, s.version())
+}
