Count what the store still sends after one of several versions

Of an answer that the store cut, the versions that are still to be read counted as brought by a peer, which was about. A row of TestLag failed before.

--- a/internal/driver/announcements.go
+++ b/internal/driver/announcements.go
@@ -24,7 +24,7 @@
 	pendingSince time.Duration // when the store began to send one; zero if it does not
 	pendingAt    time.Duration // when the last part of it came
 	pendingEnd   int64         // end of the store's topic then
-	installedEnd int64         // pendingEnd when a version came in force
+	installedEnd int64         // pendingEnd when a version of a peer came in force
 }
 
 // claim is what a peer announced last.
@@ -98,9 +98,12 @@
 }
 
 // installed records that a version is in force.
-func (a *announcements) installed(v registrar.Version) {
+func (a *announcements) installed(v registrar.Version, source configurationSource) {
 	a.heard = slices.DeleteFunc(a.heard, func(h heardVersion) bool { return h.version <= v })
-	a.pendingSince, a.installedEnd = 0, a.pendingEnd
+	a.pendingSince = 0
+	if source == fromPeer {
+		a.installedEnd = a.pendingEnd
+	}
 }
 
 // restored records that the store has come back from an older copy, whose offsets are others.
--- a/internal/driver/announcements_test.go
+++ b/internal/driver/announcements_test.go
@@ -61,15 +61,16 @@
 			a.announce(8*s, one, 5, 4)
 			a.announce(9*s, one, 6, 4)
 			a.announce(9*s, one, 6, 4)
-			a.installed(5)
+			a.installed(5, fromPeer)
 		}, lag: s},
 		"store begins to send":                {play: func(a *announcements) { a.pending(9*s, 7) }, lag: s},
 		"store goes on sending":               {play: func(a *announcements) { a.pending(6*s, 7); a.pending(8*s, 7) }, lag: 4 * s},
 		"store has stopped":                   {play: func(a *announcements) { a.pending(6*s, 7) }},
 		"store begins again":                  {play: func(a *announcements) { a.pending(2*s, 7); a.pending(9*s, 7) }, lag: s},
-		"store sends what a peer has brought": {play: func(a *announcements) { a.pending(8*s, 7); a.installed(5); a.pending(9*s, 7) }},
-		"store sends more than that":          {play: func(a *announcements) { a.pending(7*s, 7); a.installed(5); a.pending(9*s, 8) }, lag: s},
-		"store was restored":                  {play: func(a *announcements) { a.pending(7*s, 7); a.installed(5); a.restored(); a.pending(9*s, 2) }, lag: s},
+		"store sends what a peer has brought": {play: func(a *announcements) { a.pending(8*s, 7); a.installed(5, fromPeer); a.pending(9*s, 7) }},
+		"store sends more than that":          {play: func(a *announcements) { a.pending(7*s, 7); a.installed(5, fromPeer); a.pending(9*s, 8) }, lag: s},
+		"store sends the rest":                {play: func(a *announcements) { a.pending(8*s, 7); a.installed(5, fromStore); a.pending(9*s, 7) }, lag: s},
+		"store was restored":                  {play: func(a *announcements) { a.pending(7*s, 7); a.installed(5, fromPeer); a.restored(); a.pending(9*s, 2) }, lag: s},
 		"store has sent all":                  {play: func(a *announcements) { a.pending(9*s, 7); a.read() }},
 		"sent, but a peer has a newer": {play: func(a *announcements) {
 			a.announce(8*s, one, 6, 5)
@@ -99,6 +100,6 @@
 	}
 	require.Equal(t, time.Second, a.lag(time.Minute+time.Second, 0))
 	require.True(t, a.exists(time.Hour, 0))
-	a.installed(10 * maxHeard)
+	a.installed(10*maxHeard, fromPeer)
 	require.Empty(t, a.heard)
 }
--- a/internal/driver/syncer.go
+++ b/internal/driver/syncer.go
@@ -182,7 +182,7 @@
 			decoded = false
 		} else if s.registrar.Install(c) {
 			s.currentRecord = exchanger.Record{Key: r.Key, Value: r.Value, Version: c.Version}
-			s.announcements.installed(c.Version)
+			s.announcements.installed(c.Version, source)
 			for _, f := range s.fetches {
 				if f.version <= c.Version {
 					f.cancel()
