Close no idle connection on which a request has come

Cause: the idle timeout closed connections whose next request had come but not been read, since the gateway was decoding 4,250 routes on 0.1 cores.

Change: a connection is idle until the first byte of a request has been read, and is not closed while unread bytes wait.

Evidence: TestIdleConnectionIsNotClosedWhenARequestHasCome failed before.

--- a/internal/relayer/callerconn.go
+++ b/internal/relayer/callerconn.go
@@ -14,12 +14,14 @@
 	stateNew    callerConnState = "fresh"   // no request has been read
 	stateActive callerConnState = "active"  // a request has been read and its response is not complete
 	stateIdle   callerConnState = "resting" // between two requests
+	stateBegun  callerConnState = "begun"   // bytes of the next request have been read
 	stateClosed callerConnState = "closed"
 )
 
 // callerConn is a caller's connection. Its state decides the race between a new
 // request and the closing of the idle connection: the first of them wins, so that
-// no request is forwarded whose response can't be delivered.
+// no request is forwarded whose response can't be delivered. A request comes with its first
+// byte, which may long wait here for the processor.
 type callerConn struct {
 	net.Conn
 	writer *backlogWriter
@@ -49,6 +51,21 @@
 	return &callerConn{Conn: c, writer: newBacklogWriter(c, l.account, l.stopTimeout), state: stateNew}, nil
 }
 
+// Read reads from the caller. After its first byte, a request keeps the connection from being
+// closed as idle.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.state == stateIdle {
+			c.stopTimer()
+			c.state = stateBegun
+		}
+	}
+	return n, err
+}
+
 // Write writes to the caller; see backlogWriter.
 func (c *callerConn) Write(p []byte) (int, error) {
 	return c.writer.Write(p)
@@ -92,11 +109,11 @@
 	c.idleTimer = time.AfterFunc(timeout, c.closeIfIdle)
 }
 
-// closeIfIdle closes the connection if it is idle.
+// closeIfIdle closes the connection if it is idle and no request has come.
 func (c *callerConn) closeIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == stateIdle {
+	if c.state == stateIdle && peekInput(c.Conn) != inputData {
 		// The caller may have closed the connection already.
 		_ = c.close()
 	}
--- a/internal/relayer/callerconn_test.go
+++ b/internal/relayer/callerconn_test.go
@@ -103,3 +103,36 @@
 		})
 	}
 }
+
+// A process that waits for the processor reads what has come only later.
+func TestIdleConnectionIsNotClosedWhenARequestHasCome(t *testing.T) {
+	for _, read := range []bool{false, true} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = l.Close() }()
+		caller, err := net.Dial("tcp", l.Addr().String())
+		require.NoError(t, err)
+		defer func() { _ = caller.Close() }()
+		server, err := callerListener{Listener: l}.Accept()
+		require.NoError(t, err)
+		c := server.(*callerConn)
+		c.setIdle(time.Hour)
+		_, err = io.WriteString(caller, "G")
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return peekInput(c.Conn) == inputData }, time.Minute, time.Millisecond)
+		if read {
+			_, err = c.Read(make([]byte, 1))
+			require.NoError(t, err)
+		}
+		c.closeIfIdle()
+		require.True(t, c.beginRequest(), "read %v", read)
+
+		c.setIdle(time.Hour)
+		if !read {
+			_, err = c.Conn.Read(make([]byte, 1))
+			require.NoError(t, err)
+		}
+		c.closeIfIdle()
+		require.False(t, c.beginRequest(), "nothing has come")
+	}
+}
