--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -196,11 +198,11 @@
 			go w.Run(ctx)
 			time.Sleep(time.Second + 10*pause + time.Millisecond)
 			synctest.Wait()
-			require.Equal(t, read, len(seen) == 1, "pause %s", pause)
-			require.Positive(t, pending)
 			cancel()
 			time.Sleep(2 * time.Second)
 			synctest.Wait()
+			require.Equal(t, read, len(seen) == 1, "pause %s", pause)
+			require.Positive(t, pending)
 		})
 	}
 }
@@ -253,10 +255,10 @@
 		synctest.Wait()
 		now <- struct{}{}
 		synctest.Wait()
-		require.Equal(t, []time.Duration{0}, store.waits)
+		require.Equal(t, []time.Duration{0}, store.recorded())
 		time.Sleep(time.Minute)
 		synctest.Wait()
-		require.Equal(t, []time.Duration{0, time.Second}, store.waits)
+		require.Equal(t, []time.Duration{0, time.Second}, store.recorded())
 		cancel()
 		synctest.Wait()
 	})
@@ -265,10 +267,19 @@
 // waitingStore records for how long each Read may wait.
 type waitingStore struct {
 	*scriptedStore
+	mu    sync.Mutex
 	waits []time.Duration
 }
 
+func (s *waitingStore) recorded() []time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.waits)
+}
+
 func (s *waitingStore) Read(ctx context.Context, topic string, from int64, wait time.Duration) (Batch, error) {
+	s.mu.Lock()
 	s.waits = append(s.waits, wait)
+	s.mu.Unlock()
 	return s.scriptedStore.Read(ctx, topic, from, wait)
 }
