Take no timer for a pause of no length

Go's runtime runs the timers of a synctest bubble in one race context; a timer that has expired by the time a goroutine selects on it is fired by that goroutine, so that two of them on two processors use that context at once (runtime/time.go, maybeRunChan and unlockAndRun).

Change: a pause of no length only looks for a wanted poll; the tests' store does not wait for zero.

--- a/internal/driver/configuration_test.go
+++ b/internal/driver/configuration_test.go
@@ -256,7 +256,7 @@
 	defer cancel()
 	openedAt := f.connect()
 	batch, changed, err := f.latest(topic)
-	if err == nil && batch.NextOffset <= from {
+	if err == nil && batch.NextOffset <= from && wait > 0 {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -175,9 +175,17 @@
 
 // pause waits for a time, or until PollNow.
 func (w *Watcher) pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(max(0, d))
-	defer t.Stop()
 	w.hurry = false
+	if d <= 0 {
+		select {
+		case <-w.cfg.PollNow:
+			w.hurry = true
+		default:
+		}
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
 	select {
 	case <-w.cfg.PollNow:
 		w.hurry = true
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -264,6 +264,32 @@
 	})
 }
 
+// Two timers of one bubble that fire at once crash the race detector.
+func TestPauseWithoutLengthTakesNoTimer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var wg sync.WaitGroup
+		for range 16 {
+			wg.Go(func() {
+				w := New(Config{Logger: zerolog.Nop()})
+				for range 1000 {
+					w.pause(t.Context(), 0)
+				}
+			})
+		}
+		wg.Wait()
+	})
+}
+
+func TestPauseWithoutLengthTakesNoteOfAWantedPoll(t *testing.T) {
+	now := make(chan struct{}, 1)
+	now <- struct{}{}
+	w := New(Config{PollNow: now, Logger: zerolog.Nop()})
+	w.pause(t.Context(), 0)
+	require.True(t, w.hurry)
+	w.pause(t.Context(), 0)
+	require.False(t, w.hurry)
+}
+
 // waitingStore records for how long each Read may wait.
 type waitingStore struct {
 	*scriptedStore
