Answer requests that a gateway reads after it has stopped listening

Callers saw: in a planned stop, a request got no answer, although it may not be repeated, if its header was read after the listener had closed (3 s after SIGTERM). This holds for requests that had come but were not read, as at a gateway short of processor time, for connections that were opened late, and for the next request after a stream whose header was written before the stop and so did not say that its connection ends.

Cause: http.Server.Shutdown makes the server drop each request that it reads from then on.

Change: Shutdown closes the listener only. Requests that still come are refused by the dispatcher (503, not run, the connection ends). A connection that becomes idle later is closed after a second. With no open request, the end of the grace period is no failure.

Formatting of slowcallers_test.go is corrected as well.

--- a/internal/relayer/callerconn.go
+++ b/internal/relayer/callerconn.go
@@ -119,6 +119,13 @@
 	}
 }
 
+// open reports whether the connection has not been closed here.
+func (c *callerConn) open() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state != stateClosed
+}
+
 // Close closes the connection in any state.
 func (c *callerConn) Close() error {
 	c.mu.Lock()
--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -30,6 +30,8 @@
 	headerTimeout      = 3 * time.Second
 	bodyTimeout        = 10 * time.Second // to read a body; longer than any pause of a caller that sends one
 	defaultIdleTimeout = 15 * time.Second
+	stopIdleTimeout    = time.Second            // after Shutdown
+	shutdownPollPeriod = 20 * time.Millisecond  // of Shutdown
 	shedRetryAfter     = 100 * time.Millisecond // of requests without room here; callers return at any gateway
 )
 
@@ -64,9 +66,12 @@
 	endedCallers atomic.Int64 // that stopped reading
 	account      *account
 
-	mu          sync.Mutex
-	conns       map[*callerConn]struct{}
-	closingIdle bool // connections are closed as soon as they are idle
+	serving sync.WaitGroup // calls of Serve
+
+	mu       sync.Mutex
+	listener net.Listener // of Serve
+	conns    map[*callerConn]struct{}
+	stopping bool // Shutdown was called
 }
 
 // New returns a gateway that accepts no connections before Serve.
@@ -110,10 +115,20 @@
 // Serve serves the callers that connect to l. It returns nil once Shutdown has
 // been called.
 func (g *Gateway) Serve(l net.Listener) error {
-	if err := g.server.Serve(callerListener{l, g.account, g.cfg.StopTimeout}); !errors.Is(err, http.ErrServerClosed) {
-		return fmt.Errorf("serve callers: %w", err)
+	g.mu.Lock()
+	if g.stopping {
+		g.mu.Unlock()
+		return l.Close()
 	}
-	return nil
+	g.listener = l
+	g.serving.Add(1)
+	defer g.serving.Done()
+	g.mu.Unlock()
+	err := g.server.Serve(callerListener{l, g.account, g.cfg.StopTimeout})
+	if g.isStopping() || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve callers: %w", err)
 }
 
 // Drain makes the gateway close each caller's connection after its next response.
@@ -128,15 +143,47 @@
 
 // Shutdown stops accepting connections, closes idle ones and waits until all open
 // requests have their responses. It returns the error of ctx if that ends first.
+//
+// Unlike that of http.Server, it also answers requests that are read after it was called. The
+// dispatcher refuses them.
 func (g *Gateway) Shutdown(ctx context.Context) error {
 	g.mu.Lock()
-	g.closingIdle = true
-	conns := slices.Collect(maps.Keys(g.conns))
+	g.stopping = true
+	listener := g.listener
 	g.mu.Unlock()
-	for _, c := range conns {
+	if listener != nil {
+		_ = listener.Close()
+	}
+	g.serving.Wait()
+	for _, c := range g.callerConns() {
 		c.closeIfIdle()
 	}
-	return g.server.Shutdown(ctx)
+	ticker := time.NewTicker(shutdownPollPeriod)
+	defer ticker.Stop()
+	for slices.ContainsFunc(g.callerConns(), (*callerConn).open) {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			if g.Open() == 0 {
+				return nil
+			}
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (g *Gateway) isStopping() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stopping
+}
+
+// callerConns returns the connections of callers.
+func (g *Gateway) callerConns() []*callerConn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Collect(maps.Keys(g.conns))
 }
 
 // closeAfterResponse reports whether callers' connections are to be closed after their
@@ -156,13 +203,12 @@
 		g.conns[conn] = struct{}{}
 		g.mu.Unlock()
 	case http.StateIdle:
-		conn.setIdle(g.limits().IdleTimeout)
-		g.mu.Lock()
-		closingIdle := g.closingIdle
-		g.mu.Unlock()
-		if closingIdle {
-			conn.closeIfIdle()
+		timeout := g.limits().IdleTimeout
+		if g.isStopping() {
+			// The caller was not told, since the header of its response was written before the stop.
+			timeout = min(timeout, stopIdleTimeout)
 		}
+		conn.setIdle(timeout)
 	case http.StateClosed:
 		g.account.connected(-1)
 		g.mu.Lock()
--- a/internal/relayer/slowcallers_test.go
+++ b/internal/relayer/slowcallers_test.go
@@ -111,7 +111,7 @@
 	before := goMemory()
 	upstream := startUpstream(t, serveLongStream(events, func() {}))
 	d := newFakeDispatcher(upstream, upstream, upstream) // like the dispatcher, it sends again what was not sent
-	d.cfg.Limits.IdleTimeout = time.Hour // callers that are refused stay connected
+	d.cfg.Limits.IdleTimeout = time.Hour                 // callers that are refused stay connected
 	g, address := startBudgetedGateway(t, d, budgeter.ConfigOf(budgeter.Limits{Memory: memory}))
 	conns := make([]net.Conn, callers)
 	for i := range conns {
