--- a/internal/dispatcher/outofstep_test.go
+++ b/internal/dispatcher/outofstep_test.go
@@ -137,8 +137,7 @@
 	return nil
 }
 
-// Runners of a newer release have begun streams, which are resumed at a gateway that has not
-// seen them yet, or asks stewards that have not.
+// Streams of a newer release's runners are resumed where those runners are not known yet.
 func TestStreamIsNotJoinedWhoeverIsOutOfStep(t *testing.T) {
 	steps := []step{inStep, behind, cutFromList, justStarted, cutFromAll}
 	for _, service := range []registrar.ServiceName{runnerService, plainService} {
--- a/internal/dispatcher/resume_test.go
+++ b/internal/dispatcher/resume_test.go
@@ -239,8 +239,7 @@
 	require.Equal(t, classifier.Orphaned, h.requireFail(h.reduce(Tick{})).Kind)
 }
 
-// An instance that starts again under its name and address may have another release, which only
-// its report tells of until the list is read.
+// An instance may start again under its name and address with another release.
 func TestStreamOfAnUpstreamThatStartedAgainIsNotBoundToItsListedRelease(t *testing.T) {
 	h := newHarness(t)
 	upstream := func(id string, incarnation int64) *registrar.Upstream {
--- a/internal/driver/configuration_test.go
+++ b/internal/driver/configuration_test.go
@@ -73,8 +73,7 @@
 	}
 }
 
-// A gateway that has the newest version from a peer must not take what the store still sends
-// for a newer one.
+// The store may still be sending what a peer has brought.
 func TestGatewayIsNotOutdatedByWhatAPeerHasBrought(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
