--- a/internal/relayer/gateway.go
+++ b/internal/relayer/gateway.go
@@ -115,15 +115,10 @@
 // Serve serves the callers that connect to l. It returns nil once Shutdown has
 // been called.
 func (g *Gateway) Serve(l net.Listener) error {
-	g.mu.Lock()
-	if g.stopping {
-		g.mu.Unlock()
+	if !g.beginServing(l) {
 		return l.Close()
 	}
-	g.listener = l
-	g.serving.Add(1)
 	defer g.serving.Done()
-	g.mu.Unlock()
 	err := g.server.Serve(callerListener{l, g.account, g.cfg.StopTimeout})
 	if g.isStopping() || errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -131,6 +126,18 @@
 	return fmt.Errorf("serve callers: %w", err)
 }
 
+// beginServing records the listener for Shutdown. It returns false if that was called before.
+func (g *Gateway) beginServing(l net.Listener) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopping {
+		return false
+	}
+	g.listener = l
+	g.serving.Add(1)
+	return true
+}
+
 // Drain makes the gateway close each caller's connection after its next response.
 func (g *Gateway) Drain() {
 	g.draining.Store(true)
--- a/internal/relayer/shutdown_test.go
+++ b/internal/relayer/shutdown_test.go
@@ -82,11 +82,11 @@
 	require.NoError(t, err)
 	require.False(t, resp.Close)
 	done := shutDown(t.Context(), t, g)
+	_, err = io.WriteString(conn, getRequest)
+	require.NoError(t, err)
 	close(end)
 	_, err = io.Copy(io.Discard, resp.Body)
 	require.NoError(t, err)
-	_, err = io.WriteString(conn, getRequest)
-	require.NoError(t, err)
 	requireLastAnswer(t, reader)
 	require.NoError(t, <-done)
 }
