Review: slow readers cut streams of other clients

A connection to a server goes back to the pool while the write of the plain answer that came on it may still last; the end of that request then resets it under another request. With 8 clients that read slowly, one SIGTERM and 8 streams, all 8 streams end in the middle.

--- /dev/null
+++ b/review/standin/server.go
@@ -0,0 +1,206 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Server is a stand-in for a server of the platform: a model runner if Models is set, and
+// else a plain service. It registers in the store and runs only requests that name it.
+type Server struct {
+	ID, Service, Version string
+	Slots                int
+	Models               []string // in its memory from the start
+	Store                *Store
+	Record               *Record
+	// Run answers a request. The headers that each answer has are set before.
+	Run func(w http.ResponseWriter, r *http.Request)
+
+	address string
+	born    int64
+
+	mu        sync.Mutex
+	heartbeat int
+	sequence  int
+	resident  []string
+	running   int
+	runs      map[string]int // by attempt
+}
+
+// Start listens on a free port of a loopback address, or at address if it has a port, and
+// begins to register.
+func (s *Server) Start(ip string) error {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return err
+	}
+	s.address, s.born, s.runs = l.Addr().String(), time.Now().UnixMilli(), map[string]int{}
+	s.resident = append([]string{}, s.Models...)
+	mux := http.NewServeMux()
+	if s.Models != nil {
+		mux.HandleFunc("GET /api/report", s.serveReport)
+		mux.HandleFunc("POST /api/order", s.serveOrder)
+	}
+	mux.HandleFunc("/", s.serveRequest)
+	go func() { _ = http.Serve(l, mux) }()
+	if err := s.register(); err != nil {
+		return err
+	}
+	go func() {
+		for range time.Tick(time.Second) {
+			if err := s.register(); err != nil {
+				s.Record.Printf("server %s: %v", s.ID, err)
+			}
+		}
+	}()
+	return nil
+}
+
+// Address returns the address of the server, as IP:port.
+func (s *Server) Address() string { return s.address }
+
+// Runs returns how often each attempt has run here.
+func (s *Server) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	runs := make(map[string]int, len(s.runs))
+	for attempt, n := range s.runs {
+		runs[attempt] = n
+	}
+	return runs
+}
+
+func (s *Server) models() []map[string]any {
+	all := []map[string]any{}
+	for _, m := range s.resident {
+		all = append(all, map[string]any{"Name": m, "Version": 1, "Adapters": []string{}})
+	}
+	return all
+}
+
+func (s *Server) register() error {
+	s.mu.Lock()
+	s.heartbeat++
+	entry := map[string]any{
+		"Service": s.Service, "Address": s.address, "Zone": Zone, "Version": s.Version, "Slots": s.Slots, "State": "ready",
+		"ColdLeftMs": 0, "Sequence": s.heartbeat, "born": s.born,
+	}
+	if s.Models != nil {
+		entry["Stage"], entry["Models"] = "colocated", s.models()
+	}
+	s.mu.Unlock()
+	return s.Store.Put(TopicServers, s.ID, entry)
+}
+
+func (s *Server) serveReport(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, map[string]any{
+		"Stage": "colocated", "Models": s.models(), "Busy": false, "Sequence": s.sequence, "Waiting": 0, "Running": s.running,
+		"KvUsed": 1000 * s.running, "KvTotal": 1000 * s.Slots, "Handles": 0, "State": "ready", "born": s.born,
+	})
+}
+
+// serveOrder carries out orders for models at once.
+func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order struct {
+		Operation, Model, Adapter, Holder string
+		Fence                             int64
+		Expect                            *int
+	}
+	if json.NewDecoder(r.Body).Decode(&order) != nil || order.Holder == "" || order.Fence == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if id := r.Header.Get("X-Expect-Instance"); id != "" && id != s.ID {
+		s.refuseAsOther(w)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if order.Expect != nil && *order.Expect != s.sequence {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	s.sequence++
+	kept := []string{}
+	for _, m := range s.resident {
+		if m != order.Model {
+			kept = append(kept, m)
+		}
+	}
+	if order.Operation == "load" {
+		kept = append(kept, order.Model)
+	}
+	s.resident = kept
+	s.Record.Printf("server %s carries out %s %s", s.ID, order.Operation, order.Model)
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (s *Server) refuseAsOther(w http.ResponseWriter) {
+	w.Header().Set("X-Instance-Id", s.ID)
+	w.WriteHeader(http.StatusMisdirectedRequest)
+}
+
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == HealthPath {
+		w.Header().Set("X-Instance-Id", s.ID)
+		return
+	}
+	attempt := r.Header.Get("X-Attempt-Id")
+	if _, err := io.Copy(io.Discard, r.Body); err != nil || attempt == "" {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("X-Attempt-Id", attempt)
+	if id := r.Header.Get("X-Expect-Instance"); id != "" && id != s.ID {
+		s.refuseAsOther(w)
+		return
+	}
+	s.mu.Lock()
+	if s.running >= s.Slots {
+		s.mu.Unlock()
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.running++
+	s.runs[attempt]++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.running--
+		s.mu.Unlock()
+	}()
+	s.Record.Printf("server %s (%s) runs %s %s of attempt %s", s.ID, s.Version, r.Method, r.URL.Path, attempt)
+	w.Header().Set("X-Server-Seal", fmt.Sprintf("%s.%s", s.ID, attempt))
+	s.Run(w, r)
+}
+
+// WriteEvents answers with events from the one after Last-Event-Id to the last, with a pause
+// before each, until the caller closes the connection. It reports whether all were written.
+func WriteEvents(w http.ResponseWriter, r *http.Request, first, last int, pause time.Duration) bool {
+	w.Header().Set("Content-Type", "text/event-stream")
+	c := http.NewResponseController(w)
+	for i := first; i <= last; i++ {
+		select {
+		case <-time.After(pause):
+		case <-r.Context().Done():
+			return false
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", 40)); err != nil {
+			return false
+		}
+		if c.Flush() != nil {
+			return false
+		}
+	}
+	return true
+}
