Review: two crashes of servers make a gateway deny large requests

Two servers crash while each runs one request of 200 KB. The gateway takes this for a lack of their memory and answers all later requests of that size with 413 for minutes, 40 of 40 here, though sound servers are listed.

--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// heartbeat is the interval between the entries that a server writes, HeartbeatMs.
+const heartbeat = 1200 * time.Millisecond
+
 // Server is a stand-in for a server of the platform: a model runner if Models is set, and
 // else a plain service. It registers in the store and runs only requests that name it.
 type Server struct {
@@ -24,17 +27,18 @@
 
 	address string
 	born    int64
+	server  *http.Server
+	ended   chan struct{} // closed by Crash
 
-	mu        sync.Mutex
-	heartbeat int
-	sequence  int
-	resident  []string
-	running   int
-	runs      map[string]int // by attempt
+	mu       sync.Mutex
+	beats    int
+	sequence int
+	resident []string
+	running  int
+	runs     map[string]int // by attempt
 }
 
-// Start listens on a free port of a loopback address, or at address if it has a port, and
-// begins to register.
+// Start listens on a free port of a loopback address and begins to register.
 func (s *Server) Start(ip string) error {
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
@@ -48,18 +52,43 @@
 		mux.HandleFunc("POST /api/order", s.serveOrder)
 	}
 	mux.HandleFunc("/", s.serveRequest)
-	go func() { _ = http.Serve(l, mux) }()
-	if err := s.register(); err != nil {
-		return err
-	}
-	go func() {
-		for range time.Tick(time.Second) {
-			if err := s.register(); err != nil {
-				s.Record.Printf("server %s: %v", s.ID, err)
-			}
+	s.server, s.ended = &http.Server{Handler: mux}, make(chan struct{})
+	go func() { _ = s.server.Serve(l) }()
+	go s.keepRegistered()
+	return s.register()
+}
+
+// keepRegistered writes the entry periodically until the server crashes. The platform then
+// removes it after three intervals of silence.
+func (s *Server) keepRegistered() {
+	ticker := time.NewTicker(heartbeat)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-s.ended:
+			time.Sleep(3 * heartbeat)
+			_ = s.Store.Put(TopicServers, s.ID, nil) // fails only for values that can't be encoded
+			return
 		}
-	}()
-	return nil
+		if err := s.register(); err != nil {
+			s.Record.Printf("server %s: %v", s.ID, err)
+		}
+	}
+}
+
+// Crash ends the server at once and closes all its connections.
+func (s *Server) Crash() {
+	s.Record.Printf("server %s crashes", s.ID)
+	close(s.ended)
+	_ = s.server.Close()
+}
+
+// Running returns the number of requests that the server runs now.
+func (s *Server) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running
 }
 
 // Address returns the address of the server, as IP:port.
@@ -86,10 +115,10 @@
 
 func (s *Server) register() error {
 	s.mu.Lock()
-	s.heartbeat++
+	s.beats++
 	entry := map[string]any{
 		"Service": s.Service, "Address": s.address, "Zone": Zone, "Version": s.Version, "Slots": s.Slots, "State": "ready",
-		"ColdLeftMs": 0, "Sequence": s.heartbeat, "born": s.born,
+		"ColdLeftMs": 0, "Sequence": s.beats, "born": s.born,
 	}
 	if s.Models != nil {
 		entry["Stage"], entry["Models"] = "colocated", s.models()
