Review: streams of a plain service join two software versions

The servers of a plain service start again one after the other, under their ids, with the next version. For about a second the gateway takes such a server for the version that it had, and sends streams there that the former version began.

--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -23,24 +24,28 @@
 	Store                *Store
 	Record               *Record
 	// Run answers a request. The headers that each answer has are set before.
-	Run func(w http.ResponseWriter, r *http.Request)
+	Run func(s *Server, w http.ResponseWriter, r *http.Request)
 
 	address string
 	born    int64
 	server  *http.Server
 	ended   chan struct{} // closed by Crash
 
-	mu       sync.Mutex
-	beats    int
-	sequence int
-	resident []string
-	running  int
-	runs     map[string]int // by attempt
+	mu        sync.Mutex
+	beats     int
+	sequence  int
+	resident  []string
+	running   int
+	runs      map[string]int // by attempt
+	succeeded bool           // it has started again under its ID
 }
 
 // Start listens on a free port of a loopback address and begins to register.
-func (s *Server) Start(ip string) error {
-	l, err := net.Listen("tcp", ip+":0")
+func (s *Server) Start(ip string) error { return s.StartAt(ip + ":0") }
+
+// StartAt is Start at a given address, as IP:port.
+func (s *Server) StartAt(address string) error {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
@@ -67,8 +72,7 @@
 		select {
 		case <-ticker.C:
 		case <-s.ended:
-			time.Sleep(3 * heartbeat)
-			_ = s.Store.Put(TopicServers, s.ID, nil) // fails only for values that can't be encoded
+			s.expire()
 			return
 		}
 		if err := s.register(); err != nil {
@@ -77,6 +81,28 @@
 	}
 }
 
+// expire removes the entry of a crashed server after three intervals of silence, unless it has
+// started again under its ID.
+func (s *Server) expire() {
+	time.Sleep(3 * heartbeat)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.succeeded {
+		_ = s.Store.Put(TopicServers, s.ID, nil) // fails only for values that can't be encoded
+	}
+}
+
+// StartAgain starts a crashed server under its ID and at its address, as another lifetime with
+// the given version of its software.
+func (s *Server) StartAgain(version string) (*Server, error) {
+	s.mu.Lock()
+	s.succeeded = true
+	s.mu.Unlock()
+	next := &Server{ID: s.ID, Service: s.Service, Version: version, Slots: s.Slots, Models: s.Models, Store: s.Store, Record: s.Record, Run: s.Run}
+	s.Record.Printf("server %s starts again with version %s", s.ID, version)
+	return next, next.StartAt(s.address)
+}
+
 // Crash ends the server at once and closes all its connections.
 func (s *Server) Crash() {
 	s.Record.Printf("server %s crashes", s.ID)
@@ -210,12 +236,22 @@
 	}()
 	s.Record.Printf("server %s (%s) runs %s %s of attempt %s", s.ID, s.Version, r.Method, r.URL.Path, attempt)
 	w.Header().Set("X-Server-Seal", fmt.Sprintf("%s.%s", s.ID, attempt))
-	s.Run(w, r)
+	s.Run(s, w, r)
+}
+
+// FirstEvent returns the id of the event that a request for a stream wants first.
+func FirstEvent(r *http.Request) int {
+	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		return 0
+	}
+	return last + 1
 }
 
-// WriteEvents answers with events from the one after Last-Event-Id to the last, with a pause
-// before each, until the caller closes the connection. It reports whether all were written.
-func WriteEvents(w http.ResponseWriter, r *http.Request, first, last int, pause time.Duration) bool {
+// WriteEvents answers with the events from first to last, with a pause before each, until the
+// caller closes the connection. Their data begin with label. It reports whether all were
+// written.
+func WriteEvents(w http.ResponseWriter, r *http.Request, label string, first, last int, pause time.Duration) bool {
 	w.Header().Set("Content-Type", "text/event-stream")
 	c := http.NewResponseController(w)
 	for i := first; i <= last; i++ {
@@ -224,7 +260,7 @@
 		case <-r.Context().Done():
 			return false
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", 40)); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s\n\n", i, label, strings.Repeat("x", 40)); err != nil {
 			return false
 		}
 		if c.Flush() != nil {
