--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -46,6 +46,8 @@
 
 // Client is a channel of a client to a gateway. It carries one request at a time.
 type Client struct {
+	Gap time.Duration // longest time without a byte of an answer; then the client abandons it; zero for no limit
+
 	conn   net.Conn
 	reader *bufio.Reader
 }
@@ -77,6 +79,25 @@
 	return s.r.Read(p[:min(len(p), max(1, s.rate*int(period)/int(time.Second)))])
 }
 
+// impatientReader gives up when no byte comes for the gap.
+type impatientReader struct {
+	r     io.Reader
+	conn  net.Conn
+	gap   time.Duration
+	until time.Time
+}
+
+func (i impatientReader) Read(p []byte) (int, error) {
+	deadline := time.Now().Add(i.gap)
+	if deadline.After(i.until) {
+		deadline = i.until
+	}
+	if err := i.conn.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	return i.r.Read(p)
+}
+
 // Do sends a request and reads the answer, up to limit.
 func (c *Client) Do(r Request, limit time.Duration) (a Answer) {
 	start := time.Now()
@@ -105,6 +126,9 @@
 	if r.BytesPerSecond > 0 {
 		body = slowReader{body, r.BytesPerSecond}
 	}
+	if c.Gap > 0 {
+		body = impatientReader{body, c.conn, c.Gap, start.Add(limit)}
+	}
 	a.Body, a.Err = io.ReadAll(body)
 	a.Whole = a.Err == nil
 	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,12 +16,19 @@
 // heartbeat is the interval between the entries that a server writes, HeartbeatMs.
 const heartbeat = 1200 * time.Millisecond
 
+// States of a server.
+const (
+	stateReady    = "ready"
+	stateDraining = "draining"
+)
+
 // Server is a stand-in for a server of the platform: a model runner if Models is set, and
 // else a plain service. It registers in the store and runs only requests that name it.
 type Server struct {
 	ID, Service, Version string
 	Slots                int
-	Models               []string // in its memory from the start
+	Models               []string      // in its memory from the start
+	LoadTime             time.Duration // of a load that it is ordered
 	Store                *Store
 	Record               *Record
 	// Run answers a request. The headers that each answer has are set before.
@@ -29,15 +37,16 @@
 	address string
 	born    int64
 	server  *http.Server
-	ended   chan struct{} // closed by Crash
+	ended   chan struct{} // closed by Crash and Leave
 
 	mu        sync.Mutex
 	beats     int
 	sequence  int
 	resident  []string
 	running   int
-	runs      map[string]int // by attempt
-	succeeded bool           // it has started again under its ID
+	succeeded bool // it has started again under its ID, or has left
+	draining  bool
+	busyUntil time.Time // with an order
 }
 
 // Start listens on a free port of a loopback address and begins to register.
@@ -49,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	s.address, s.born, s.runs = l.Addr().String(), time.Now().UnixMilli(), map[string]int{}
+	s.address, s.born = l.Addr().String(), time.Now().UnixMilli()
 	s.resident = append([]string{}, s.Models...)
 	mux := http.NewServeMux()
 	if s.Models != nil {
@@ -110,27 +119,9 @@
 	_ = s.server.Close()
 }
 
-// Running returns the number of requests that the server runs now.
-func (s *Server) Running() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.running
-}
-
 // Address returns the address of the server, as IP:port.
 func (s *Server) Address() string { return s.address }
 
-// Runs returns how often each attempt has run here.
-func (s *Server) Runs() map[string]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	runs := make(map[string]int, len(s.runs))
-	for attempt, n := range s.runs {
-		runs[attempt] = n
-	}
-	return runs
-}
-
 func (s *Server) models() []map[string]any {
 	all := []map[string]any{}
 	for _, m := range s.resident {
@@ -143,9 +134,12 @@
 	s.mu.Lock()
 	s.beats++
 	entry := map[string]any{
-		"Service": s.Service, "Address": s.address, "Zone": Zone, "Version": s.Version, "Slots": s.Slots, "State": "ready",
+		"Service": s.Service, "Address": s.address, "Zone": Zone, "Version": s.Version, "Slots": s.Slots, "State": stateReady,
 		"ColdLeftMs": 0, "Sequence": s.beats, "born": s.born,
 	}
+	if s.draining {
+		entry["State"] = stateDraining
+	}
 	if s.Models != nil {
 		entry["Stage"], entry["Models"] = "colocated", s.models()
 	}
@@ -156,13 +150,18 @@
 func (s *Server) serveReport(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	state := stateReady
+	if s.draining {
+		state = stateDraining
+		w.Header().Set("Server-Leaving", "1")
+	}
 	writeJSON(w, map[string]any{
-		"Stage": "colocated", "Models": s.models(), "Busy": false, "Sequence": s.sequence, "Waiting": 0, "Running": s.running,
-		"KvUsed": 1000 * s.running, "KvTotal": 1000 * s.Slots, "Handles": 0, "State": "ready", "born": s.born,
+		"Stage": "colocated", "Models": s.models(), "Busy": time.Now().Before(s.busyUntil), "Sequence": s.sequence, "Waiting": 0, "Running": s.running,
+		"KvUsed": 1000 * s.running, "KvTotal": 1000 * s.Slots, "Handles": 0, "State": state, "born": s.born,
 	})
 }
 
-// serveOrder carries out orders for models at once.
+// serveOrder carries out orders for models: loads in LoadTime, unloads at once.
 func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var order struct {
 		Operation, Model, Adapter, Holder string
@@ -179,23 +178,57 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if order.Expect != nil && *order.Expect != s.sequence {
+	if order.Expect != nil && *order.Expect != s.sequence || time.Now().Before(s.busyUntil) {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
 	s.sequence++
-	kept := []string{}
-	for _, m := range s.resident {
-		if m != order.Model {
-			kept = append(kept, m)
-		}
-	}
-	if order.Operation == "load" {
-		kept = append(kept, order.Model)
-	}
-	s.resident = kept
 	s.Record.Printf("server %s carries out %s %s", s.ID, order.Operation, order.Model)
 	w.WriteHeader(http.StatusAccepted)
+	if order.Operation == "load" {
+		s.busyUntil = time.Now().Add(s.LoadTime)
+		time.AfterFunc(s.LoadTime, func() { s.hold(order.Model, true) })
+		return
+	}
+	go s.hold(order.Model, false)
+}
+
+// hold sets whether a model is in memory.
+func (s *Server) hold(model string, held bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resident = slices.DeleteFunc(slices.Clone(s.resident), func(m string) bool { return m == model })
+	if held {
+		s.resident = append(s.resident, model)
+	}
+}
+
+// holds reports whether the model of a request is in memory, true for plain services.
+func (s *Server) holds(r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Models == nil || slices.Contains(s.resident, r.Header.Get("X-Model"))
+}
+
+// Leave shuts the server down as planned: it says so, serves for a time after the store has
+// accepted that, and exits.
+func (s *Server) Leave(after time.Duration) {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	s.Record.Printf("server %s is draining", s.ID)
+	if err := s.register(); err != nil {
+		s.Record.Printf("server %s: %v", s.ID, err)
+	}
+	time.Sleep(after)
+	s.mu.Lock()
+	s.succeeded = true
+	s.mu.Unlock()
+	s.Record.Printf("server %s exits", s.ID)
+	close(s.ended)
+	_ = s.server.Close()
+	time.Sleep(50 * time.Millisecond)        // for an entry that is being written
+	_ = s.Store.Put(TopicServers, s.ID, nil) // fails only for values that can't be encoded
 }
 
 func (s *Server) refuseAsOther(w http.ResponseWriter) {
@@ -215,11 +248,14 @@
 		return
 	}
 	w.Header().Set("X-Attempt-Id", attempt)
-	if id := r.Header.Get("X-Expect-Instance"); id != "" && id != s.ID {
+	if id := r.Header.Get("X-Expect-Instance"); id != "" && id != s.ID || !s.holds(r) {
 		s.refuseAsOther(w)
 		return
 	}
 	s.mu.Lock()
+	if s.draining {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if s.running >= s.Slots {
 		s.mu.Unlock()
 		w.Header().Set("X-Not-Executed", "1")
@@ -227,7 +263,6 @@
 		return
 	}
 	s.running++
-	s.runs[attempt]++
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
