--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -18,7 +18,7 @@
 	Method, Path, Attempt string
 	Header                map[string]string
 	Body                  string
-	Deadline              time.Duration // that the client gives in X-Deadline-Ms
+	Deadline              time.Duration // that the client gives
 	BytesPerSecond        int           // at which the client reads, zero for no limit
 }
 
@@ -103,7 +103,7 @@
 	start := time.Now()
 	defer func() { a.Elapsed = time.Since(start) }()
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n", r.Method, r.Path, Host, r.Attempt, r.Deadline.Milliseconds())
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", r.Method, r.Path, Host, Wire.AttemptID, r.Attempt, Wire.Deadline, r.Deadline.Milliseconds())
 	for name, value := range r.Header {
 		fmt.Fprintf(&b, "%s: %s\r\n", name, value)
 	}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -25,6 +25,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/egretwall/egretwall/platform"
 )
 
 // Names of the deployment.
@@ -127,9 +129,9 @@
 
 // Configure writes a configuration with the routes and services to the store.
 func (d *Deployment) Configure(version int, routes, services []map[string]any) error {
-	return d.Store.Put(TopicOperator, "config", map[string]any{
+	return d.Store.Put(TopicOperator, platform.KeyConfiguration, map[string]any{
 		"Version": version, "Routes": routes, "Services": services,
-		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, Wire.HeaderTimeout: 3000, Wire.IdleTimeout: 15000},
 	})
 }
 
@@ -185,7 +187,7 @@
 	}
 	cmd := exec.Command(filepath.Join(p.d.root, Program), p.role)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = p.d.root, log, log
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOGC=50", "EGRETWALL_NODE_FILE=" + p.path(".json")}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOGC=50", platform.SettingsVariable + "=" + p.path(".json")}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -218,7 +220,7 @@
 // Ready reports whether the process answers the platform's question with 200.
 func (p *Process) Ready() bool {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := c.Get("http://" + p.address(2) + "/api/readiness")
+	resp, err := c.Get("http://" + p.address(2) + platform.ReadinessPath)
 	if err != nil {
 		return false
 	}
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -62,8 +62,8 @@
 	s.resident = append([]string{}, s.Models...)
 	mux := http.NewServeMux()
 	if s.Models != nil {
-		mux.HandleFunc("GET /api/report", s.serveReport)
-		mux.HandleFunc("POST /api/order", s.serveOrder)
+		mux.HandleFunc("GET "+Wire.PathReport, s.serveReport)
+		mux.HandleFunc("POST "+Wire.PathOrder, s.serveOrder)
 	}
 	mux.HandleFunc("/", s.serveRequest)
 	s.server, s.ended = &http.Server{Handler: mux}, make(chan struct{})
@@ -135,7 +135,7 @@
 	s.beats++
 	entry := map[string]any{
 		"Service": s.Service, "Address": s.address, "Zone": Zone, "Version": s.Version, "Slots": s.Slots, "State": stateReady,
-		"ColdLeftMs": 0, "Sequence": s.beats, "born": s.born,
+		Wire.ColdLeft: 0, "Sequence": s.beats, "born": s.born,
 	}
 	if s.draining {
 		entry["State"] = stateDraining
@@ -153,11 +153,11 @@
 	state := stateReady
 	if s.draining {
 		state = stateDraining
-		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set(Wire.Leaving, "1")
 	}
 	writeJSON(w, map[string]any{
 		"Stage": "colocated", "Models": s.models(), "Busy": time.Now().Before(s.busyUntil), "Sequence": s.sequence, "Waiting": 0, "Running": s.running,
-		"KvUsed": 1000 * s.running, "KvTotal": 1000 * s.Slots, "Handles": 0, "State": state, "born": s.born,
+		Wire.CacheUsed: 1000 * s.running, Wire.CacheTotal: 1000 * s.Slots, "Handles": 0, "State": state, "born": s.born,
 	})
 }
 
@@ -172,7 +172,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if id := r.Header.Get("X-Expect-Instance"); id != "" && id != s.ID {
+	if id := r.Header.Get(Wire.ExpectID); id != "" && id != s.ID {
 		s.refuseAsOther(w)
 		return
 	}
@@ -207,7 +207,7 @@
 func (s *Server) holds(r *http.Request) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.Models == nil || slices.Contains(s.resident, r.Header.Get("X-Model"))
+	return s.Models == nil || slices.Contains(s.resident, r.Header.Get(Wire.Model))
 }
 
 // Leave shuts the server down as planned: it says so, serves for a time after the store has
@@ -232,33 +232,33 @@
 }
 
 func (s *Server) refuseAsOther(w http.ResponseWriter) {
-	w.Header().Set("X-Instance-Id", s.ID)
+	w.Header().Set(Wire.ServerID, s.ID)
 	w.WriteHeader(http.StatusMisdirectedRequest)
 }
 
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == HealthPath {
-		w.Header().Set("X-Instance-Id", s.ID)
+		w.Header().Set(Wire.ServerID, s.ID)
 		return
 	}
-	attempt := r.Header.Get("X-Attempt-Id")
+	attempt := r.Header.Get(Wire.AttemptID)
 	if _, err := io.Copy(io.Discard, r.Body); err != nil || attempt == "" {
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(Wire.NotRun, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	w.Header().Set("X-Attempt-Id", attempt)
-	if id := r.Header.Get("X-Expect-Instance"); id != "" && id != s.ID || !s.holds(r) {
+	w.Header().Set(Wire.AttemptID, attempt)
+	if id := r.Header.Get(Wire.ExpectID); id != "" && id != s.ID || !s.holds(r) {
 		s.refuseAsOther(w)
 		return
 	}
 	s.mu.Lock()
 	if s.draining {
-		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set(Wire.Leaving, "1")
 	}
 	if s.running >= s.Slots {
 		s.mu.Unlock()
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(Wire.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -270,7 +270,7 @@
 		s.mu.Unlock()
 	}()
 	s.Record.Printf("server %s (%s) runs %s %s of attempt %s", s.ID, s.Version, r.Method, r.URL.Path, attempt)
-	w.Header().Set("X-Server-Seal", fmt.Sprintf("%s.%s", s.ID, attempt))
+	w.Header().Set(Wire.Seal, fmt.Sprintf("%s.%s", s.ID, attempt))
 	s.Run(s, w, r)
 }
 
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -12,12 +12,14 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/egretwall/egretwall/platform"
 )
 
 // Topics of the platform's store that the operator and the servers write.
 const (
-	TopicOperator = "keyed.op"
-	TopicServers  = "keyed.servers"
+	TopicOperator = string(platform.TopicOperator)
+	TopicServers  = string(platform.TopicServers)
 )
 
 // Store is a stand-in for the platform's store: a log with one partition for each topic.
@@ -38,12 +40,12 @@
 	}
 	s := &Store{address: l.Addr().String(), topics: map[string][][]byte{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /api/log-newest", s.serveNewest)
-	mux.HandleFunc("GET /api/log-read", s.serveRead)
-	mux.HandleFunc("POST /api/log-append", s.serveAppend)
+	mux.HandleFunc("GET "+Wire.PathNewest, s.serveNewest)
+	mux.HandleFunc("GET "+Wire.PathRead, s.serveRead)
+	mux.HandleFunc("POST "+Wire.PathAppend, s.serveAppend)
 	go func() {
 		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			w.Header().Set("Store-Era", "1")
+			w.Header().Set(Wire.Era, "1")
 			mux.ServeHTTP(w, r)
 		}))
 	}()
