--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -29,6 +29,7 @@
 	Body    []byte
 	Events  []int // ids of the whole events of a stream
 	Whole   bool  // the answer ended as HTTP says
+	Closes  bool  // the channel ends with the answer
 	Err     error
 	Elapsed time.Duration
 }
@@ -121,7 +122,7 @@
 	if err != nil {
 		return Answer{Err: err}
 	}
-	a.Status, a.Header = resp.StatusCode, resp.Header
+	a.Status, a.Header, a.Closes = resp.StatusCode, resp.Header, resp.Close
 	var body io.Reader = resp.Body
 	if r.BytesPerSecond > 0 {
 		body = slowReader{body, r.BytesPerSecond}
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -58,6 +58,7 @@
 	mu        sync.Mutex
 	hosts     int
 	processes []*Process
+	closed    bool
 }
 
 // Process is a gateway or a steward.
@@ -187,14 +188,18 @@
 	}
 	cmd := exec.Command(filepath.Join(p.d.root, Program), p.role)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = p.d.root, log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // should this program be killed
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOGC=50", platform.SettingsVariable + "=" + p.path(".json")}
+	p.d.mu.Lock()
+	defer p.d.mu.Unlock()
+	if p.d.closed {
+		return errors.New("the deployment is closed")
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
 	done := make(chan struct{})
-	p.d.mu.Lock()
 	p.cmd, p.done = cmd, done
-	p.d.mu.Unlock()
 	p.d.Record.Printf("process %s starts", p.Name)
 	go func() {
 		err := cmd.Wait()
@@ -243,7 +248,7 @@
 func (d *Deployment) Close() {
 	d.mu.Lock()
 	processes := d.processes
-	d.processes = nil
+	d.processes, d.closed = nil, true
 	d.mu.Unlock()
 	for _, p := range processes {
 		if p.cmd == nil {
