Review: show LOST of streams that began in a cut

Streams that begin at a gateway which is cut off from the stewards are told to nobody, also not when the cut has healed. When the gateway is killed 4 s later, none is taken up.

--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +10,12 @@
 	"time"
 )
 
+// Tokens of prompts.
+const (
+	sharedPrompt = 198
+	ownPrompt    = 628
+)
+
 // request is a client's request.
 type request struct {
 	attempt   string
@@ -36,7 +41,6 @@
 type client struct {
 	conn   net.Conn
 	reader *bufio.Reader
-	kept   bool // a request was answered on conn
 }
 
 // send sends a request on the client's channel, which it opens if there is none.
@@ -46,7 +50,7 @@
 		if err != nil {
 			return answer{err: err}
 		}
-		c.conn, c.reader, c.kept = conn, bufio.NewReader(conn), false
+		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
 	a := c.exchange(r)
 	if !a.whole {
@@ -66,7 +70,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", r.method, r.path, host, wire("attempt"), r.attempt, wire("deadline"), r.deadline.Milliseconds())
 	if r.model != "" {
-		fmt.Fprintf(&b, "%s: %s\r\n%s: 800,300\r\n%s: 5c1e07a2:198,%x:628\r\n", wire("model"), r.model, wire("usage"), wire("parts"), r.attempt)
+		fmt.Fprintf(&b, "%s: %s\r\n%s: %d,300\r\n%s: 5c1e07a2:%d,%x:%d\r\n", wire("model"), r.model, wire("usage"), sharedPrompt+ownPrompt, wire("parts"), sharedPrompt, r.attempt, ownPrompt)
 	}
 	if r.lastEvent >= 0 {
 		fmt.Fprintf(&b, "%s: %d\r\n", wire("lastevent"), r.lastEvent)
@@ -89,16 +93,9 @@
 	if resp.Close && a.whole {
 		c.close()
 	}
-	c.kept = true
 	return a
 }
 
-// cut reports whether the channel ended without a complete answer, before the client gave up.
-func (a answer) cut() bool {
-	var timeout net.Error
-	return !a.whole && (!errors.As(a.err, &timeout) || !timeout.Timeout())
-}
-
 // lastEvent returns the id of the last complete event of a stream and the releases that made
 // its events; the id is negative without one.
 func (a answer) lastEvent() (id int, releases map[string]bool) {
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -8,8 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -17,16 +15,15 @@
 
 // Bounds of the deployment, those of the small installations.
 const (
-	graceMillis    = 8000
-	drainMillis    = 2000
-	applyMillis    = 2000
-	gatewayMB      = 284
-	stewardMB      = 216
-	descriptors    = 4100
-	readyTimeout   = 20 * time.Second
-	steadyTime     = 4 * time.Second // more than the time until processes count as in touch
-	restartDelay   = 300 * time.Millisecond
-	memoryInterval = 5 * time.Millisecond
+	graceMillis  = 8000
+	drainMillis  = 2000
+	applyMillis  = 2000
+	gatewayMB    = 284
+	stewardMB    = 216
+	descriptors  = 4100
+	readyTimeout = 20 * time.Second
+	steadyTime   = 4 * time.Second // more than the time until processes count as in touch
+	restartDelay = 300 * time.Millisecond
 )
 
 // rig is a deployment.
@@ -132,6 +129,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return g.addStewardAt(ip, u)
+}
+
+// addStewardAt starts the steward of a runner at an address.
+func (g *rig) addStewardAt(ip string, u *runner) (*process, error) {
 	return g.addProcess("steward", "steward-"+ip, ip, map[string]any{"service": u.service, "upstream": u.address, "window": 5000, "memory": stewardMB})
 }
 
@@ -183,25 +185,6 @@
 	}
 }
 
-// residentMB returns the memory of the process in MiB, zero if it does not run.
-func (p *process) residentMB() float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd == nil {
-		return 0
-	}
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	fields := strings.Fields(string(data))
-	if len(fields) < 2 {
-		return 0
-	}
-	pages, _ := strconv.ParseFloat(fields[1], 64)
-	return pages * float64(os.Getpagesize()) / (1 << 20)
-}
-
 // awaitReady waits until a gateway says that it is ready.
 func (p *process) awaitReady() error {
 	client := &http.Client{Timeout: time.Second}
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -19,10 +20,12 @@
 	mu      sync.Mutex
 	topics  map[string][][]byte
 	changed chan struct{} // closed and replaced at each append
+	era     int           // number of restores plus 1
+	away    bool          // answers all calls with 503
 }
 
 func newStore(address string) (*store, error) {
-	s := &store{topics: map[string][][]byte{}, changed: make(chan struct{})}
+	s := &store{topics: map[string][][]byte{}, changed: make(chan struct{}), era: 1}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -32,10 +35,49 @@
 	mux.HandleFunc("GET "+wire("newest"), s.serveNewest)
 	mux.HandleFunc("GET "+wire("read"), s.serveRead)
 	mux.HandleFunc("POST "+wire("append"), s.serveAppend)
-	go func() { _ = (&http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}).Serve(l) }()
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		away := s.away
+		w.Header().Set(wire("era"), strconv.Itoa(s.era))
+		s.mu.Unlock()
+		if away {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+	go func() { _ = (&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}).Serve(l) }()
 	return s, nil
 }
 
+// copyTopics returns a copy of all topics.
+func (s *store) copyTopics() map[string][][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	topics := map[string][][]byte{}
+	for name, records := range s.topics {
+		topics[name] = slices.Clone(records)
+	}
+	return topics
+}
+
+// setAway makes the store answer calls with 503, or answer again.
+func (s *store) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+// restore brings back an earlier copy. Offsets are given out again.
+func (s *store) restore(topics map[string][][]byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topics = topics
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // put writes the value of a key; nil removes the key.
 func (s *store) put(topic, key string, value any) {
 	record := append([]byte{byte(len(key))}, key...)
@@ -88,6 +130,11 @@
 		s.mu.Lock()
 		records, changed := s.topics[q.Get("Topic")], s.changed
 		s.mu.Unlock()
+		if from > len(records) {
+			w.WriteHeader(http.StatusGone)
+			_ = json.NewEncoder(w).Encode(map[string]any{"First": 0})
+			return
+		}
 		if len(records) > from || expired {
 			body := binary.BigEndian.AppendUint64(nil, uint64(len(records)))
 			body = binary.BigEndian.AppendUint64(body, 0)
--- a/review/rig2/twice.go
+++ b/review/rig2/twice.go
@@ -18,7 +18,7 @@
 	twiceRunners  = 8 // with a steward beside each
 	twiceLost     = 4 // stewards that lose power with a gateway
 	twiceSlots    = 64
-	twiceEvents   = 70
+	twiceEvents   = 100
 	twicePeriod   = 100 * time.Millisecond
 	twiceFirst    = 10 // streams at the first loss
 	twiceSecond   = 40 // at the second
@@ -40,58 +40,79 @@
 // playTwice lets some machines lose power twice: a gateway, and the stewards that keep the
 // origins of streams. The model runners have two software versions.
 func playTwice(g *rig) error {
+	gateways, stewards, err := g.deployReleases()
+	if err != nil {
+		return err
+	}
+	lost := append(stewards[:twiceLost:twiceLost], gateways[0])
+	t := &tally{}
+	for i, streams := range []int{twiceFirst, twiceSecond} {
+		before := t.counts()
+		if err := g.loseOnce(t, fmt.Sprintf("loss%d", i+1), streams, gateways, lost); err != nil {
+			return err
+		}
+		after := t.counts()
+		g.record("loss %d: %d of %d streams that were taken up went on; %d of %d new ones began", i+1, after.wentOn-before.wentOn, after.takenUp-before.takenUp, after.begun-before.begun, after.tried-before.tried)
+		if i == 0 {
+			time.Sleep(twiceRest)
+		}
+	}
+	g.judgeResumed(t, "both losses")
+	return nil
+}
+
+// deployReleases starts a service of model runners with two software versions, its stewards and
+// gateways. The stewards that gateways tell of streams come first.
+func (g *rig) deployReleases() (gateways, stewards []*process, err error) {
 	g.models = []model{{twiceModel, 65100}}
-	var stewards, gateways []*process
 	for i := range twiceRunners {
 		u := &runner{rig: g, service: "llm", address: g.runnerAddress(i), slots: twiceSlots, memory: 220000, serve: serveStream(twiceEvents, twicePeriod)}
 		if err := u.start(fmt.Sprintf("i-%d", i+1), fmt.Sprintf("v%d", 1+i%twiceReleases), twiceModel); err != nil {
-			return err
+			return nil, nil, err
 		}
 		p, err := g.addSteward(u)
 		if err != nil {
-			return err
+			return nil, nil, err
 		}
 		p.beside = u.address
 		stewards = append(stewards, p)
 	}
+	if gateways, err = g.startGateways(); err != nil {
+		return nil, nil, err
+	}
+	slices.SortFunc(stewards, func(a, b *process) int {
+		return cmp.Compare(placer.Score("recorders", b.beside), placer.Score("recorders", a.beside))
+	})
+	time.Sleep(steadyTime)
+	return gateways, stewards, nil
+}
+
+// startGateways publishes the configuration of these scenarios and starts the gateways.
+func (g *rig) startGateways() ([]*process, error) {
 	g.publish(3, []service{{"llm", twiceSlots, 220000}}, []route{{prefix: "/s/", kind: "streaming", service: "llm", resumable: true, timeout: 12000, aim: 300, gap: 300, attempts: 2}})
+	var gateways []*process
 	for i := range twiceGateways {
 		p, err := g.addGateway(i)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		gateways = append(gateways, p)
 	}
 	for _, p := range gateways {
 		if err := p.awaitReady(); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	time.Sleep(steadyTime)
+	return gateways, nil
+}
 
-	// Any number of machines may be lost. These are the ones that gateways tell of streams.
-	slices.SortFunc(stewards, func(a, b *process) int {
-		return cmp.Compare(placer.Score("recorders", b.beside), placer.Score("recorders", a.beside))
-	})
-	lost := append(stewards[:twiceLost:twiceLost], gateways[0])
-	t := &tally{}
-	for i, streams := range []int{twiceFirst, twiceSecond} {
-		before := *t.counts()
-		if err := g.loseOnce(t, fmt.Sprintf("loss%d", i+1), streams, gateways, lost); err != nil {
-			return err
-		}
-		after := t.counts()
-		g.record("loss %d: %d of %d streams that were taken up went on; %d of %d new ones began", i+1, after.wentOn-before.wentOn, after.takenUp-before.takenUp, after.begun-before.begun, after.tried-before.tried)
-		if i == 0 {
-			time.Sleep(twiceRest)
-		}
-	}
+// judgeResumed judges the rule on streams that are taken up again.
+func (g *rig) judgeResumed(t *tally, what string) {
 	c := t.counts()
-	g.record("%d of %d streams that were taken up went on, %d hold events of two versions; %d of %d new ones began", c.wentOn, c.takenUp, c.joinedVersions, c.begun, c.tried)
+	g.record("%s: %d of %d streams that were taken up went on, %d hold events of two versions; %d of %d new ones began", what, c.wentOn, c.takenUp, c.joinedVersions, c.begun, c.tried)
 	if c.takenUp >= minResumed && float64(c.wentOn)/float64(c.takenUp) < float64(c.begun)/float64(c.tried)/2 {
 		g.breakRule("%d of %d streams that clients took up again went on, while %d of %d new ones began", c.wentOn, c.takenUp, c.begun, c.tried)
 	}
-	return nil
 }
 
 func (t *tally) counts() *tally {
@@ -103,6 +124,27 @@
 // loseOnce plays streams at the first gateway, and the loss of some machines meanwhile, whose
 // clients take their streams up at the other gateways.
 func (g *rig) loseOnce(t *tally, name string, streams int, gateways, lost []*process) error {
+	var clients sync.WaitGroup
+	clients.Go(func() { g.playStreams(t, name, streams, gateways) })
+	time.Sleep(twiceLossAt)
+	if g.trouble {
+		killAll(lost)
+	}
+	clients.Go(func() { g.playNewStreams(t, name, streams, gateways) })
+	time.Sleep(twiceDark)
+	if g.trouble {
+		for _, p := range lost {
+			if err := p.start(); err != nil {
+				return err
+			}
+		}
+	}
+	clients.Wait()
+	return gateways[0].awaitReady()
+}
+
+// playStreams plays streams at the first gateway and returns when all have ended.
+func (g *rig) playStreams(t *tally, name string, streams int, gateways []*process) {
 	var clients sync.WaitGroup
 	for i := range streams {
 		clients.Go(func() {
@@ -110,10 +152,12 @@
 			g.playStream(t, fmt.Sprintf("%s-s%d", name, i), i, gateways)
 		})
 	}
-	time.Sleep(twiceLossAt)
-	if g.trouble {
-		killAll(lost)
-	}
+	clients.Wait()
+}
+
+// playNewStreams begins streams at the other gateways and returns when all have ended.
+func (g *rig) playNewStreams(t *tally, name string, streams int, gateways []*process) {
+	var clients sync.WaitGroup
 	for i := range streams {
 		clients.Go(func() {
 			time.Sleep(time.Duration(i) * 20 * time.Millisecond)
@@ -128,16 +172,7 @@
 			}
 		})
 	}
-	time.Sleep(twiceDark)
-	if g.trouble {
-		for _, p := range lost {
-			if err := p.start(); err != nil {
-				return err
-			}
-		}
-	}
 	clients.Wait()
-	return gateways[0].awaitReady()
 }
 
 // playStream plays one stream at the first gateway, and takes it up at others if it breaks.
