--- a/review/rig2/joined.go
+++ b/review/rig2/joined.go
@@ -20,7 +20,7 @@
 	joinedBudget  = 12 * time.Second
 	joinedPlay    = 4 * time.Second // from the copy until the store is away
 	joinedAway    = time.Second
-	joinedBack    = 1800 * time.Millisecond // from the store's return until the new runners have written their entries again
+	joinedBack    = 2000 * time.Millisecond // from the store's return until the new runners have written their entries again
 	joinedFirst   = 400 * time.Millisecond  // until clients take their streams up
 	joinedSpread  = 1400 * time.Millisecond // and up to so much more
 	joinedAllowed = 2                       // streams that may hold events of two versions
