--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -38,9 +38,31 @@
 	err    error
 }
 
+// clientGap is the pause after which clients abandon a stream: eight times the longest pause that
+// the routes of the scenarios allow.
+const clientGap = 2400 * time.Millisecond
+
+// gapReader reads from a connection and gives up after clientGap without a byte, or at the end.
+type gapReader struct {
+	conn net.Conn
+	end  time.Time
+}
+
+func (r *gapReader) Read(p []byte) (int, error) {
+	deadline := time.Now().Add(clientGap)
+	if r.end.Before(deadline) {
+		deadline = r.end
+	}
+	if err := r.conn.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	return r.conn.Read(p)
+}
+
 // client has a kept channel to a gateway.
 type client struct {
 	conn   net.Conn
+	source *gapReader
 	reader *bufio.Reader
 }
 
@@ -51,7 +73,8 @@
 		if err != nil {
 			return answer{err: err}
 		}
-		c.conn, c.reader = conn, bufio.NewReader(conn)
+		c.conn, c.source = conn, &gapReader{conn: conn}
+		c.reader = bufio.NewReader(c.source)
 	}
 	a := c.exchange(r)
 	if !a.whole {
@@ -82,7 +105,7 @@
 	}
 	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", r.body)
 	b.WriteString(strings.Repeat("x", r.body))
-	_ = c.conn.SetDeadline(time.Now().Add(r.deadline + 500*time.Millisecond))
+	c.source.end = time.Now().Add(r.deadline + 500*time.Millisecond)
 	if _, err := io.WriteString(c.conn, b.String()); err != nil {
 		return answer{err: err}
 	}
--- a/review/rig2/drill.go
+++ b/review/rig2/drill.go
@@ -23,7 +23,7 @@
 	}
 	earlier := g.store.copyTopics()
 	time.Sleep(drillAge - drillAt)
-	t := &tally{}
+	t := &tally{tries: patientTries}
 	played := make(chan struct{})
 	go func() {
 		defer close(played)
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -171,6 +171,19 @@
 	p.rig.record("%s killed", p.name)
 }
 
+// darken takes the power of the machines of processes: these stand still and their channels are
+// silent. Nothing is left of them when killAll ends that.
+func darken(processes []*process) {
+	for _, p := range processes {
+		p.mu.Lock()
+		if p.cmd != nil {
+			_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+		}
+		p.mu.Unlock()
+		p.rig.record("%s has no power", p.name)
+	}
+}
+
 // killAll ends processes at the same moment.
 func killAll(processes []*process) {
 	for _, p := range processes {
--- a/review/rig2/twice.go
+++ b/review/rig2/twice.go
@@ -23,15 +23,18 @@
 	twiceFirst    = 10 // streams at the first loss
 	twiceSecond   = 40 // at the second
 	twiceBudget   = 12 * time.Second
-	twiceTries    = 3 // to take a stream up
+	twiceTries    = 1 // to take a stream up, the retries of the site's clients
+	patientTries  = 3 // of the clients of other scenarios
 	twiceLossAt   = 3 * time.Second
-	twiceDark     = 4 * time.Second
+	twiceDark     = 3500 * time.Millisecond
 	twiceRest     = 10 * time.Second // from the end of the first loss
 	twiceModel    = "m0"
 )
 
 // tally counts streams.
 type tally struct {
+	tries int // of a client to take a stream up
+
 	mu                              sync.Mutex
 	begun, tried                    int // new ones at gateways in touch during a loss
 	takenUp, wentOn, joinedVersions int
@@ -45,7 +48,7 @@
 		return err
 	}
 	lost := append(stewards[:twiceLost:twiceLost], gateways[0])
-	t := &tally{}
+	t := &tally{tries: twiceTries}
 	for i, streams := range []int{twiceFirst, twiceSecond} {
 		before := t.counts()
 		if err := g.loseOnce(t, fmt.Sprintf("loss%d", i+1), streams, gateways, lost); err != nil {
@@ -128,11 +131,12 @@
 	clients.Go(func() { g.playStreams(t, name, streams, gateways) })
 	time.Sleep(twiceLossAt)
 	if g.trouble {
-		killAll(lost)
+		darken(lost)
 	}
 	clients.Go(func() { g.playNewStreams(t, name, streams, gateways) })
 	time.Sleep(twiceDark)
 	if g.trouble {
+		killAll(lost)
 		for _, p := range lost {
 			if err := p.start(); err != nil {
 				return err
@@ -184,7 +188,7 @@
 		return
 	}
 	on := false
-	for try := 1; try <= twiceTries && !on; try++ {
+	for try := 1; try <= t.tries && !on; try++ {
 		p := gateways[1+(i+try)%(twiceGateways-1)]
 		b := (&client{}).send(p.callers, request{attempt: fmt.Sprintf("%s-%d", first, try), method: "POST", path: "/s/x", model: twiceModel, body: 100, deadline: twiceBudget, lastEvent: last, resumes: first})
 		next, more := b.lastEvent()
--- a/review/rig2/untold.go
+++ b/review/rig2/untold.go
@@ -55,7 +55,7 @@
 	}
 	setCut(true)
 	time.Sleep(untoldBegin)
-	t := &tally{}
+	t := &tally{tries: patientTries}
 	played := make(chan struct{})
 	go func() {
 		defer close(played)
