Read the origins of streams in the store whenever one is unknown

Cause: a steward that does not know a stream read the store once in its life, and answered from that reading ever after. The living stewards had read it after the first loss. A question within 2 s of an earlier one about the same stream was likewise answered by the earlier reading.

Change: what a steward knows of the store is known as of a time. Between several releases a stream is unknown only by a read that began after the question; reads go on where the last one ended, and anew in a restored store. The store is read when a question is repeated, 150 ms apart at least. Reads don't wait for writes.

Ruled out: that the streams had not been written, and that the gateways asked stewards that were gone.

The tests of random histories pass the time of their reads; their assertions are unchanged.

--- a/internal/dispatcher/outofstep_test.go
+++ b/internal/dispatcher/outofstep_test.go
@@ -83,7 +83,7 @@
 	k := f.stewards[steward]
 	k.Releases.List(f.now, f.runners)
 	k.ConfirmList(f.now)
-	k.Load(f.now, nil)
+	k.Load(f.now, f.now, nil)
 }
 
 // resume resumes a stream that a newer runner has begun and returns the answer or the send.
--- a/internal/dispatcher/resumehistory_test.go
+++ b/internal/dispatcher/resumehistory_test.go
@@ -72,7 +72,7 @@
 	k := f.stewards[steward]
 	k.Releases.List(f.now, f.list())
 	k.ConfirmList(f.now)
-	k.Load(f.now, nil)
+	k.Load(f.now, f.now, nil)
 }
 
 func (f *streamFleet) restart(g int) {
--- a/internal/driver/origins.go
+++ b/internal/driver/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -9,12 +10,13 @@
 
 	"github.com/egretwall/egretwall/internal/messenger"
 	"github.com/egretwall/egretwall/internal/tracker"
+	"github.com/egretwall/egretwall/internal/watcher"
 )
 
 // Timing and limits of what stewards keep of streams in the store.
 const (
 	originSavePeriod  = time.Second            // between writes; streams that began since are lost with all stewards
-	originLoadPeriod  = 500 * time.Millisecond // between attempts to read them
+	originLoadPeriod  = 150 * time.Millisecond // between reads, each of which answers all questions before it
 	maxPendingOrigins = 20_000                 // that wait to be written
 )
 
@@ -23,14 +25,16 @@
 type OriginStore interface {
 	// AppendOrigins writes origins.
 	AppendOrigins(ctx context.Context, origins []tracker.Origin) error
-	// ReadOrigins returns the origins that the store still has.
-	ReadOrigins(ctx context.Context) ([]tracker.Origin, error)
+	// ReadOrigins returns the origins that were written after a position and that the store
+	// still has, and the position after them. A position of an earlier era stands for the first
+	// record. The error is watcher.ErrExpired if the store has no such position.
+	ReadOrigins(ctx context.Context, after watcher.Position) ([]tracker.Origin, watcher.Position, error)
 }
 
 // originKeeper is a steward's knowledge of the streams that gateways have told it about.
-// While the service has several releases it writes it to the store, and reads it from there
-// when it is first asked for a stream that it does not know. Its fields but store and
-// logger are guarded by the steward's syncer.mu.
+// While the service has several releases it writes it to the store, and reads there what
+// other stewards have written when it is asked for a stream that it does not know. Its fields
+// but store, logger and position are guarded by the steward's syncer.mu.
 type originKeeper struct {
 	*tracker.Keeper
 	store   OriginStore
@@ -38,6 +42,8 @@
 	saving  bool             // the service has several releases
 	pending []tracker.Origin // to be written
 	load    chan struct{}    // asks for the store to be read
+
+	position watcher.Position // in the store, after the origins that have been read
 }
 
 func newOriginKeeper(store OriginStore, logger zerolog.Logger) *originKeeper {
@@ -75,7 +81,7 @@
 	}
 }
 
-// keepOrigins writes and reads origins until ctx ends.
+// keepOrigins writes origins until ctx ends.
 func (s *Steward) keepOrigins(ctx context.Context) {
 	ticker := time.NewTicker(originSavePeriod)
 	defer ticker.Stop()
@@ -85,8 +91,19 @@
 			return
 		case <-ticker.C:
 			s.saveOrigins(ctx)
+		}
+	}
+}
+
+// readOrigins reads origins when that is asked for, until ctx ends.
+func (s *Steward) readOrigins(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
 		case <-s.origins.load:
 			s.loadOrigins(ctx)
+			pause(ctx, originLoadPeriod)
 		}
 	}
 }
@@ -107,16 +124,20 @@
 }
 
 func (s *Steward) loadOrigins(ctx context.Context) {
-	origins, err := s.origins.store.ReadOrigins(ctx)
+	at := s.syncer.now()
+	origins, position, err := s.origins.store.ReadOrigins(ctx, s.origins.position)
+	if errors.Is(err, watcher.ErrExpired) {
+		s.origins.position = watcher.Position{}
+	}
 	if err != nil {
 		s.origins.logger.Warn().Err(err).Msg("origins of streams not read")
-		pause(ctx, originLoadPeriod)
 		return
 	}
-	s.origins.logger.Info().Int("streams", len(origins)).Msg("origins of streams read")
+	s.origins.position = position
+	s.origins.logger.Info().Int("streams", len(origins)).Int64("offset", position.Offset).Msg("origins of streams read")
 	s.syncer.mu.Lock()
 	defer s.syncer.mu.Unlock()
-	s.origins.Load(s.syncer.now(), origins)
+	s.origins.Load(s.syncer.now(), at, origins)
 }
 
 // tellOrigin tells a gateway which release began a stream, or that this is not known. If the
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -152,7 +152,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var g sync.WaitGroup
-	for _, run := range []func(context.Context){s.syncer.run, s.messenger.Run, s.acquireFence, s.pollRunner, s.sendOrders, s.keepOrigins, s.judge, s.keepVerdicts} {
+	for _, run := range []func(context.Context){s.syncer.run, s.messenger.Run, s.acquireFence, s.pollRunner, s.sendOrders, s.keepOrigins, s.readOrigins, s.judge, s.keepVerdicts} {
 		g.Go(func() { run(ctx) })
 	}
 	errc := make(chan error, 2)
--- a/internal/tracker/keeper.go
+++ b/internal/tracker/keeper.go
@@ -8,7 +8,7 @@
 
 // Limits of the questions that a Keeper remembers.
 const (
-	questionMemory = 2 * time.Second // a gateway repeats its question for less
+	questionMemory = 250 * time.Millisecond // a gateway repeats its question more often
 	maxQuestions   = 10_000
 )
 
@@ -19,14 +19,20 @@
 	Streams  *Tracker
 	Releases *Releases
 
-	loaded          bool                       // the origins in the store have been read
-	listConfirmedAt time.Duration              // as of which the list is known
-	askedAt         map[StreamID]time.Duration // first questions about streams that are not known
+	stored          bool          // the origins in the store have been read
+	storedAt        time.Duration // as of which they are known
+	listConfirmedAt time.Duration // as of which the list is known
+	questions       map[StreamID]question
+}
+
+// question is a question about a stream that is not known.
+type question struct {
+	askedAt, repeatedAt time.Duration
 }
 
 // NewKeeper returns a keeper that knows nothing.
 func NewKeeper() *Keeper {
-	return &Keeper{Streams: New(), Releases: NewReleases(), askedAt: map[StreamID]time.Duration{}}
+	return &Keeper{Streams: New(), Releases: NewReleases(), questions: map[StreamID]question{}}
 }
 
 // ConfirmList records that Releases tells the list as it was at a time or later.
@@ -34,9 +40,10 @@
 	k.listConfirmedAt = max(k.listConfirmedAt, at)
 }
 
-// Load records the origins that the store has.
-func (k *Keeper) Load(now time.Duration, origins []Origin) {
-	k.loaded = true
+// Load records origins that the store has. Together with those of earlier calls they are all
+// that it had at a time or later.
+func (k *Keeper) Load(now, at time.Duration, origins []Origin) {
+	k.stored, k.storedAt = true, max(k.storedAt, at)
 	for _, o := range origins {
 		k.Streams.Record(now, o)
 		k.Releases.See(now, []registrar.Release{o.Release})
@@ -52,34 +59,50 @@
 	ReadStored bool // the origins in the store must be read
 }
 
-// Ask answers the question which release began a stream.
+// Ask answers the question which release began a stream. Between several
+// releases, an earlier read of the store does not prove that a stream is unknown: the stewards
+// that were told of it may have written it since and be gone. The store is read anew only when
+// the question is repeated, since a steward that knows the stream answers the first one.
 func (k *Keeper) Ask(now time.Duration, id StreamID) Answer {
 	if release, known := k.Streams.Release(id); known {
-		delete(k.askedAt, id)
+		delete(k.questions, id)
 		return Answer{Origin: &Origin{Stream: id, Release: release}}
 	}
-	askedAt, asked := k.askedAt[id]
-	if !asked || now-askedAt >= questionMemory {
-		askedAt = now
-		k.remember(now, id)
+	q, repeated := k.ask(now, id)
+	a := Answer{ReadList: k.listConfirmedAt < q.askedAt}
+	missing := false
+	switch {
+	case k.onlyRelease(now):
+	case !k.stored:
+		missing, a.ReadStored = true, true
+	case k.storedAt < q.askedAt && len(k.Releases.Recent(now)) > 1:
+		missing, a.ReadStored = true, repeated
 	}
-	a := Answer{ReadList: k.listConfirmedAt < askedAt, ReadStored: !k.loaded && !k.onlyRelease(now)}
-	if !a.ReadList && !a.ReadStored {
+	if !a.ReadList && !missing {
 		a.Absence = &Absence{Stream: id, Releases: k.Releases.Recent(now)}
 	}
 	return a
 }
 
-func (k *Keeper) remember(now time.Duration, id StreamID) {
-	if len(k.askedAt) >= maxQuestions {
-		clear(k.askedAt)
+// ask remembers a question and reports whether it is repeated.
+func (k *Keeper) ask(now time.Duration, id StreamID) (question, bool) {
+	q, repeated := k.questions[id]
+	if repeated && now-q.repeatedAt < questionMemory {
+		q.repeatedAt = now
+		k.questions[id] = q
+		return q, true
+	}
+	if len(k.questions) >= maxQuestions {
+		clear(k.questions)
 	}
-	for other, at := range k.askedAt {
-		if now-at >= questionMemory {
-			delete(k.askedAt, other)
+	for other, q := range k.questions {
+		if now-q.repeatedAt >= questionMemory {
+			delete(k.questions, other)
 		}
 	}
-	k.askedAt[id] = now
+	q = question{askedAt: now, repeatedAt: now}
+	k.questions[id] = q
+	return q, false
 }
 
 // onlyRelease reports whether one release alone may have begun streams, whatever the store
--- /dev/null
+++ b/internal/tracker/keeper_test.go
@@ -0,0 +1,60 @@
+package tracker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretwall/egretwall/internal/registrar"
+)
+
+// keeperOf returns a keeper that has read the store and lists upstreams of releases.
+func keeperOf(releases ...registrar.Release) *Keeper {
+	k := NewKeeper()
+	var all []*registrar.Upstream
+	for _, r := range releases {
+		all = append(all, &registrar.Upstream{Release: r})
+	}
+	k.Releases.List(0, all)
+	k.Load(0, 0, nil)
+	return k
+}
+
+// A steward read the origins in the store once in its life, so that streams whose recorders
+// were lost later were unknown to it.
+func TestOriginsWrittenSinceTheLastReadAreFound(t *testing.T) {
+	k := keeperOf("v1", "v2")
+	for loss := range 3 {
+		at, stream := time.Duration(1+loss)*time.Minute, StreamID(string(rune('a'+loss)))
+		k.ConfirmList(at)
+		require.Equal(t, Answer{}, k.Ask(at, stream), "another steward may know it")
+		at += 60 * time.Millisecond
+		require.Equal(t, Answer{ReadStored: true}, k.Ask(at, stream))
+		k.Load(at, at, []Origin{{stream, "v2"}})
+		at += 60 * time.Millisecond
+		require.Equal(t, Answer{Origin: &Origin{stream, "v2"}}, k.Ask(at, stream))
+	}
+}
+
+// An answer to an earlier question was taken for one to the question of a caller who came back.
+func TestStreamIsUnknownOnlyByAReadSinceTheQuestion(t *testing.T) {
+	k := keeperOf("v1", "v2")
+	for _, at := range []time.Duration{time.Minute, time.Minute + time.Second} {
+		k.ConfirmList(at)
+		require.Equal(t, Answer{}, k.Ask(at, "a"))
+		k.Load(at, at-time.Millisecond, nil)
+		require.Equal(t, Answer{ReadStored: true}, k.Ask(at+60*time.Millisecond, "a"), "that read began before the question")
+		k.Load(at, at, nil)
+		answer := k.Ask(at+120*time.Millisecond, "a")
+		require.NotNil(t, answer.Absence)
+		require.ElementsMatch(t, []registrar.Release{"v1", "v2"}, answer.Absence.Releases)
+	}
+}
+
+// With a single release, the store is read once at most.
+func TestStoreIsNotReadAnewWithASingleRelease(t *testing.T) {
+	k := keeperOf("v1")
+	k.ConfirmList(time.Second)
+	require.NotNil(t, k.Ask(time.Second, "a").Absence)
+}
--- a/internal/watcher/era.go
+++ b/internal/watcher/era.go
@@ -14,6 +14,12 @@
 // not tell.
 type Era int64
 
+// Position is a position in a topic: an offset is valid in the era in which it was given out.
+type Position struct {
+	Era    Era
+	Offset int64
+}
+
 // EraTracker keeps the highest era that any answer of a store has shown. It is safe for
 // concurrent use.
 type EraTracker struct {
