Write the origins of streams again when the store is restored

Cause: a steward took an origin from its list as soon as it was written, and nothing wrote it again to a store that came back without it.

Change: a rise of the era makes stewards write all origins that they know, 2,000 a call and ten calls a second at most.

Ruled out: that the stewards that were asked did not read the store, and that the origins had not been written before.

--- a/internal/driver/origins.go
+++ b/internal/driver/origins.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -17,7 +18,10 @@
 const (
 	originSavePeriod  = time.Second            // between writes; streams that began since are lost with all stewards
 	originLoadPeriod  = 150 * time.Millisecond // between reads, each of which answers all questions before it
-	maxPendingOrigins = 20_000                 // that wait to be written
+	originWriteDelay  = 100 * time.Millisecond // between writes while more wait; all stewards write at once when the store is restored
+	originsPerWrite   = 2000
+	originWatchTime   = 20 * time.Second // after a write, for which a restore of the store is looked for; streams hardly last longer
+	maxPendingOrigins = 20_000           // that wait to be written
 )
 
 // OriginStore keeps the origins of streams in the platform's store, so that they outlive
@@ -41,6 +45,7 @@
 	logger  zerolog.Logger
 	saving  bool             // the service has several releases
 	pending []tracker.Origin // to be written
+	savedAt time.Duration    // when origins were last written
 	load    chan struct{}    // asks for the store to be read
 
 	position watcher.Position // in the store, after the origins that have been read
@@ -56,41 +61,61 @@
 		return
 	}
 	k.Streams.Record(now, o)
-	if k.saving && len(k.pending) < maxPendingOrigins {
-		k.pending = append(k.pending, o)
+	if k.saving {
+		k.setPending(append(k.pending, o))
 	}
 }
 
-// takePending returns the origins to write now. When the service gets a second release,
-// these are all that are known.
+// setPending sets the origins to be written, of which the last ones are kept.
+func (k *originKeeper) setPending(origins []tracker.Origin) {
+	k.pending = origins[max(0, len(origins)-maxPendingOrigins):]
+}
+
+// takePending returns origins to write now, of which the last ones come first. When the
+// service gets a second release, all that are known are to be written.
 func (k *originKeeper) takePending(now time.Duration) []tracker.Origin {
 	several := len(k.Releases.Recent(now)) > 1
 	if several && !k.saving {
-		k.pending = k.Streams.Origins()
+		k.setPending(k.Streams.Origins())
 	}
 	k.saving = several
-	pending := k.pending
-	k.pending = nil
-	return pending
+	n := max(0, len(k.pending)-originsPerWrite)
+	taken := slices.Clone(k.pending[n:])
+	k.pending = k.pending[:n]
+	return taken
 }
 
 // giveBack keeps origins whose write failed for the next one.
 func (k *originKeeper) giveBack(origins []tracker.Origin) {
-	if len(k.pending)+len(origins) <= maxPendingOrigins {
-		k.pending = append(origins, k.pending...)
+	k.setPending(append(origins, k.pending...))
+}
+
+// restored makes all origins that are known be written again, since the copy that the store
+// was restored from may lack those of its last seconds.
+func (k *originKeeper) restored() {
+	if k.saving {
+		k.setPending(k.Streams.Origins())
 	}
 }
 
-// keepOrigins writes origins until ctx ends.
+// keepOrigins writes origins, and once more when the store is restored, until ctx ends.
 func (s *Steward) keepOrigins(ctx context.Context) {
 	ticker := time.NewTicker(originSavePeriod)
 	defer ticker.Stop()
+	_, restored := s.cfg.Store.Era()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-restored:
+			_, restored = s.cfg.Store.Era()
+			s.syncer.mu.Lock()
+			s.origins.restored()
+			s.syncer.mu.Unlock()
 		case <-ticker.C:
-			s.saveOrigins(ctx)
+		}
+		for s.saveOrigins(ctx) {
+			pause(ctx, originWriteDelay)
 		}
 	}
 }
@@ -108,18 +133,36 @@
 	}
 }
 
-func (s *Steward) saveOrigins(ctx context.Context) {
+// saveOrigins writes origins once and reports whether to go on, since more wait.
+func (s *Steward) saveOrigins(ctx context.Context) bool {
 	s.syncer.mu.Lock()
-	pending := s.origins.takePending(s.syncer.now())
+	taken := s.origins.takePending(s.syncer.now())
+	more := len(s.origins.pending) > 0
 	s.syncer.mu.Unlock()
-	if len(pending) == 0 {
-		return
+	if len(taken) == 0 {
+		s.watchStore()
+		return false
 	}
-	if err := s.origins.store.AppendOrigins(ctx, pending); err != nil {
-		s.origins.logger.Warn().Int("streams", len(pending)).Err(err).Msg("origins of streams not written")
+	if err := s.origins.store.AppendOrigins(ctx, taken); err != nil {
+		s.origins.logger.Warn().Int("streams", len(taken)).Err(err).Msg("origins of streams not written")
 		s.syncer.mu.Lock()
-		s.origins.giveBack(pending)
+		s.origins.giveBack(taken)
 		s.syncer.mu.Unlock()
+		return false
+	}
+	s.syncer.mu.Lock()
+	s.origins.savedAt = s.syncer.now()
+	s.syncer.mu.Unlock()
+	return more
+}
+
+// watchStore makes the store be read while it must hold what this steward has written: any
+// answer tells whether it has been restored, and other calls to it may be seconds apart.
+func (s *Steward) watchStore() {
+	s.syncer.mu.Lock()
+	defer s.syncer.mu.Unlock()
+	if k := s.origins; k.saving && k.savedAt > 0 && s.syncer.now()-k.savedAt < originWatchTime {
+		wake(k.load)
 	}
 }
 
--- a/internal/driver/origins_test.go
+++ b/internal/driver/origins_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -94,3 +96,108 @@
 		synctest.Wait()
 	})
 }
+
+// restoringOrigins is an OriginStore of which a copy can be restored.
+type restoringOrigins struct {
+	Store
+	*watcher.EraTracker
+
+	mu      sync.Mutex
+	written []tracker.Origin
+	calls   int
+	limit   int // calls that succeed, until the next restore
+}
+
+func (s *restoringOrigins) Era() (watcher.Era, <-chan struct{}) { return s.Current() }
+
+func (s *restoringOrigins) ReadOrigins(context.Context, watcher.Position) ([]tracker.Origin, watcher.Position, error) {
+	return nil, watcher.Position{}, nil
+}
+
+func (s *restoringOrigins) AppendOrigins(_ context.Context, origins []tracker.Origin) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.calls++; s.calls > s.limit {
+		return errors.New("status 429")
+	}
+	s.written = append(s.written, origins...)
+	return nil
+}
+
+// restore drops all that was written, and lets further calls succeed.
+func (s *restoringOrigins) restore(t *testing.T, era watcher.Era, limit int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.written, s.calls, s.limit = nil, 0, limit
+	require.NoError(t, s.Observe(era))
+}
+
+func (s *restoringOrigins) streams() (int, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := map[tracker.StreamID]bool{}
+	for _, o := range s.written {
+		known[o.Stream] = true
+	}
+	return len(known), s.calls
+}
+
+// Stewards wrote an origin once, so that a restored store lacked those of its last seconds
+// for good.
+func TestOriginsAreWrittenAgainToARestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &restoringOrigins{EraTracker: watcher.NewEraTracker(), limit: 100}
+		s := &Steward{cfg: StewardConfig{Store: store}, syncer: newSyncer(store, zerolog.Nop(), stewardPollTiming), origins: newOriginKeeper(store, zerolog.Nop())}
+		s.origins.Releases.List(0, []*registrar.Upstream{{Release: "v1"}, {Release: "v2"}})
+		go s.keepOrigins(ctx)
+		const streams = 5*originsPerWrite + 1
+		for i := range streams {
+			s.syncer.mu.Lock()
+			s.origins.record(0, tracker.Origin{Stream: tracker.StreamID(fmt.Sprint(i)), Release: "v1"})
+			s.syncer.mu.Unlock()
+		}
+		for era, limit := range []int{100, 100, 100, 3} {
+			if era > 0 {
+				store.restore(t, watcher.Era(era), limit)
+			}
+			time.Sleep(2 * time.Second)
+			written, calls := store.streams()
+			if limit > streams/originsPerWrite {
+				require.Equal(t, streams, written, "era %d", era)
+				require.Equal(t, 1+streams/originsPerWrite, calls, "era %d", era)
+			} else {
+				require.LessOrEqual(t, calls, limit+1+2, "a refused write is repeated once a second")
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// A steward noticed a restore by its other calls only, which are up to ten seconds apart.
+func TestQuietStewardNoticesARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &countingOrigins{}
+		k := newOriginKeeper(store, zerolog.Nop())
+		s := &Steward{cfg: StewardConfig{Store: &restoringOrigins{EraTracker: watcher.NewEraTracker()}}, syncer: newSyncer(nil, zerolog.Nop(), stewardPollTiming), origins: k}
+		k.Releases.List(0, []*registrar.Upstream{{Release: "v1"}, {Release: "v2"}})
+		go s.keepOrigins(ctx)
+		go s.readOrigins(ctx)
+		time.Sleep(10 * originSavePeriod)
+		require.Zero(t, store.reads.Load(), "the store holds nothing of this steward")
+		s.syncer.mu.Lock()
+		k.takePending(s.syncer.now())
+		k.record(s.syncer.now(), tracker.Origin{Stream: "a", Release: "v1"})
+		s.syncer.mu.Unlock()
+		time.Sleep(10 * originSavePeriod)
+		require.GreaterOrEqual(t, int(store.reads.Load()), 8, "each second")
+		time.Sleep(2 * originWatchTime)
+		require.LessOrEqual(t, int(store.reads.Load()), 1+int(originWatchTime/originSavePeriod), "while streams that were written may last")
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func (s *countingOrigins) AppendOrigins(context.Context, []tracker.Origin) error { return nil }
