--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -41,6 +41,6 @@
 		GracePeriod: s.GracePeriod.Duration(), RetryBudget: dispatcher.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow.Duration()},
 		MaxDrainDelay: s.MaxDrainDelay.Duration(), MaxApplyDelay: s.MaxApplyDelay.Duration(), MaxRevokeDelay: s.MaxRevokeDelay.Duration(), MemoryMB: s.MemoryMB,
 		Descriptors: s.Descriptors,
-		Store:       store, Verdicts: store, HeaderCodec: platform.HeaderCodec{}, ReadinessPath: platform.ReadinessPath,
+		Store:       store, Verdicts: store, Origins: store, HeaderCodec: platform.HeaderCodec{}, ReadinessPath: platform.ReadinessPath,
 	}, nil
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -46,8 +46,9 @@
 	restrictions       map[registrar.UpstreamID]restriction
 	limits             *limiter.Table
 	streams            *tracker.Tracker
-	releases           map[registrar.ServiceName]*tracker.Releases
+	releases           tracker.Services
 	listConfirmedAt    time.Duration // as of which the list is known
+	streamsReadAt      time.Duration // as of which the origins of streams in the store are known
 	verdicts           *isolator.Verdicts
 	breakages          map[registrar.UpstreamID]*breakage
 	bearings           map[registrar.ServiceName]*budgeter.Bearing // what is known of the memory of upstreams
@@ -78,7 +79,8 @@
 		restrictions:       map[registrar.UpstreamID]restriction{},
 		limits:             limiter.NewTable(),
 		streams:            tracker.New(),
-		releases:           map[registrar.ServiceName]*tracker.Releases{},
+		releases:           tracker.Services{},
+		streamsReadAt:      -1,
 		verdicts:           isolator.NewVerdicts(),
 		breakages:          map[registrar.UpstreamID]*breakage{},
 		bearings:           map[registrar.ServiceName]*budgeter.Bearing{},
@@ -139,6 +141,8 @@
 		d.handleStreamFound(ev.Origin)
 	case StreamUnknown:
 		d.handleStreamUnknown(ev.Absence)
+	case StreamsRead:
+		d.handleStreamsRead(ev)
 	case UpstreamProbed:
 		d.handleProbe(ev)
 	case VerdictsReported:
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -120,6 +120,13 @@
 // StreamUnknown says that a steward does not know a stream, in answer to FindStream.
 type StreamUnknown struct{ Absence tracker.Absence }
 
+// StreamsRead carries the origins of streams that have been read from the store, in answer to
+// ReadStreams. With those of earlier events they are all that it had at a time or later.
+type StreamsRead struct {
+	At      time.Duration
+	Origins []tracker.Origin
+}
+
 // UpstreamProbed says whether an upstream refuses connections, in answer to ProbeUpstream.
 type UpstreamProbed struct {
 	Upstream    registrar.UpstreamID
@@ -219,6 +226,7 @@
 func (PermitsIssued) event()      {}
 func (StreamFound) event()        {}
 func (StreamUnknown) event()      {}
+func (StreamsRead) event()        {}
 func (VerdictsReported) event()   {}
 func (UpstreamProbed) event()     {}
 
@@ -290,12 +298,19 @@
 	Origin    tracker.Origin
 }
 
-// FindStream asks stewards which release began a stream.
+// SaveStream writes to the store which release began a stream, since no steward reports.
+type SaveStream struct{ Origin tracker.Origin }
+
+// FindStream asks stewards which release of a service began a stream.
 type FindStream struct {
 	Addresses []string // of the stewards' runners
+	Service   registrar.ServiceName
 	Stream    tracker.StreamID
 }
 
+// ReadStreams asks for a read of the origins of streams in the store; StreamsRead follows.
+type ReadStreams struct{}
+
 // ReportCrash tells stewards what this gateway saw of the crash of an upstream.
 type ReportCrash struct {
 	Addresses []string // of the stewards' runners
@@ -350,7 +365,9 @@
 func (ReadList) effect()       {}
 func (RequestPermits) effect() {}
 func (RecordStream) effect()   {}
+func (SaveStream) effect()     {}
 func (FindStream) effect()     {}
+func (ReadStreams) effect()    {}
 func (ReportCrash) effect()    {}
 func (ProbeUpstream) effect()  {}
 func (Log) effect()            {}
--- a/internal/dispatcher/isolation.go
+++ b/internal/dispatcher/isolation.go
@@ -143,11 +143,7 @@
 // reportCrash tells analysts of a crash. They are among the stewards of all services, since
 // the upstreams of plain ones have none.
 func (d *Dispatcher) reportCrash(id registrar.UpstreamID, b *breakage) {
-	var addresses []string
-	for service := range d.upstreamsByService {
-		addresses = append(addresses, d.reportingAddresses(service)...)
-	}
-	analysts := firstInRendezvousOrder("crashes", addresses, analystCount)
+	analysts := firstInRendezvousOrder("crashes", d.allReportingAddresses(), analystCount)
 	if !b.recorded {
 		b.recorded = true
 		d.recordCrash(id, b)
--- a/internal/dispatcher/outofstep_test.go
+++ b/internal/dispatcher/outofstep_test.go
@@ -104,9 +104,13 @@
 				if gateway != cutFromList {
 					events = []Event{UpstreamsListed{f.runners}, ListConfirmed{f.now}}
 				}
+			case ReadStreams:
+				if gateway != cutFromList {
+					events = []Event{StreamsRead{At: f.now}}
+				}
 			case FindStream:
 				for _, address := range e.Addresses {
-					events = append(events, f.ask(address, e.Stream)...)
+					events = append(events, f.ask(address, e)...)
 				}
 			}
 			queue = queue[1:]
@@ -121,11 +125,11 @@
 }
 
 // ask returns the answer of a steward, if it gives one.
-func (f *releaseFleet) ask(address string, stream tracker.StreamID) []Event {
+func (f *releaseFleet) ask(address string, question FindStream) []Event {
 	if f.step[address] == cutFromAll {
 		return nil
 	}
-	answer := f.stewards[address].Ask(f.now, stream)
+	answer := f.stewards[address].Ask(f.now, question.Service, question.Stream)
 	switch {
 	case answer.Origin != nil:
 		return []Event{StreamFound{*answer.Origin}}
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -19,6 +19,8 @@
 	orphanRetryAfter  = time.Second            // of a stream whose origin is unknown
 	recorderCount     = 2                      // stewards that are told of each stream
 	askedRecorders    = 3                      // stewards that are asked; a recorder may have gone since
+	firstReportTime   = 300 * time.Millisecond // until stewards that hear of this gateway have reported
+	silentAsks        = 2                      // without an answer, after which stewards may be gone
 	minRecorderPool   = 4                      // least number of stewards among which recorders are chosen
 	stewardsPerPool   = 24                     // one of so many is in that pool; few, since each of them writes to the store
 )
@@ -61,20 +63,29 @@
 		return
 	}
 	r.release = r.upstream.info.Release
-	o := tracker.Origin{Stream: r.stream(), Release: r.release}
+	o := tracker.Origin{Stream: r.stream(), Release: r.release, Service: r.Service}
 	d.streams.Record(d.now, o)
-	if recorders := d.recordersOf(r, recorderCount); len(recorders) > 0 {
+	if recorders, _ := d.recordersOf(r, recorderCount); len(recorders) > 0 {
 		d.emit(RecordStream{Addresses: recorders, Origin: o})
+	} else {
+		d.emit(SaveStream{Origin: o})
 	}
 }
 
 // recordersOf returns the addresses of the runners whose stewards know the origin of a
 // request's stream: the first n in rendezvous order for the stream among a pool, the first
-// in rendezvous order for all streams among the service's runners whose stewards report.
-func (d *Dispatcher) recordersOf(r *request, n int) []string {
+// in rendezvous order for all streams among the runners whose stewards report. Others are
+// the first n beyond the pool. The runners are those of the service or, if none has a steward,
+// of all services.
+func (d *Dispatcher) recordersOf(r *request, n int) (recorders, others []string) {
 	addresses := d.reportingAddresses(r.Service)
-	pool := firstInRendezvousOrder("recorders", addresses, max(minRecorderPool, len(addresses)/stewardsPerPool))
-	return firstInRendezvousOrder(string(r.stream()), pool, n)
+	if len(addresses) == 0 {
+		addresses = d.allReportingAddresses()
+	}
+	poolSize := max(minRecorderPool, len(addresses)/stewardsPerPool)
+	pool := firstInRendezvousOrder("recorders", addresses, poolSize)
+	others = firstInRendezvousOrder(string(r.stream()), addresses[len(pool):], n)
+	return firstInRendezvousOrder(string(r.stream()), pool, n), others
 }
 
 // reportingAddresses returns the addresses of a service's runners whose stewards report.
@@ -88,6 +99,16 @@
 	return addresses
 }
 
+// allReportingAddresses returns the addresses of the runners of all services whose stewards
+// report.
+func (d *Dispatcher) allReportingAddresses() []string {
+	var addresses []string
+	for service := range d.upstreamsByService {
+		addresses = append(addresses, d.reportingAddresses(service)...)
+	}
+	return addresses
+}
+
 // firstInRendezvousOrder returns the n addresses with the highest scores for a key.
 func firstInRendezvousOrder(key string, addresses []string, n int) []string {
 	slices.SortFunc(addresses, func(a, b string) int {
@@ -109,46 +130,82 @@
 	}
 	r.search.until = min(d.now+reporterTimeout, r.Deadline-answerMargin)
 	if !d.hasStewards(r.Service) {
-		d.readList(r)
-		return false
+		// A gateway that was cut off may not have seen yet which releases have joined.
+		d.emit(ReadList{})
 	}
-	d.askForOrigin(r)
+	d.lookUp(r)
 	return false
 }
 
-// readList asks for the list, since a gateway that was cut off may not have seen yet which
-// releases of the service have joined.
-func (d *Dispatcher) readList(r *request) {
-	if !d.releasesOf(r.Service).Complete(d.now) {
-		d.endSearch(r)
-		return
-	}
-	d.emit(ReadList{})
+// listSuffices reports whether only one release may have begun the stream of a request if the
+// list, read anew, shows no other one.
+func (d *Dispatcher) listSuffices(r *request) bool {
+	return !d.hasStewards(r.Service) && d.releases.Of(r.Service).Only(d.now)
 }
 
-// handleListConfirmed ends the searches of requests that came before the list was read.
+// handleListConfirmed ends the searches for which the list suffices and that began before it
+// was read.
 func (d *Dispatcher) handleListConfirmed(at time.Duration) {
 	d.listConfirmedAt = max(d.listConfirmedAt, at)
 	for _, r := range d.requestsByID() {
-		if r.search.until > 0 && !d.hasStewards(r.Service) && r.arrivedAt <= d.listConfirmedAt {
+		if r.search.until > 0 && d.listSuffices(r) && r.arrivedAt <= d.listConfirmedAt {
 			d.endSearch(r)
 		}
 	}
 }
 
-// askForOrigin asks stewards for the release that began the stream of a request.
-func (d *Dispatcher) askForOrigin(r *request) {
+// lookUp asks stewards for the release that began the stream of a request, and reads the
+// store if none reports or none answers.
+func (d *Dispatcher) lookUp(r *request) {
+	if d.listSuffices(r) {
+		return
+	}
 	r.search.askedAt = d.now
-	recorders := d.recordersOf(r, askedRecorders)
+	recorders, others := d.recordersOf(r, askedRecorders)
 	if len(recorders) == 0 {
+		if !d.expectsStewards() || d.now-r.arrivedAt >= firstReportTime {
+			d.readStreams(r)
+		}
 		return
 	}
 	if r.search.asks == 0 {
 		r.search.until = min(r.search.until, d.now+originTimeout)
+	} else {
+		recorders = slices.Concat(recorders, others)
+	}
+	if r.search.asks >= silentAsks && !r.search.answered {
+		d.readStreams(r)
 	}
 	r.search.asks++
 	r.search.asked, r.search.absent = len(recorders), 0
-	d.emit(FindStream{Addresses: recorders, Stream: r.stream()})
+	d.emit(FindStream{Addresses: recorders, Service: r.Service, Stream: r.stream()})
+}
+
+// readStreams reads the origins in the store unless that was done since a request arrived.
+func (d *Dispatcher) readStreams(r *request) {
+	if d.streamsReadAt < r.arrivedAt {
+		d.emit(ReadStreams{})
+	}
+}
+
+// handleStreamsRead goes on with the requests whose streams have been read, and ends the
+// searches that nobody else can answer.
+func (d *Dispatcher) handleStreamsRead(ev StreamsRead) {
+	d.streamsReadAt = max(d.streamsReadAt, ev.At)
+	for _, o := range ev.Origins {
+		d.streams.Record(d.now, o)
+	}
+	for _, r := range d.requestsByID() {
+		if r.search.until == 0 {
+			continue
+		}
+		if release, ok := d.streams.Release(r.stream()); ok {
+			r.search, r.release = originSearch{}, release
+			d.admit(r)
+		} else if !d.expectsStewards() && !d.listSuffices(r) && r.arrivedAt <= d.streamsReadAt {
+			d.endSearch(r)
+		}
+	}
 }
 
 // continueSearch asks once more, or ends the search when its time is over.
@@ -156,34 +213,36 @@
 	switch {
 	case d.now >= r.search.until:
 		d.endSearch(r)
-	case d.hasStewards(r.Service) && d.now >= r.search.askedAt+originRetryPeriod:
-		d.askForOrigin(r)
-	}
-}
-
-// releasesOf returns the releases of a service's upstreams.
-func (d *Dispatcher) releasesOf(service registrar.ServiceName) *tracker.Releases {
-	if d.releases[service] == nil {
-		d.releases[service] = tracker.NewReleases()
+	case d.now >= r.search.askedAt+originRetryPeriod:
+		d.lookUp(r)
 	}
-	return d.releases[service]
 }
 
-// hasStewards reports whether the upstreams of a service have stewards. Those of others have
-// nobody who tells what this gateway has not seen.
+// hasStewards reports whether the upstreams of a service have stewards.
 func (d *Dispatcher) hasStewards(service registrar.ServiceName) bool {
 	return d.configuration != nil && d.configuration.Services[service].Engine != nil
 }
 
+// expectsStewards reports whether the upstreams of any service have stewards. Otherwise nobody
+// tells what this gateway has not seen, and what only the store remembers.
+func (d *Dispatcher) expectsStewards() bool {
+	if d.configuration == nil {
+		return false
+	}
+	for _, service := range d.configuration.Services {
+		if service.Engine != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // endSearch sends a request whose origin is unknown to the only release that may have
 // begun its stream. It refuses the request if there are several, or if there may be: a
 // gateway that has just started, or is cut off, does not see all of them.
 func (d *Dispatcher) endSearch(r *request) {
-	known := d.releasesOf(r.Service)
-	releases, certain := known.Recent(d.now), r.search.answered
-	if !d.hasStewards(r.Service) {
-		certain = known.Complete(d.now) && r.arrivedAt <= d.listConfirmedAt
-	}
+	releases := d.releases.Of(r.Service).Recent(d.now)
+	certain := r.search.answered || d.listSuffices(r) && r.arrivedAt <= d.listConfirmedAt
 	r.search = originSearch{}
 	if len(releases) > 1 || !certain {
 		r.lastCause = "the release that began the stream is unknown"
@@ -216,7 +275,7 @@
 		if r.search.until == 0 || r.stream() != absence.Stream {
 			continue
 		}
-		d.releasesOf(r.Service).See(d.now, absence.Releases)
+		d.releases.Of(r.Service).See(d.now, absence.Releases)
 		r.search.answered = true
 		r.search.absent++
 		if r.search.absent >= r.search.asked && (r.search.asks > 1 || r.Resumes == "") {
--- a/internal/dispatcher/resume_test.go
+++ b/internal/dispatcher/resume_test.go
@@ -98,7 +98,7 @@
 	h.requireSend(h.reduce(absence))
 }
 
-// Services without model runners have no stewards to ask.
+// The list tells the releases of a service without stewards, once it has been read for long.
 func TestStreamOfAPlainServiceIsResumedAtTheOnlyReleaseOfTheLastMinute(t *testing.T) {
 	h := newHarness(t)
 	h.listUpstreams(plainService, 2)
@@ -106,7 +106,10 @@
 		h.lastID++
 		return h.reduce(Arrived{Request{ID: h.lastID, AttemptID: "a", Route: route(registrar.Streaming, 2), Service: plainService, Deadline: h.now + 4*time.Second, Resumed: true}})
 	}
-	require.Equal(t, classifier.Orphaned, h.requireFail(resume()).Kind)
+	require.Equal(t, []Effect{ReadList{}}, resume())
+	require.Empty(t, h.reduce(ListConfirmed{h.now}), "others may have left before")
+	h.now += reporterTimeout
+	require.Equal(t, classifier.Orphaned, h.requireFail(h.reduce(Tick{})).Kind)
 	h.now += time.Hour
 	h.listUpstreams(plainService, 2)
 	require.Equal(t, []Effect{ReadList{}}, resume())
@@ -220,7 +223,7 @@
 	}
 	require.Empty(t, h.resume("a"))
 	h.now += 2 * originTimeout
-	require.Empty(t, h.reduce(Tick{}))
+	require.Equal(t, []Effect{ReadStreams{}}, h.reduce(Tick{}), "others may have written it meanwhile")
 	h.listReleases("v1", "v2")
 	h.now += originRetryPeriod
 	require.IsType(t, FindStream{}, h.reduce(Tick{})[0])
--- a/internal/dispatcher/resumehistory_test.go
+++ b/internal/dispatcher/resumehistory_test.go
@@ -28,6 +28,8 @@
 	streams  map[RequestID]tracker.StreamID
 	origins  map[tracker.StreamID]registrar.Release // of streams that have begun
 	open     []openStream
+	service  registrar.ServiceName
+	stored   []tracker.Origin // in the store, by gateways that heard no steward
 }
 
 // openStream is a send under way.
@@ -36,15 +38,17 @@
 	send    Send
 }
 
-func newStreamFleet(rt *rapid.T) *streamFleet {
-	f := &streamFleet{rt: rt, stewards: map[string]*tracker.Keeper{}, listed: 3, streams: map[RequestID]tracker.StreamID{}, origins: map[tracker.StreamID]registrar.Release{}}
+func newStreamFleet(rt *rapid.T, service registrar.ServiceName) *streamFleet {
+	f := &streamFleet{rt: rt, service: service, stewards: map[string]*tracker.Keeper{}, listed: 3, streams: map[RequestID]tracker.StreamID{}, origins: map[tracker.StreamID]registrar.Release{}}
 	for i := range 6 {
 		address := fmt.Sprintf("10.0.0.%d:80", i+1)
 		f.runners = append(f.runners, &registrar.Upstream{
-			ID: registrar.UpstreamID(fmt.Sprint("u", i)), Service: runnerService, Address: address, Domain: "a", State: registrar.Ready, Slots: 64,
+			ID: registrar.UpstreamID(fmt.Sprint("u", i)), Service: service, Address: address, Domain: "a", State: registrar.Ready, Slots: 64,
 			Release: registrar.Release(fmt.Sprint("v", i/3)), Residents: []registrar.ResidentModel{{Model: "m"}},
 		})
-		f.stewards[address] = tracker.NewKeeper()
+		if service == runnerService {
+			f.stewards[address] = tracker.NewKeeper()
+		}
 	}
 	for address := range f.stewards {
 		f.restartSteward(address)
@@ -67,18 +71,24 @@
 	f.readList(address)
 }
 
-// readList lets a steward read the list and what the store has of streams, which is nothing.
+// readList lets a steward read the list and what the store has of streams.
 func (f *streamFleet) readList(steward string) {
 	k := f.stewards[steward]
+	if k == nil {
+		return
+	}
 	k.Releases.List(f.now, f.list())
 	k.ConfirmList(f.now)
-	k.Load(f.now, f.now, nil)
+	k.Load(f.now, f.now, f.stored)
 }
 
 func (f *streamFleet) restart(g int) {
 	d := New(Config{Domain: "a", Seed: 5, RetryBudget: RetryBudget{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}})
-	engine := &registrar.Engine{Slots: 64, Models: map[registrar.ModelName]registrar.Model{"m": {Name: "m"}}}
-	d.Reduce(f.now, Configured{&registrar.Configuration{Services: map[registrar.ServiceName]registrar.Service{runnerService: {Name: runnerService, Engine: engine}}}})
+	service := registrar.Service{Name: f.service}
+	if f.service == runnerService {
+		service.Engine = &registrar.Engine{Slots: 64, Models: map[registrar.ModelName]registrar.Model{"m": {Name: "m"}}}
+	}
+	d.Reduce(f.now, Configured{&registrar.Configuration{Services: map[registrar.ServiceName]registrar.Service{f.service: service}}})
 	d.Reduce(f.now, UpstreamsListed{f.list()})
 	f.gateways[g] = d
 	f.open = slices.DeleteFunc(f.open, func(o openStream) bool { return o.gateway == g })
@@ -100,12 +110,28 @@
 					f.stewards[address].Streams.Record(f.now, ef.Origin)
 				}
 			}
+		case SaveStream:
+			if rapid.IntRange(0, 4).Draw(f.rt, "written") > 0 {
+				f.stored = append(f.stored, ef.Origin)
+			}
+		case ReadList:
+			if rapid.Bool().Draw(f.rt, "list read") {
+				if err := errors.Join(f.reduce(g, UpstreamsListed{f.list()}), f.reduce(g, ListConfirmed{f.now})); err != nil {
+					return err
+				}
+			}
+		case ReadStreams:
+			if rapid.Bool().Draw(f.rt, "store read") {
+				if err := f.reduce(g, StreamsRead{At: f.now, Origins: f.stored}); err != nil {
+					return err
+				}
+			}
 		case FindStream:
 			for _, address := range ef.Addresses {
 				if rapid.IntRange(0, 4).Draw(f.rt, "answered") == 0 {
 					continue
 				}
-				if err := f.ask(g, address, ef.Stream); err != nil {
+				if err := f.ask(g, address, ef); err != nil {
 					return err
 				}
 			}
@@ -115,9 +141,9 @@
 }
 
 // ask lets a steward answer a gateway's question. It may reach the store for that.
-func (f *streamFleet) ask(g int, address string, stream tracker.StreamID) error {
+func (f *streamFleet) ask(g int, address string, question FindStream) error {
 	k := f.stewards[address]
-	answer := k.Ask(f.now, stream)
+	answer := k.Ask(f.now, question.Service, question.Stream)
 	switch {
 	case answer.Origin != nil:
 		return f.reduce(g, StreamFound{*answer.Origin})
@@ -139,8 +165,8 @@
 }
 
 // runStreams plays a random history. A forgetful fleet takes resumptions for new streams.
-func runStreams(rt *rapid.T, forgetful bool) error {
-	f := newStreamFleet(rt)
+func runStreams(rt *rapid.T, service registrar.ServiceName, forgetful bool) error {
+	f := newStreamFleet(rt, service)
 	for range 100 {
 		f.now += time.Duration(rapid.IntRange(0, 100).Draw(rt, "ms")) * time.Millisecond
 		g := rapid.IntRange(0, len(f.gateways)-1).Draw(rt, "gateway")
@@ -148,9 +174,9 @@
 		switch step := rapid.IntRange(0, 14).Draw(rt, "step"); {
 		case step == 0:
 			f.restart(g)
-		case step == 1:
+		case step == 1 && len(f.stewards) > 0:
 			f.restartSteward(f.runners[rapid.IntRange(0, len(f.runners)-1).Draw(rt, "steward")].Address)
-		case step <= 3:
+		case step <= 3 && len(f.stewards) > 0:
 			for _, u := range f.list() {
 				err = errors.Join(err, f.reduce(g, Reported{Report{Address: u.Address, Residents: u.Residents, Gateways: 3}}))
 			}
@@ -190,9 +216,12 @@
 func (f *streamFleet) arrive(g int, stream tracker.StreamID, resumed bool) error {
 	f.lastID++
 	r := Request{
-		ID: f.lastID, AttemptID: fmt.Sprint("s", f.lastID), Route: route(registrar.Streaming, 3), Service: runnerService, Model: "m",
+		ID: f.lastID, AttemptID: fmt.Sprint("s", f.lastID), Route: route(registrar.Streaming, 3), Service: f.service,
 		Deadline: f.now + 4*time.Second, Resumed: resumed, Resumes: string(stream),
 	}
+	if f.service == runnerService {
+		r.Model = "m"
+	}
 	if stream == "" {
 		stream = tracker.StreamID(r.AttemptID)
 	}
@@ -201,11 +230,15 @@
 }
 
 func TestStreamsStayAtTheirReleaseInAllHistories(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) { require.NoError(rt, runStreams(rt, false)) })
+	for _, service := range []registrar.ServiceName{runnerService, plainService} {
+		rapid.Check(t, func(rt *rapid.T) { require.NoError(rt, runStreams(rt, service, false)) })
+	}
 }
 
 func TestMutantsThatForgetTheOriginOfStreamsAreCaught(t *testing.T) {
-	caught := false
-	rapid.Check(t, func(rt *rapid.T) { caught = caught || runStreams(rt, true) != nil })
-	require.True(t, caught)
+	for _, service := range []registrar.ServiceName{runnerService, plainService} {
+		caught := false
+		rapid.Check(t, func(rt *rapid.T) { caught = caught || runStreams(rt, service, true) != nil })
+		require.True(t, caught, service)
+	}
 }
--- a/internal/dispatcher/upstream.go
+++ b/internal/dispatcher/upstream.go
@@ -38,7 +38,7 @@
 // handleUpstreamsListed replaces the set of live upstreams. A new incarnation starts
 // without the report and statistics of its predecessor.
 func (d *Dispatcher) handleUpstreamsListed(all []*registrar.Upstream) {
-	d.listReleases(all)
+	d.releases.List(d.now, all)
 	for _, u := range d.upstreams {
 		u.listed = false
 	}
@@ -63,18 +63,6 @@
 	}
 }
 
-// listReleases records the releases of each service that are listed.
-func (d *Dispatcher) listReleases(all []*registrar.Upstream) {
-	byService := map[registrar.ServiceName][]*registrar.Upstream{}
-	for _, entry := range all {
-		byService[entry.Service] = append(byService[entry.Service], entry)
-		d.releasesOf(entry.Service)
-	}
-	for service, releases := range d.releases {
-		releases.List(d.now, byService[service])
-	}
-}
-
 // handleReport stores a report unless it is of another incarnation or older than the
 // last one.
 func (d *Dispatcher) handleReport(report Report) {
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/egretwall/egretwall/internal/observer"
 	"github.com/egretwall/egretwall/internal/registrar"
 	"github.com/egretwall/egretwall/internal/relayer"
+	"github.com/egretwall/egretwall/internal/tracker"
 )
 
 // Timing of gateways.
@@ -76,6 +77,7 @@
 	RetryBudget    dispatcher.RetryBudget
 	Store          Store
 	Verdicts       VerdictStore
+	Origins        OriginStore
 	HeaderCodec    relayer.HeaderCodec
 	ReadinessPath  string // URL path of health checks
 	AdminAddress   string // of the admin server
@@ -97,10 +99,12 @@
 	dispatcher       *dispatcher.Dispatcher
 	mailboxes        map[dispatcher.RequestID]*relayer.Mailbox
 	lastID           dispatcher.RequestID
-	keysConfirmed    bool            // as the dispatcher was told
-	listReceived     bool            // the upstream list has been received once
-	verdictsRead     bool            // the verdicts in the store have been read
-	liveAddresses    map[string]bool // of the live upstreams of configured services
+	keysConfirmed    bool // as the dispatcher was told
+	listReceived     bool // the upstream list has been received once
+	verdictsRead     bool // the verdicts in the store have been read
+	origins          *originLog
+	savedStreams     *tracker.Tracker // written to the store by this gateway
+	liveAddresses    map[string]bool  // of the live upstreams of configured services
 	stewardAddresses []netip.AddrPort
 
 	processor      *detector.Detector
@@ -129,6 +133,8 @@
 		processor: detector.New(detector.Config{Period: dispatcher.TickPeriod, Tolerance: max(minShortage, cfg.MaxApplyDelay/pollTurns)}),
 	}
 	setMemoryLimit(cfg.MemoryMB)
+	g.savedStreams = tracker.New()
+	g.origins = newGatewayOrigins(g)
 	g.dispatcher = dispatcher.New(dispatcher.Config{Domain: cfg.Domain, Seed: rand.Uint64(), RetryBudget: cfg.RetryBudget, Epoch: time.Now().UnixMilli()})
 	g.syncer.onConfiguration = func(c *registrar.Configuration) {
 		g.configuration.Store(c)
@@ -200,6 +206,8 @@
 	go g.syncer.run(ctx)
 	go g.messenger.Run(ctx)
 	go g.loadVerdicts(ctx)
+	go g.origins.runWrites(ctx)
+	go g.origins.runReads(ctx)
 	go g.runTicks(ctx)
 	select {
 	case err := <-errc:
--- a/internal/driver/malformed_test.go
+++ b/internal/driver/malformed_test.go
@@ -19,6 +19,7 @@
 	"github.com/egretwall/egretwall/internal/reconciler"
 	"github.com/egretwall/egretwall/internal/registrar"
 	"github.com/egretwall/egretwall/internal/relayer"
+	"github.com/egretwall/egretwall/internal/tracker"
 )
 
 // messagesSent is the number of random messages that each process gets.
@@ -53,9 +54,10 @@
 	const address = "10.0.0.1:80"
 	upstream := &registrar.Upstream{ID: "i-1", Service: "llm", Address: address, Incarnation: 7, State: registrar.Ready, Slots: 8}
 	configuration := &registrar.Configuration{Version: 1, Services: map[registrar.ServiceName]registrar.Service{"llm": {Name: "llm", Engine: &registrar.Engine{Slots: 8}}}}
+	syncer := newSyncer(&longPollStore{}, log.Logger, stewardPollTiming)
 	s := &Steward{
-		cfg: StewardConfig{RunnerAddress: address, Service: "llm", Log: log}, syncer: newSyncer(&longPollStore{}, log.Logger, stewardPollTiming), messenger: m,
-		reconciler: reconciler.New(reconciler.Config{Address: address}), limits: limiter.NewTable(), origins: newOriginKeeper(nil, log.Logger), verdicts: newVerdictKeeper(nil), quotas: apportioner.NewLedger(),
+		cfg: StewardConfig{RunnerAddress: address, Service: "llm", Log: log}, syncer: syncer, messenger: m,
+		reconciler: reconciler.New(reconciler.Config{Address: address}), limits: limiter.NewTable(), origins: newOriginKeeper("llm", syncer, nil, log.Logger), verdicts: newVerdictKeeper(nil), quotas: apportioner.NewLedger(),
 		gatewaySeenAt: map[netip.AddrPort]time.Duration{},
 	}
 	s.issuer = limiter.NewIssuer(s.limits)
@@ -64,7 +66,9 @@
 	g := &Gateway{
 		cfg: GatewayConfig{Log: log}, syncer: newSyncer(&longPollStore{}, log.Logger, stewardPollTiming), messenger: m,
 		dispatcher: dispatcher.New(dispatcher.Config{}), mailboxes: map[dispatcher.RequestID]*relayer.Mailbox{}, arrivedAt: map[dispatcher.RequestID]time.Duration{},
+		savedStreams: tracker.New(),
 	}
+	g.origins = newGatewayOrigins(g)
 	g.Reduce(dispatcher.Configured{Configuration: configuration})
 	g.Reduce(dispatcher.UpstreamsListed{Upstreams: []*registrar.Upstream{upstream}})
 	t.Cleanup(func() { require.NoError(t, log.Close()) })
--- a/internal/driver/origins.go
+++ b/internal/driver/origins.go
@@ -1,58 +1,53 @@
 package driver
 
 import (
-	"context"
-	"errors"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/messenger"
+	"github.com/egretwall/egretwall/internal/registrar"
 	"github.com/egretwall/egretwall/internal/tracker"
 	"github.com/egretwall/egretwall/internal/watcher"
 )
 
-// Timing and limits of what stewards keep of streams in the store.
-const (
-	originSavePeriod  = time.Second            // between writes; streams that began since are lost with all stewards
-	originLoadPeriod  = 150 * time.Millisecond // between reads, each of which answers all questions before it
-	originWriteDelay  = 100 * time.Millisecond // between writes while more wait; all stewards write at once when the store is restored
-	originsPerWrite   = 2000
-	originWatchTime   = 20 * time.Second // after a write, for which a restore of the store is looked for; streams hardly last longer
-	maxPendingOrigins = 20_000           // that wait to be written
-)
-
-// OriginStore keeps the origins of streams in the platform's store, so that they outlive
-// all stewards.
-type OriginStore interface {
-	// AppendOrigins writes origins.
-	AppendOrigins(ctx context.Context, origins []tracker.Origin) error
-	// ReadOrigins returns the origins that were written after a position and that the store
-	// still has, and the position after them. A position of an earlier era stands for the first
-	// record. The error is watcher.ErrExpired if the store has no such position.
-	ReadOrigins(ctx context.Context, after watcher.Position) ([]tracker.Origin, watcher.Position, error)
-}
-
 // originKeeper is a steward's knowledge of the streams that gateways have told it about.
-// While the service has several releases it writes it to the store, and reads there what
-// other stewards have written when it is asked for a stream that it does not know. Its fields
-// but store, logger and position are guarded by the steward's syncer.mu.
+// While a service has several releases it writes those of its streams to the store, and reads
+// there what others have written when it is asked for a stream that it does not know. It is
+// guarded by the steward's syncer.mu.
 type originKeeper struct {
 	*tracker.Keeper
-	store   OriginStore
-	logger  zerolog.Logger
-	saving  bool             // the service has several releases
-	pending []tracker.Origin // to be written
-	savedAt time.Duration    // when origins were last written
-	load    chan struct{}    // asks for the store to be read
+	log     *originLog
+	service registrar.ServiceName          // of the steward's runner
+	saving  map[registrar.ServiceName]bool // services with several releases
+}
 
-	position watcher.Position // in the store, after the origins that have been read
+func newOriginKeeper(service registrar.ServiceName, s *syncer, store OriginStore, logger zerolog.Logger) *originKeeper {
+	k := &originKeeper{Keeper: tracker.NewKeeper(), service: service, saving: map[registrar.ServiceName]bool{}}
+	k.log = newOriginLog(originLogConfig{
+		Store: store, Era: func() (watcher.Era, <-chan struct{}) { return s.store.Era() }, Logger: logger, Mu: &s.mu, Now: s.now, Watch: true,
+		Known: k.saved, Choose: k.choose,
+		Loaded: func(at time.Duration, origins []tracker.Origin) {
+			for i := range origins {
+				origins[i].Service = k.serviceOr(origins[i].Service)
+			}
+			k.Load(s.now(), at, origins)
+		},
+	})
+	return k
 }
 
-func newOriginKeeper(store OriginStore, logger zerolog.Logger) *originKeeper {
-	return &originKeeper{Keeper: tracker.NewKeeper(), store: store, logger: logger, load: make(chan struct{}, 1)}
+// serviceOr returns the service that a message or a record names. Those of earlier builds
+// name none and are of the steward's own.
+func (k *originKeeper) serviceOr(named registrar.ServiceName) registrar.ServiceName {
+	if named == "" {
+		return k.service
+	}
+	return named
 }
 
 // record stores an origin that a gateway told.
@@ -60,139 +55,44 @@
 	if _, known := k.Streams.Release(o.Stream); known {
 		return
 	}
+	o.Service = k.serviceOr(o.Service)
 	k.Streams.Record(now, o)
-	if k.saving {
-		k.setPending(append(k.pending, o))
-	}
-}
-
-// setPending sets the origins to be written, of which the last ones are kept.
-func (k *originKeeper) setPending(origins []tracker.Origin) {
-	k.pending = origins[max(0, len(origins)-maxPendingOrigins):]
-}
-
-// takePending returns origins to write now, of which the last ones come first. When the
-// service gets a second release, all that are known are to be written.
-func (k *originKeeper) takePending(now time.Duration) []tracker.Origin {
-	several := len(k.Releases.Recent(now)) > 1
-	if several && !k.saving {
-		k.setPending(k.Streams.Origins())
-	}
-	k.saving = several
-	n := max(0, len(k.pending)-originsPerWrite)
-	taken := slices.Clone(k.pending[n:])
-	k.pending = k.pending[:n]
-	return taken
-}
-
-// giveBack keeps origins whose write failed for the next one.
-func (k *originKeeper) giveBack(origins []tracker.Origin) {
-	k.setPending(append(origins, k.pending...))
-}
-
-// restored makes all origins that are known be written again, since the copy that the store
-// was restored from may lack those of its last seconds.
-func (k *originKeeper) restored() {
-	if k.saving {
-		k.setPending(k.Streams.Origins())
+	if k.saving[o.Service] {
+		k.log.add(o)
 	}
 }
 
-// keepOrigins writes origins, and once more when the store is restored, until ctx ends.
-func (s *Steward) keepOrigins(ctx context.Context) {
-	ticker := time.NewTicker(originSavePeriod)
-	defer ticker.Stop()
-	_, restored := s.cfg.Store.Era()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-restored:
-			_, restored = s.cfg.Store.Era()
-			s.syncer.mu.Lock()
-			s.origins.restored()
-			s.syncer.mu.Unlock()
-		case <-ticker.C:
-		}
-		for s.saveOrigins(ctx) {
-			pause(ctx, originWriteDelay)
-		}
+// choose returns the origins of the streams of services that have got a second release.
+func (k *originKeeper) choose(now time.Duration) []tracker.Origin {
+	added := map[registrar.ServiceName]bool{}
+	for service, releases := range k.Releases {
+		several := len(releases.Recent(now)) > 1
+		added[service] = several && !k.saving[service]
+		k.saving[service] = several
 	}
+	return k.originsOf(added)
 }
 
-// readOrigins reads origins when that is asked for, until ctx ends.
-func (s *Steward) readOrigins(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.origins.load:
-			s.loadOrigins(ctx)
-			pause(ctx, originLoadPeriod)
-		}
-	}
-}
-
-// saveOrigins writes origins once and reports whether to go on, since more wait.
-func (s *Steward) saveOrigins(ctx context.Context) bool {
-	s.syncer.mu.Lock()
-	taken := s.origins.takePending(s.syncer.now())
-	more := len(s.origins.pending) > 0
-	s.syncer.mu.Unlock()
-	if len(taken) == 0 {
-		s.watchStore()
-		return false
-	}
-	if err := s.origins.store.AppendOrigins(ctx, taken); err != nil {
-		s.origins.logger.Warn().Int("streams", len(taken)).Err(err).Msg("origins of streams not written")
-		s.syncer.mu.Lock()
-		s.origins.giveBack(taken)
-		s.syncer.mu.Unlock()
-		return false
-	}
-	s.syncer.mu.Lock()
-	s.origins.savedAt = s.syncer.now()
-	s.syncer.mu.Unlock()
-	return more
-}
-
-// watchStore makes the store be read while it must hold what this steward has written: any
-// answer tells whether it has been restored, and other calls to it may be seconds apart.
-func (s *Steward) watchStore() {
-	s.syncer.mu.Lock()
-	defer s.syncer.mu.Unlock()
-	if k := s.origins; k.saving && k.savedAt > 0 && s.syncer.now()-k.savedAt < originWatchTime {
-		wake(k.load)
-	}
-}
+// saved returns the origins that the store is to hold.
+func (k *originKeeper) saved() []tracker.Origin { return k.originsOf(k.saving) }
 
-func (s *Steward) loadOrigins(ctx context.Context) {
-	at := s.syncer.now()
-	origins, position, err := s.origins.store.ReadOrigins(ctx, s.origins.position)
-	if errors.Is(err, watcher.ErrExpired) {
-		s.origins.position = watcher.Position{}
-	}
-	if err != nil {
-		s.origins.logger.Warn().Err(err).Msg("origins of streams not read")
-		return
+func (k *originKeeper) originsOf(services map[registrar.ServiceName]bool) []tracker.Origin {
+	if !slices.Contains(slices.Collect(maps.Values(services)), true) {
+		return nil
 	}
-	s.origins.position = position
-	s.origins.logger.Info().Int("streams", len(origins)).Int64("offset", position.Offset).Msg("origins of streams read")
-	s.syncer.mu.Lock()
-	defer s.syncer.mu.Unlock()
-	s.origins.Load(s.syncer.now(), at, origins)
+	return slices.DeleteFunc(k.Streams.Origins(), func(o tracker.Origin) bool { return !services[o.Service] })
 }
 
-// tellOrigin tells a gateway which release began a stream, or that this is not known. If the
-// list or the store must be read for that, the gateway asks again. The caller holds
-// syncer.mu.
-func (s *Steward) tellOrigin(to netip.AddrPort, id tracker.StreamID) {
-	answer := s.origins.Ask(s.syncer.now(), id)
+// tellOrigin tells a gateway which release of a service began a stream, or that this is not
+// known. If the list or the store must be read for that, the gateway asks again. The caller
+// holds syncer.mu.
+func (s *Steward) tellOrigin(to netip.AddrPort, service registrar.ServiceName, id tracker.StreamID) {
+	answer := s.origins.Ask(s.syncer.now(), s.origins.serviceOr(service), id)
 	if answer.ReadList {
 		wake(s.syncer.listNow)
 	}
 	if answer.ReadStored {
-		wake(s.origins.load)
+		wake(s.origins.log.load)
 	}
 	if answer.Origin == nil && answer.Absence == nil {
 		return
@@ -204,3 +104,20 @@
 	}
 	s.messenger.Send(to, data)
 }
+
+// newGatewayOrigins returns the log of the streams that a gateway can tell no steward of, and
+// of those that it can ask no steward for.
+func newGatewayOrigins(g *Gateway) *originLog {
+	return newOriginLog(originLogConfig{
+		Store: g.cfg.Origins, Era: g.syncer.store.Era, Logger: g.cfg.Log.Logger, Mu: &g.syncer.mu, Now: g.syncer.now, Known: g.savedStreams.Origins,
+		Loaded: func(at time.Duration, origins []tracker.Origin) {
+			g.apply(dispatcher.StreamsRead{At: at, Origins: origins})
+		},
+	})
+}
+
+// saveOrigin writes an origin to the store with the next write. The caller holds syncer.mu.
+func (g *Gateway) saveOrigin(o tracker.Origin) {
+	g.savedStreams.Record(g.syncer.now(), o)
+	g.origins.add(o)
+}
--- a/internal/driver/origins_test.go
+++ b/internal/driver/origins_test.go
@@ -21,29 +21,32 @@
 // A service with one release costs no calls to the store. With the second one, streams that
 // began before are written too.
 func TestOriginsAreWrittenWhileThereAreSeveralReleases(t *testing.T) {
-	k := newOriginKeeper(nil, zerolog.Nop())
-	one, two := &registrar.Upstream{Release: "v1"}, &registrar.Upstream{Release: "v2"}
+	k := newOriginKeeper("llm", newSyncer(nil, zerolog.Nop(), stewardPollTiming), nil, zerolog.Nop())
+	one, two := &registrar.Upstream{Release: "v1", Service: "llm"}, &registrar.Upstream{Release: "v2", Service: "llm"}
 	k.Releases.List(0, []*registrar.Upstream{one})
-	a, b, c := tracker.Origin{Stream: "a", Release: "v1"}, tracker.Origin{Stream: "b", Release: "v2"}, tracker.Origin{Stream: "c", Release: "v2"}
+	a, b, c := tracker.Origin{Stream: "a", Release: "v1", Service: "llm"}, tracker.Origin{Stream: "b", Release: "v2", Service: "llm"}, tracker.Origin{Stream: "c", Release: "v2", Service: "llm"}
 	k.record(0, a)
-	require.Empty(t, k.takePending(0))
+	require.Empty(t, k.log.takePending(0))
 	k.Releases.List(time.Second, []*registrar.Upstream{one, two})
-	require.Equal(t, []tracker.Origin{a}, k.takePending(time.Second))
+	require.Equal(t, []tracker.Origin{a}, k.log.takePending(time.Second))
 	k.record(time.Second, b)
 	k.record(time.Second, b)
-	pending := k.takePending(2 * time.Second)
+	pending := k.log.takePending(2 * time.Second)
 	require.Equal(t, []tracker.Origin{b}, pending)
 	k.record(2*time.Second, c)
-	k.giveBack(pending)
-	require.Equal(t, []tracker.Origin{b, c}, k.takePending(3*time.Second), "written again after a failure")
+	k.log.giveBack(pending)
+	require.Equal(t, []tracker.Origin{b, c}, k.log.takePending(3*time.Second), "written again after a failure")
 	k.Releases.List(4*time.Second, []*registrar.Upstream{two})
 	k.record(4*time.Second, tracker.Origin{Stream: "d", Release: "v2"})
-	require.Len(t, k.takePending(4*time.Second), 1, "the release that is gone may have begun streams")
-	k.takePending(2 * time.Minute)
+	require.Len(t, k.log.takePending(4*time.Second), 1, "the release that is gone may have begun streams")
+	k.log.takePending(2 * time.Minute)
 	k.record(2*time.Minute, tracker.Origin{Stream: "e", Release: "v2"})
-	require.Empty(t, k.takePending(2*time.Minute))
+	require.Empty(t, k.log.takePending(2*time.Minute))
 }
 
+// twoReleases are upstreams of a service.
+var twoReleases = []*registrar.Upstream{{Release: "v1", Service: "llm"}, {Release: "v2", Service: "llm"}}
+
 // countingOrigins is an OriginStore without origins that takes readTime for a read.
 type countingOrigins struct {
 	OriginStore
@@ -63,9 +66,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		store := &countingOrigins{}
-		s := &Steward{syncer: newSyncer(nil, zerolog.Nop(), stewardPollTiming), origins: newOriginKeeper(store, zerolog.Nop())}
-		s.origins.Releases.List(0, []*registrar.Upstream{{Release: "v1"}, {Release: "v2"}})
-		go s.readOrigins(ctx)
+		syncer := newSyncer(nil, zerolog.Nop(), stewardPollTiming)
+		k := newOriginKeeper("llm", syncer, store, zerolog.Nop())
+		k.Releases.List(0, twoReleases)
+		go k.log.runReads(ctx)
 		var unanswered atomic.Int32
 		const streams, asks = 200, 6 // a gateway asks for 400 ms, each 60 ms
 		for i := range streams {
@@ -73,14 +77,14 @@
 				time.Sleep(time.Duration(i) * time.Second / streams)
 				id := tracker.StreamID(fmt.Sprint(i))
 				for range asks {
-					s.syncer.mu.Lock()
-					now := s.syncer.now()
-					s.origins.ConfirmList(now)
-					answer := s.origins.Ask(now, id)
+					syncer.mu.Lock()
+					now := syncer.now()
+					k.ConfirmList(now)
+					answer := k.Ask(now, "llm", id)
 					if answer.ReadStored {
-						wake(s.origins.load)
+						wake(k.log.load)
 					}
-					s.syncer.mu.Unlock()
+					syncer.mu.Unlock()
 					if answer.Absence != nil {
 						return
 					}
@@ -148,14 +152,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		store := &restoringOrigins{EraTracker: watcher.NewEraTracker(), limit: 100}
-		s := &Steward{cfg: StewardConfig{Store: store}, syncer: newSyncer(store, zerolog.Nop(), stewardPollTiming), origins: newOriginKeeper(store, zerolog.Nop())}
-		s.origins.Releases.List(0, []*registrar.Upstream{{Release: "v1"}, {Release: "v2"}})
-		go s.keepOrigins(ctx)
+		syncer := newSyncer(store, zerolog.Nop(), stewardPollTiming)
+		k := newOriginKeeper("llm", syncer, store, zerolog.Nop())
+		k.Releases.List(0, twoReleases)
+		go k.log.runWrites(ctx)
 		const streams = 5*originsPerWrite + 1
 		for i := range streams {
-			s.syncer.mu.Lock()
-			s.origins.record(0, tracker.Origin{Stream: tracker.StreamID(fmt.Sprint(i)), Release: "v1"})
-			s.syncer.mu.Unlock()
+			syncer.mu.Lock()
+			k.record(0, tracker.Origin{Stream: tracker.StreamID(fmt.Sprint(i)), Release: "v1"})
+			syncer.mu.Unlock()
 		}
 		for era, limit := range []int{100, 100, 100, 3} {
 			if era > 0 {
@@ -180,17 +185,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		store := &countingOrigins{}
-		k := newOriginKeeper(store, zerolog.Nop())
-		s := &Steward{cfg: StewardConfig{Store: &restoringOrigins{EraTracker: watcher.NewEraTracker()}}, syncer: newSyncer(nil, zerolog.Nop(), stewardPollTiming), origins: k}
-		k.Releases.List(0, []*registrar.Upstream{{Release: "v1"}, {Release: "v2"}})
-		go s.keepOrigins(ctx)
-		go s.readOrigins(ctx)
+		syncer := newSyncer(&restoringOrigins{EraTracker: watcher.NewEraTracker()}, zerolog.Nop(), stewardPollTiming)
+		k := newOriginKeeper("llm", syncer, store, zerolog.Nop())
+		k.Releases.List(0, twoReleases)
+		go k.log.runWrites(ctx)
+		go k.log.runReads(ctx)
 		time.Sleep(10 * originSavePeriod)
 		require.Zero(t, store.reads.Load(), "the store holds nothing of this steward")
-		s.syncer.mu.Lock()
-		k.takePending(s.syncer.now())
-		k.record(s.syncer.now(), tracker.Origin{Stream: "a", Release: "v1"})
-		s.syncer.mu.Unlock()
+		syncer.mu.Lock()
+		k.record(syncer.now(), tracker.Origin{Stream: "a", Release: "v1"})
+		syncer.mu.Unlock()
 		time.Sleep(10 * originSavePeriod)
 		require.GreaterOrEqual(t, int(store.reads.Load()), 8, "each second")
 		time.Sleep(2 * originWatchTime)
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -112,7 +112,11 @@
 		case dispatcher.RecordStream:
 			g.send(g.stewardsAt(ef.Addresses), messenger.Message{Origin: &ef.Origin, Version: g.syncer.version()})
 		case dispatcher.FindStream:
-			g.send(g.stewardsAt(ef.Addresses), messenger.Message{Stream: ef.Stream, Version: g.syncer.version()})
+			g.send(g.stewardsAt(ef.Addresses), messenger.Message{Stream: ef.Stream, Service: ef.Service, Version: g.syncer.version()})
+		case dispatcher.SaveStream:
+			g.saveOrigin(ef.Origin)
+		case dispatcher.ReadStreams:
+			wake(g.origins.load)
 		case dispatcher.ReportCrash:
 			g.send(g.stewardsAt(ef.Addresses), messenger.Message{Crash: &ef.Crash, Version: g.syncer.version()})
 		case dispatcher.ProbeUpstream:
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -99,7 +99,7 @@
 	}
 	setMemoryLimit(cfg.MemoryMB)
 	s.issuer = limiter.NewIssuer(s.limits)
-	s.origins = newOriginKeeper(cfg.Origins, cfg.Log.Logger)
+	s.origins = newOriginKeeper(cfg.Service, s.syncer, cfg.Origins, cfg.Log.Logger)
 	s.verdicts = newVerdictKeeper(cfg.Verdicts)
 	s.quotas = apportioner.NewLedger()
 	s.reconciler = reconciler.New(reconciler.Config{Address: cfg.RunnerAddress, Holder: cfg.Name, Window: cfg.LoadWindow})
@@ -152,7 +152,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var g sync.WaitGroup
-	for _, run := range []func(context.Context){s.syncer.run, s.messenger.Run, s.acquireFence, s.pollRunner, s.sendOrders, s.keepOrigins, s.readOrigins, s.judge, s.keepVerdicts} {
+	for _, run := range []func(context.Context){s.syncer.run, s.messenger.Run, s.acquireFence, s.pollRunner, s.sendOrders, s.origins.log.runWrites, s.origins.log.runReads, s.judge, s.keepVerdicts} {
 		g.Go(func() { run(ctx) })
 	}
 	errc := make(chan error, 2)
@@ -283,7 +283,7 @@
 	if incarnation > s.incarnation {
 		s.incarnation, s.pausedUntil = incarnation, 0 // a pause holds for the incarnation that asked for it
 	}
-	s.origins.Releases.List(s.syncer.now(), all)
+	s.origins.Releases.List(s.syncer.now(), s.syncer.registrar.All())
 	s.apply(reconciler.RunnersListed{Upstreams: all})
 }
 
@@ -322,7 +322,7 @@
 		s.origins.record(s.syncer.now(), *m.Origin)
 	}
 	if m.Stream != "" {
-		s.tellOrigin(from, m.Stream)
+		s.tellOrigin(from, m.Service, m.Stream)
 	}
 	s.gatewaySeenAt[from] = s.syncer.now()
 	s.issueTokens(from, m)
--- a/internal/driver/steward_test.go
+++ b/internal/driver/steward_test.go
@@ -42,7 +42,7 @@
 		require.NoError(t, err)
 		s := &Steward{
 			cfg: StewardConfig{Runner: runner, RunnerAddress: address, Service: "llm", Log: log}, syncer: newSyncer(&longPollStore{}, log.Logger, stewardPollTiming),
-			reconciler: reconciler.New(reconciler.Config{Address: address}), pollNow: make(chan struct{}, 1), limits: limiter.NewTable(), origins: newOriginKeeper(nil, log.Logger), verdicts: newVerdictKeeper(nil),
+			reconciler: reconciler.New(reconciler.Config{Address: address}), pollNow: make(chan struct{}, 1), limits: limiter.NewTable(), origins: newOriginKeeper("llm", newSyncer(nil, log.Logger, stewardPollTiming), nil, log.Logger), verdicts: newVerdictKeeper(nil),
 		}
 		s.syncer.onList = s.refreshRunners
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -44,25 +44,26 @@
 // TokenAnswer and Leaving is set;
 // Verdicts may come alone too.
 type Message struct {
-	Sender           string               `json:"name" cbor:"1,keyasint"`                          // name of the sending process
-	Demands          *PackedDemands       `json:"demands,omitempty" cbor:"2,keyasint,omitempty"`   // from a gateway, periodically
-	RequestedAdapter *registrar.AdapterID `json:"wanted,omitempty" cbor:"3,keyasint,omitempty"`    // from a gateway; adapter that a request waits for
-	Report           *dispatcher.Report   `json:"report,omitempty" cbor:"4,keyasint,omitempty"`    // from a steward
-	Version          registrar.Version    `json:"version,omitempty" cbor:"5,keyasint,omitempty"`   // of the sender's configuration in force
-	PermitRequest    *limiter.Request     `json:"ask,omitempty" cbor:"6,keyasint,omitempty"`       // from a gateway
-	Permits          *limiter.Permits     `json:"permits,omitempty" cbor:"7,keyasint,omitempty"`   // from a steward, the answer to PermitRequest
-	Limits           []limiter.Limit      `json:"limits,omitempty" cbor:"8,keyasint,omitempty"`    // from a steward, with some reports
-	Origin           *tracker.Origin      `json:"origin,omitempty" cbor:"9,keyasint,omitempty"`    // from a gateway, and from a steward that knows Stream
-	Stream           tracker.StreamID     `json:"stream,omitempty" cbor:"10,keyasint,omitempty"`   // from a gateway that asks for its origin
-	Absence          *tracker.Absence     `json:"absence,omitempty" cbor:"11,keyasint,omitempty"`  // from a steward that does not know Stream
-	Crash            *isolator.Crash      `json:"crash,omitempty" cbor:"12,keyasint,omitempty"`    // from a gateway
-	Suspects         []isolator.Trait     `json:"suspects,omitempty" cbor:"13,keyasint,omitempty"` // from a steward that asks whether they have been answered
-	Answered         []isolator.Trait     `json:"answered,omitempty" cbor:"14,keyasint,omitempty"` // from a gateway, of Suspects
-	Verdicts         []isolator.Verdict   `json:"verdicts,omitempty" cbor:"15,keyasint,omitempty"` // from a steward, with some reports and with Suspects
-	TokenRequest     *apportioner.Request `json:"tokens,omitempty" cbor:"16,keyasint,omitempty"`   // from a gateway
-	TokenAnswer      *apportioner.Answer  `json:"issued,omitempty" cbor:"17,keyasint,omitempty"`   // from a steward, the answer to TokenRequest
-	Leaving          bool                 `json:"leaving,omitempty" cbor:"18,keyasint,omitempty"`  // from a gateway that shuts down
-	Paces            PackedPaces          `json:"paces,omitempty" cbor:"19,keyasint,omitempty"`    // from a gateway, with Demands
+	Sender           string                `json:"name" cbor:"1,keyasint"`                          // name of the sending process
+	Demands          *PackedDemands        `json:"demands,omitempty" cbor:"2,keyasint,omitempty"`   // from a gateway, periodically
+	RequestedAdapter *registrar.AdapterID  `json:"wanted,omitempty" cbor:"3,keyasint,omitempty"`    // from a gateway; adapter that a request waits for
+	Report           *dispatcher.Report    `json:"report,omitempty" cbor:"4,keyasint,omitempty"`    // from a steward
+	Version          registrar.Version     `json:"version,omitempty" cbor:"5,keyasint,omitempty"`   // of the sender's configuration in force
+	PermitRequest    *limiter.Request      `json:"ask,omitempty" cbor:"6,keyasint,omitempty"`       // from a gateway
+	Permits          *limiter.Permits      `json:"permits,omitempty" cbor:"7,keyasint,omitempty"`   // from a steward, the answer to PermitRequest
+	Limits           []limiter.Limit       `json:"limits,omitempty" cbor:"8,keyasint,omitempty"`    // from a steward, with some reports
+	Origin           *tracker.Origin       `json:"origin,omitempty" cbor:"9,keyasint,omitempty"`    // from a gateway, and from a steward that knows Stream
+	Stream           tracker.StreamID      `json:"stream,omitempty" cbor:"10,keyasint,omitempty"`   // from a gateway that asks for its origin
+	Absence          *tracker.Absence      `json:"absence,omitempty" cbor:"11,keyasint,omitempty"`  // from a steward that does not know Stream
+	Crash            *isolator.Crash       `json:"crash,omitempty" cbor:"12,keyasint,omitempty"`    // from a gateway
+	Suspects         []isolator.Trait      `json:"suspects,omitempty" cbor:"13,keyasint,omitempty"` // from a steward that asks whether they have been answered
+	Answered         []isolator.Trait      `json:"answered,omitempty" cbor:"14,keyasint,omitempty"` // from a gateway, of Suspects
+	Verdicts         []isolator.Verdict    `json:"verdicts,omitempty" cbor:"15,keyasint,omitempty"` // from a steward, with some reports and with Suspects
+	TokenRequest     *apportioner.Request  `json:"tokens,omitempty" cbor:"16,keyasint,omitempty"`   // from a gateway
+	TokenAnswer      *apportioner.Answer   `json:"issued,omitempty" cbor:"17,keyasint,omitempty"`   // from a steward, the answer to TokenRequest
+	Leaving          bool                  `json:"leaving,omitempty" cbor:"18,keyasint,omitempty"`  // from a gateway that shuts down
+	Paces            PackedPaces           `json:"paces,omitempty" cbor:"19,keyasint,omitempty"`    // from a gateway, with Demands
+	Service          registrar.ServiceName `json:"service,omitempty" cbor:"20,keyasint,omitempty"`  // from a gateway, of Stream; that of the steward's runner if it is empty
 }
 
 // Config configures a Messenger. Run calls Handle for each message that it receives.
--- a/internal/tracker/keeper.go
+++ b/internal/tracker/keeper.go
@@ -12,12 +12,13 @@
 	maxQuestions   = 10_000
 )
 
-// Keeper is what a steward knows of the streams of its service. Its answers depend only on
+// Keeper is what a steward knows of the streams of its service, and of services whose upstreams
+// have no stewards. Its answers depend only on
 // what was true when a question came or later: a steward that was cut off, or stood still, may
 // not have seen yet which releases have joined. It is not safe for concurrent use.
 type Keeper struct {
 	Streams  *Tracker
-	Releases *Releases
+	Releases Services
 
 	stored          bool          // the origins in the store have been read
 	storedAt        time.Duration // as of which they are known
@@ -32,7 +33,7 @@
 
 // NewKeeper returns a keeper that knows nothing.
 func NewKeeper() *Keeper {
-	return &Keeper{Streams: New(), Releases: NewReleases(), questions: map[StreamID]question{}}
+	return &Keeper{Streams: New(), Releases: Services{}, questions: map[StreamID]question{}}
 }
 
 // ConfirmList records that Releases tells the list as it was at a time or later.
@@ -46,7 +47,7 @@
 	k.stored, k.storedAt = true, max(k.storedAt, at)
 	for _, o := range origins {
 		k.Streams.Record(now, o)
-		k.Releases.See(now, []registrar.Release{o.Release})
+		k.Releases.Of(o.Service).See(now, []registrar.Release{o.Release})
 	}
 }
 
@@ -59,27 +60,28 @@
 	ReadStored bool // the origins in the store must be read
 }
 
-// Ask answers the question which release began a stream. Between several
+// Ask answers the question which release of a service began a stream. Between several
 // releases, an earlier read of the store does not prove that a stream is unknown: the stewards
 // that were told of it may have written it since and be gone. The store is read anew only when
 // the question is repeated, since a steward that knows the stream answers the first one.
-func (k *Keeper) Ask(now time.Duration, id StreamID) Answer {
+func (k *Keeper) Ask(now time.Duration, service registrar.ServiceName, id StreamID) Answer {
 	if release, known := k.Streams.Release(id); known {
 		delete(k.questions, id)
-		return Answer{Origin: &Origin{Stream: id, Release: release}}
+		return Answer{Origin: &Origin{Stream: id, Release: release, Service: service}}
 	}
+	releases := k.Releases.Of(service)
 	q, repeated := k.ask(now, id)
 	a := Answer{ReadList: k.listConfirmedAt < q.askedAt}
 	missing := false
 	switch {
-	case k.onlyRelease(now):
+	case releases.Only(now): // whatever the store holds
 	case !k.stored:
 		missing, a.ReadStored = true, true
-	case k.storedAt < q.askedAt && len(k.Releases.Recent(now)) > 1:
+	case k.storedAt < q.askedAt && len(releases.Recent(now)) > 1:
 		missing, a.ReadStored = true, repeated
 	}
 	if !a.ReadList && !missing {
-		a.Absence = &Absence{Stream: id, Releases: k.Releases.Recent(now)}
+		a.Absence = &Absence{Stream: id, Releases: releases.Recent(now)}
 	}
 	return a
 }
@@ -104,9 +106,3 @@
 	k.questions[id] = q
 	return q, false
 }
-
-// onlyRelease reports whether one release alone may have begun streams, whatever the store
-// holds.
-func (k *Keeper) onlyRelease(now time.Duration) bool {
-	return k.Releases.Complete(now) && len(k.Releases.Recent(now)) == 1
-}
--- a/internal/tracker/keeper_test.go
+++ b/internal/tracker/keeper_test.go
@@ -9,12 +9,14 @@
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
+const service registrar.ServiceName = "llm"
+
 // keeperOf returns a keeper that has read the store and lists upstreams of releases.
 func keeperOf(releases ...registrar.Release) *Keeper {
 	k := NewKeeper()
 	var all []*registrar.Upstream
 	for _, r := range releases {
-		all = append(all, &registrar.Upstream{Release: r})
+		all = append(all, &registrar.Upstream{Release: r, Service: service})
 	}
 	k.Releases.List(0, all)
 	k.Load(0, 0, nil)
@@ -28,12 +30,12 @@
 	for loss := range 3 {
 		at, stream := time.Duration(1+loss)*time.Minute, StreamID(string(rune('a'+loss)))
 		k.ConfirmList(at)
-		require.Equal(t, Answer{}, k.Ask(at, stream), "another steward may know it")
+		require.Equal(t, Answer{}, k.Ask(at, service, stream), "another steward may know it")
 		at += 60 * time.Millisecond
-		require.Equal(t, Answer{ReadStored: true}, k.Ask(at, stream))
-		k.Load(at, at, []Origin{{stream, "v2"}})
+		require.Equal(t, Answer{ReadStored: true}, k.Ask(at, service, stream))
+		k.Load(at, at, []Origin{{stream, "v2", service}})
 		at += 60 * time.Millisecond
-		require.Equal(t, Answer{Origin: &Origin{stream, "v2"}}, k.Ask(at, stream))
+		require.Equal(t, Answer{Origin: &Origin{stream, "v2", service}}, k.Ask(at, service, stream))
 	}
 }
 
@@ -42,11 +44,11 @@
 	k := keeperOf("v1", "v2")
 	for _, at := range []time.Duration{time.Minute, time.Minute + time.Second} {
 		k.ConfirmList(at)
-		require.Equal(t, Answer{}, k.Ask(at, "a"))
+		require.Equal(t, Answer{}, k.Ask(at, service, "a"))
 		k.Load(at, at-time.Millisecond, nil)
-		require.Equal(t, Answer{ReadStored: true}, k.Ask(at+60*time.Millisecond, "a"), "that read began before the question")
+		require.Equal(t, Answer{ReadStored: true}, k.Ask(at+60*time.Millisecond, service, "a"), "that read began before the question")
 		k.Load(at, at, nil)
-		answer := k.Ask(at+120*time.Millisecond, "a")
+		answer := k.Ask(at+120*time.Millisecond, service, "a")
 		require.NotNil(t, answer.Absence)
 		require.ElementsMatch(t, []registrar.Release{"v1", "v2"}, answer.Absence.Releases)
 	}
@@ -56,5 +58,5 @@
 func TestStoreIsNotReadAnewWithASingleRelease(t *testing.T) {
 	k := keeperOf("v1")
 	k.ConfirmList(time.Second)
-	require.NotNil(t, k.Ask(time.Second, "a").Absence)
+	require.NotNil(t, k.Ask(time.Second, service, "a").Absence)
 }
--- a/internal/tracker/releases.go
+++ b/internal/tracker/releases.go
@@ -54,6 +54,11 @@
 	return r.known && now-r.since >= releaseMemory
 }
 
+// Only reports whether one release alone may have begun streams.
+func (r *Releases) Only(now time.Duration) bool {
+	return r.Complete(now) && len(r.Recent(now)) == 1
+}
+
 // Recent returns the releases that are listed or were within releaseMemory.
 func (r *Releases) Recent(now time.Duration) []registrar.Release {
 	recent := slices.Clone(r.listed)
@@ -64,3 +69,26 @@
 	}
 	return recent
 }
+
+// Services tells the releases of each service. It is not safe for concurrent use.
+type Services map[registrar.ServiceName]*Releases
+
+// Of returns the releases of a service.
+func (s Services) Of(service registrar.ServiceName) *Releases {
+	if s[service] == nil {
+		s[service] = NewReleases()
+	}
+	return s[service]
+}
+
+// List replaces the releases of the upstreams that are listed, of all services.
+func (s Services) List(now time.Duration, upstreams []*registrar.Upstream) {
+	byService := map[registrar.ServiceName][]*registrar.Upstream{}
+	for _, u := range upstreams {
+		byService[u.Service] = append(byService[u.Service], u)
+		s.Of(u.Service)
+	}
+	for service, releases := range s {
+		releases.List(now, byService[service])
+	}
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -8,10 +8,13 @@
 //	release, ok := t.Release("59f24632afe5ceab")
 //
 // A gateway records the streams that it has begun and tells two stewards, which it chooses
-// by rendezvous hashing of the stream. A gateway that does not know a stream asks them.
+// by rendezvous hashing of the stream, or writes them to the platform's store if no steward
+// reports. A gateway that does not know a stream asks them, or reads them there.
 package tracker
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/egretwall/egretwall/internal/registrar"
@@ -25,11 +28,12 @@
 // StreamID identifies a stream by the caller's attempt that brought its first event.
 type StreamID string
 
-// Origin says which release began a stream. It is sent between processes with the numbers
-// of the cbor tags for names.
+// Origin says which release of a service began a stream. It is sent between processes with
+// the numbers of the cbor tags for names.
 type Origin struct {
-	Stream  StreamID          `json:"stream" cbor:"1,keyasint"`
-	Release registrar.Release `json:"release" cbor:"2,keyasint"`
+	Stream  StreamID              `json:"stream" cbor:"1,keyasint"`
+	Release registrar.Release     `json:"release" cbor:"2,keyasint"`
+	Service registrar.ServiceName `json:"service,omitempty" cbor:"3,keyasint,omitempty"` // empty from earlier builds
 }
 
 // Absence says that a steward does not know a stream, and which releases may have begun it.
@@ -41,41 +45,35 @@
 // Tracker holds the origins of streams for generationTime. It is not safe for concurrent
 // use.
 type Tracker struct {
-	current, previous map[StreamID]registrar.Release
+	current, previous map[StreamID]Origin
 	rotatedAt         time.Duration
 }
 
 // New returns a tracker without streams.
 func New() *Tracker {
-	return &Tracker{current: map[StreamID]registrar.Release{}}
+	return &Tracker{current: map[StreamID]Origin{}}
 }
 
 // Record stores an origin. The first one of a stream stays.
 func (t *Tracker) Record(now time.Duration, o Origin) {
 	if now-t.rotatedAt >= generationTime || len(t.current) >= maxStreams {
-		t.previous, t.current, t.rotatedAt = t.current, map[StreamID]registrar.Release{}, now
+		t.previous, t.current, t.rotatedAt = t.current, map[StreamID]Origin{}, now
 	}
 	if _, known := t.Release(o.Stream); !known {
-		t.current[o.Stream] = o.Release
+		t.current[o.Stream] = o
 	}
 }
 
 // Release returns the release that began a stream, and false if it is not known.
 func (t *Tracker) Release(id StreamID) (registrar.Release, bool) {
-	if release, ok := t.current[id]; ok {
-		return release, true
+	if o, ok := t.current[id]; ok {
+		return o.Release, true
 	}
-	release, ok := t.previous[id]
-	return release, ok
+	o, ok := t.previous[id]
+	return o.Release, ok
 }
 
-// Origins returns the origins of all streams, in no order.
+// Origins returns the origins of all streams, those of the current generation last.
 func (t *Tracker) Origins() []Origin {
-	all := make([]Origin, 0, len(t.current)+len(t.previous))
-	for _, generation := range []map[StreamID]registrar.Release{t.previous, t.current} {
-		for id, release := range generation {
-			all = append(all, Origin{id, release})
-		}
-	}
-	return all
+	return slices.AppendSeq(slices.Collect(maps.Values(t.previous)), maps.Values(t.current))
 }
