--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -32,6 +32,9 @@
 	answerMargin           = 200 * time.Millisecond // before the end of the drain, for the last answers to reach their callers
 )
 
+// maxHealthHeader is the size limit of the headers of a health check, in bytes.
+const maxHealthHeader = 8 << 10
+
 // pollTurns is the number of times that a call to the store waits for the processor, with a
 // margin for what has been taken in when a shortage is found.
 const pollTurns = 24
@@ -197,7 +200,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	health := &http.Server{Handler: http.HandlerFunc(g.serveHealth), ReadHeaderTimeout: time.Second}
+	health := &http.Server{Handler: http.HandlerFunc(g.serveHealth), ReadHeaderTimeout: time.Second, MaxHeaderBytes: maxHealthHeader}
 	errc := make(chan error, 4)
 	go func() { errc <- health.Serve(g.healthListener) }()
 	go func() { errc <- g.relayer.Serve(g.callerListener) }()
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -39,6 +39,7 @@
 	afterParameter    = "after"
 	contentTypeCBOR   = "application/cbor"
 	maxRecordBytes    = 16 << 20 // of a record as it is sent, uncompressed
+	maxHeaderBytes    = 16 << 10 // of a request or a response
 	partBytes         = 32 << 10 // written within CallTimeout
 )
 
@@ -80,7 +81,7 @@
 	s := &Server{cfg: cfg, listener: l}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+configurationPath, s.serveConfiguration)
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: CallTimeout, IdleTimeout: CallTimeout}
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: CallTimeout, IdleTimeout: CallTimeout, MaxHeaderBytes: maxHeaderBytes}
 	return s, nil
 }
 
@@ -187,7 +188,7 @@
 	if err != nil {
 		return Record{}, err
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}} // decompresses the body
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}} // decompresses the body
 	p := puller.New(puller.Config{Client: client, Timeout: CallTimeout, MaxBytes: maxRecordBytes})
 	resp, err := p.Pull(req, puller.Options{Progress: func([]byte) {
 		if r.Progress != nil {
--- a/internal/puller/puller.go
+++ b/internal/puller/puller.go
@@ -26,6 +26,9 @@
 // partBytes is the size of the parts in which a body is read.
 const partBytes = 32 << 10
 
+// maxFirstBuffer bounds what is allocated for a body before it comes.
+const maxFirstBuffer = 1 << 20
+
 // ErrTooLarge is wrapped by the error for a body of more than MaxBytes.
 var ErrTooLarge = errors.New("response is too large")
 
@@ -98,7 +101,7 @@
 		return nil, fmt.Errorf("%w: %d bytes", ErrTooLarge, resp.ContentLength)
 	}
 	headerAt := time.Now()
-	body = make([]byte, 0, max(partBytes, resp.ContentLength+1)) // one more for the read that returns EOF
+	body = make([]byte, 0, max(partBytes, min(resp.ContentLength+1, maxFirstBuffer))) // one more for the read that returns EOF
 	for {
 		if o.Progress != nil {
 			o.Progress(body)
--- a/internal/puller/puller_test.go
+++ b/internal/puller/puller_test.go
@@ -115,3 +115,17 @@
 		require.ErrorIs(t, err, context.Canceled)
 	})
 }
+
+// A peer that announced a long body made a process hold its size before a byte came.
+func TestAnnouncedLengthIsNotAllocated(t *testing.T) {
+	const announced = 15 << 20
+	synctest.Test(t, func(t *testing.T) {
+		server := slowServer{length: announced}
+		p := New(Config{Client: &http.Client{Transport: server}, Timeout: time.Second, MaxBytes: 16 << 20})
+		req, err := http.NewRequest(http.MethodGet, "http://store/", nil)
+		require.NoError(t, err)
+		resp, err := p.Pull(req, Options{})
+		require.NoError(t, err)
+		require.LessOrEqual(t, cap(resp.Body), maxFirstBuffer)
+	})
+}
