Count all that upstreams send, and end whoever fills the memory

Cause: each response had a bound, but what was held of events (up to 1 MiB) and of headers did not stand on the account that bounds all of them together. What filled the account stayed until its deadline, and what came next was refused, also of other services.

Change: headers and events are taken from the account before they are held, like bodies; connections to upstreams count. Incomplete answers have half of the room, an eighth while requests lack room. The largest incomplete message of the sender that holds most is ended first: an answer, an event, a head or a body of a request. Headers of a response have 1,024 lines at most. Delivered events are not copied.

Ruled out: that a single response exceeds its bound, and the buffers of connections.

--- a/internal/budgeter/account.go
+++ b/internal/budgeter/account.go
@@ -9,9 +9,9 @@
 //	if !a.Take(budgeter.Stream, len(events)) { stopReading() }
 //
 // One account counts all bytes that the process holds. What is worth least is turned away
-// first: events beyond a share of the memory, which wait at their upstream, then new
-// requests, the large and the less urgent first, and at last answers, for which an upstream
-// has worked. Nothing that was taken in is dropped for something else.
+// first: events and parts of answers beyond a share of the memory, which wait at their
+// upstream, then new requests, the large and the less urgent first, and at last answers, for
+// which an upstream has worked. Nothing that is complete is dropped for something else.
 //
 // An account has no clock, network or goroutines and is not safe for concurrent use.
 package budgeter
@@ -27,12 +27,17 @@
 	Request Purpose = "request" // requests of callers until no upstream needs them any more
 	Stream  Purpose = "stream"  // events that their callers have not read
 	Answer  Purpose = "answer"  // plain answers of upstreams until they are written
+	// Incoming is for what has come of answers, and of events, that are not complete.
+	Incoming Purpose = "incoming"
 )
 
 // Sizes of what a gateway holds beside the bytes of callers and upstreams.
 const (
 	ConnectionSize Bytes = 16 << 10 // buffers and stacks of a caller's connection
 	RequestSize    Bytes = 24 << 10 // buffers and stacks of an open request
+	UpstreamSize   Bytes = 8 << 10  // buffers of a connection to an upstream
+
+	maxSmallRequest = 2 * RequestSize
 )
 
 // Parts of the memory of a process.
@@ -55,9 +60,14 @@
 const (
 	eighths            = 8
 	requestPart        = 6 // by all that is held with a request of the most urgent priority
+	largeRequestPart   = 5 // the same with a large request, or with what comes of a request beyond its size
 	leastRequestPart   = 4 // the same of the least urgent
 	streamPart         = 3 // by events
 	streamTotalPart    = 7 // by all that is held with events
+	incomingPart       = 4 // by what is incoming, so that there is room for requests
+	leastIncomingPart  = 1 // the same while requests lack room
+	headroomPart       = 1 // made free at once by ending what fills most
+	peerPart           = 5 // by events and what is incoming together, for the same reason
 	answerPart         = 8 // by all that is held with answers
 	minHeldPart        = 2 // of the total that connections leave to held bytes
 	maxRequestFraction = 2 // a request takes at most 1/maxRequestFraction of the free room
@@ -97,6 +107,8 @@
 	request     Bytes
 	stream      Bytes
 	answer      Bytes
+	incoming    Bytes
+	short       bool // requests lack room
 	peak        Bytes
 	shed        int64
 }
@@ -129,9 +141,7 @@
 // Admit reserves the bytes of a new request of a priority, 0 being the most urgent, and
 // reports whether there is room. A request without room has to be refused.
 func (a *Account) Admit(size Bytes, priority int) bool {
-	part := max(leastRequestPart, requestPart-max(0, priority))
-	free := a.part(part) - a.Held()
-	if size > free/maxRequestFraction || a.socketsBeyond(fullPart) {
+	if !a.Fits(size, priority) {
 		a.shed++
 		return false
 	}
@@ -139,6 +149,17 @@
 	return true
 }
 
+// Fits reports whether there is room for a new request of a priority.
+func (a *Account) Fits(size Bytes, priority int) bool {
+	part := requestPart
+	if size > maxSmallRequest {
+		part = largeRequestPart
+	}
+	part = max(leastRequestPart, part-max(0, priority))
+	free := a.part(part) - a.Held()
+	return size <= free/maxRequestFraction && !a.socketsBeyond(fullPart)
+}
+
 // Pressed reports whether the priority of a new request matters for its admission.
 func (a *Account) Pressed(size Bytes) bool {
 	return size > (a.part(leastRequestPart)-a.Held())/maxRequestFraction
@@ -150,12 +171,16 @@
 	part := answerPart
 	switch p {
 	case Stream:
-		if a.stream+size > a.part(streamPart) {
+		if a.stream+size > a.part(streamPart) || a.stream+a.incoming+size > a.part(peerPart) {
 			return false
 		}
 		part = streamTotalPart
 	case Request:
-		part = requestPart
+		part = largeRequestPart
+	case Incoming:
+		if a.incoming+size > a.incomingLimit() {
+			return false
+		}
 	case Answer:
 	}
 	if a.Held()+size > a.part(part) {
@@ -170,6 +195,34 @@
 	a.add(p, -size)
 }
 
+// Headroom returns how much is made free at once when room is short.
+func (a *Account) Headroom() Bytes {
+	return a.part(headroomPart)
+}
+
+// SetShort says whether new requests lack room, so that less may be held of what is incoming.
+func (a *Account) SetShort(short bool) {
+	a.short = short
+}
+
+func (a *Account) incomingLimit() Bytes {
+	if a.short {
+		return a.part(leastIncomingPart)
+	}
+	return a.part(incomingPart)
+}
+
+// IncomingFills reports whether more is held of what is incoming than its least part.
+func (a *Account) IncomingFills() bool {
+	return a.incoming > a.part(leastIncomingPart)
+}
+
+// Complete counts incoming bytes as those of an answer.
+func (a *Account) Complete(size Bytes) {
+	a.incoming -= size
+	a.answer += size
+}
+
 // PerCaller returns how many bytes of events may be held for one caller.
 func (a *Account) PerCaller() Bytes {
 	return a.cfg.PerCaller
@@ -177,12 +230,12 @@
 
 // Held returns all held bytes without those of connections.
 func (a *Account) Held() Bytes {
-	return a.request + a.stream + a.answer
+	return a.request + a.stream + a.incoming + a.answer
 }
 
 // Holdings returns what the account holds.
 func (a *Account) Holdings() Holdings {
-	return Holdings{HeldBytes: a.Held(), PeakBytes: a.peak, UnreadBytes: a.stream, CallerConnections: a.connections, UpstreamConnections: a.upstreams, ShedRequests: a.shed}
+	return Holdings{HeldBytes: a.Held(), PeakBytes: a.peak, UnreadBytes: a.stream, IncomingBytes: a.incoming, CallerConnections: a.connections, UpstreamConnections: a.upstreams, ShedRequests: a.shed}
 }
 
 // Holdings is what an account holds, for operators.
@@ -190,6 +243,7 @@
 	HeldBytes           Bytes `json:"bytes" metric:"gauge"`     // for callers and upstreams, without connections
 	PeakBytes           Bytes `json:"peak" metric:"gauge"`      // the highest HeldBytes so far
 	UnreadBytes         Bytes `json:"unread" metric:"gauge"`    // events that their callers have not read
+	IncomingBytes       Bytes `json:"incoming" metric:"gauge"`  // of answers and events that are not complete
 	CallerConnections   int   `json:"callers" metric:"gauge"`   // open connections of callers
 	UpstreamConnections int   `json:"upstreams" metric:"gauge"` // open connections to upstreams
 	ShedRequests        int64 `json:"shed"`                     // refused since there was no room for them
@@ -197,7 +251,8 @@
 
 // part returns so many eighths of the room that connections leave.
 func (a *Account) part(n int) Bytes {
-	room := max(a.cfg.Total-Bytes(a.connections)*ConnectionSize, a.cfg.Total*minHeldPart/eighths)
+	connections := Bytes(a.connections)*ConnectionSize + Bytes(a.upstreams)*UpstreamSize
+	room := max(a.cfg.Total-connections, a.cfg.Total*minHeldPart/eighths)
 	return room * Bytes(n) / eighths
 }
 
@@ -209,6 +264,8 @@
 		a.stream += size
 	case Answer:
 		a.answer += size
+	case Incoming:
+		a.incoming += size
 	}
 	a.peak = max(a.peak, a.Held())
 }
--- a/internal/budgeter/account_test.go
+++ b/internal/budgeter/account_test.go
@@ -119,3 +119,48 @@
 	require.Greater(t, large.Sockets, 2*small.Sockets)
 	require.Zero(t, ConfigOf(Limits{}).Sockets)
 }
+
+// Incomplete answers and unread events together filled the memory that requests need.
+func TestIncompleteAnswersLeaveRoomForRequests(t *testing.T) {
+	a := newTestAccount()
+	for a.Take(Stream, kilobyte) {
+	}
+	for a.Take(Incoming, kilobyte) {
+	}
+	require.Equal(t, 300*kilobyte, a.Holdings().UnreadBytes)
+	require.False(t, a.Take(Stream, kilobyte))
+	a.Release(Stream, 200*kilobyte)
+	a.SetShort(true)
+	require.True(t, a.IncomingFills())
+	a.Release(Incoming, 300*kilobyte)
+	require.False(t, a.IncomingFills())
+	require.False(t, a.Take(Incoming, kilobyte), "requests lack room")
+	a.SetShort(false)
+	require.True(t, a.Take(Incoming, kilobyte))
+	require.Greater(t, fill(a, kilobyte, 0), 250)
+}
+
+func TestCompleteAnswersAreNoLongerIncoming(t *testing.T) {
+	a := newTestAccount()
+	require.True(t, a.Take(Incoming, 400*kilobyte))
+	require.False(t, a.Take(Incoming, kilobyte))
+	a.Complete(400 * kilobyte)
+	require.True(t, a.Take(Incoming, 400*kilobyte))
+	require.Equal(t, 800*kilobyte, a.Held())
+}
+
+func TestLargeRequestsLeaveRoomForSmallOnes(t *testing.T) {
+	a := newTestAccount()
+	require.False(t, a.Fits(500*kilobyte, 0))
+	for a.Take(Request, kilobyte) {
+	}
+	require.False(t, a.Fits(maxSmallRequest+1, 0))
+	require.Greater(t, fill(a, kilobyte, 0), 50)
+}
+
+func TestConnectionsToUpstreamsTakeRoom(t *testing.T) {
+	a := newTestAccount()
+	a.UpstreamConnected(50)
+	require.True(t, a.Take(Answer, 400*kilobyte))
+	require.False(t, a.Take(Answer, kilobyte))
+}
--- a/internal/relayer/account.go
+++ b/internal/relayer/account.go
@@ -2,18 +2,25 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/egretwall/egretwall/internal/budgeter"
 )
 
 // account is a budgeter.Account for concurrent use.
 type account struct {
-	mu      sync.Mutex
-	account *budgeter.Account
+	mu         sync.Mutex
+	account    *budgeter.Account
+	intakes    map[budgeter.Purpose]senders
+	searches   map[budgeter.Purpose]search
+	shortUntil time.Time // requests lack room, or did lately
 }
 
 func newAccount(cfg budgeter.Config) *account {
-	return &account{account: budgeter.New(cfg)}
+	return &account{
+		account: budgeter.New(cfg), searches: map[budgeter.Purpose]search{},
+		intakes: map[budgeter.Purpose]senders{budgeter.Incoming: {}, budgeter.Request: {}},
+	}
 }
 
 func (a *account) connected(n int) {
@@ -35,15 +42,52 @@
 }
 
 // admit reserves the bytes of a new request and reports whether there is room. The
-// priority is asked for only while room is short.
+// priority is asked for only while room is short. The body of a larger request that is still
+// being read is given up for it.
 func (a *account) admit(size int, priority func() int) bool {
+	if admitted, pressed := a.admitUnpressed(size); !pressed {
+		return admitted
+	}
+	p := priority()
+	for waited := time.Duration(0); waited < admitPatience; waited += answerPollPeriod {
+		fillers, wait := a.makeRoom(size, p)
+		abortAll(fillers)
+		if !wait {
+			break
+		}
+		time.Sleep(answerPollPeriod)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.account.Admit(budgeter.Bytes(size), p)
+}
+
+// admitUnpressed is admit while room is not short, and reports whether it is.
+func (a *account) admitUnpressed(size int) (admitted, pressed bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	p := 0
 	if a.account.Pressed(budgeter.Bytes(size)) {
-		p = priority()
+		return false, true
 	}
-	return a.account.Admit(budgeter.Bytes(size), p)
+	return a.account.Admit(budgeter.Bytes(size), 0), false
+}
+
+// makeRoom returns the intakes to end for a new request that does not fit, and reports whether
+// the request is to wait since bytes are about to be given back. Incomplete answers are ended
+// only if they fill a part of the memory.
+func (a *account) makeRoom(size, priority int) (fillers []*intake, wait bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.account.Fits(budgeter.Bytes(size), priority) {
+		return nil, false
+	}
+	fillers, wait = a.endFillers(budgeter.Request, fillerFactor*size)
+	if a.account.IncomingFills() {
+		a.shortUntil = time.Now().Add(shortTime)
+		incoming, more := a.endFillers(budgeter.Incoming, 0)
+		fillers, wait = append(fillers, incoming...), wait || more
+	}
+	return fillers, wait
 }
 
 func (a *account) take(p budgeter.Purpose, size int) bool {
--- a/internal/relayer/callerconn.go
+++ b/internal/relayer/callerconn.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
+
+	"github.com/egretwall/egretwall/internal/budgeter"
 )
 
 // callerConnState is the state of a caller's connection.
@@ -26,11 +29,18 @@
 	net.Conn
 	writer *backlogWriter
 
+	account *account
+
 	mu        sync.Mutex
 	state     callerConnState
 	idleTimer *time.Timer // closes the connection, nil unless it is idle
+	meter     headMeter   // of the headers of the present request
+	head      *intake     // of what they cost, nil for few headers
 }
 
+// errHeadMemory ends a connection whose request has many headers while memory is short.
+var errHeadMemory = errors.New("no memory for the headers of a request")
+
 // callerListener accepts connections as callerConns.
 type callerListener struct {
 	net.Listener
@@ -48,7 +58,7 @@
 		// Without it, the kernel holds more for slow callers, and tells later that they read.
 		_ = tcp.SetWriteBuffer(callerWriteBuffer)
 	}
-	return &callerConn{Conn: c, writer: newBacklogWriter(c, l.account, l.stopTimeout), state: stateNew}, nil
+	return &callerConn{Conn: c, writer: newBacklogWriter(c, l.account, l.stopTimeout), account: l.account, state: stateNew}, nil
 }
 
 // Read reads from the caller. After its first byte, a request keeps the connection from being
@@ -62,10 +72,38 @@
 			c.stopTimer()
 			c.state = stateBegun
 		}
+		if !c.takeHead(p[:n]) {
+			return n, errHeadMemory
+		}
 	}
 	return n, err
 }
 
+// takeHead takes what the headers in p cost, unless the request has begun, and reports whether
+// there is room; c.mu is held.
+func (c *callerConn) takeHead(p []byte) bool {
+	if c.state != stateNew && c.state != stateBegun {
+		return true
+	}
+	c.meter.observe(p)
+	cost := c.meter.cost()
+	if cost == 0 {
+		return true
+	}
+	if c.head == nil {
+		c.head = c.account.newIntake(budgeter.Request, sender(hostOf(c.RemoteAddr().String())), func() { _ = c.Close() })
+	}
+	return c.head.tryTake(cost - c.head.size)
+}
+
+// giveHead gives back what the headers of a request have cost; c.mu is held.
+func (c *callerConn) giveHead() {
+	if c.head != nil {
+		c.head.close()
+	}
+	c.meter, c.head = headMeter{}, nil
+}
+
 // Write writes to the caller; see backlogWriter.
 func (c *callerConn) Write(p []byte) (int, error) {
 	return c.writer.Write(p)
@@ -93,7 +131,7 @@
 	}
 	c.stopTimer()
 	c.state = stateActive
-	return true
+	return c.head == nil || c.head.protect()
 }
 
 // setIdle marks the connection as idle and closes it after timeout unless a
@@ -105,6 +143,7 @@
 		return
 	}
 	c.stopTimer()
+	c.giveHead()
 	c.state = stateIdle
 	c.idleTimer = time.AfterFunc(timeout, c.closeIfIdle)
 }
@@ -136,6 +175,7 @@
 // close closes the connection; c.mu is held.
 func (c *callerConn) close() error {
 	c.stopTimer()
+	c.giveHead()
 	c.state = stateClosed
 	return c.Conn.Close()
 }
--- a/internal/relayer/callerresponse.go
+++ b/internal/relayer/callerresponse.go
@@ -25,6 +25,7 @@
 	status int
 	header http.Header
 	body   []byte
+	taken  *intake
 }
 
 // hopByHopHeaders lists the headers that are valid for one connection only and are
@@ -105,15 +106,19 @@
 	return out.controller.Flush()
 }
 
-// keepFailure keeps a 5xx response of an upstream for dispatcher.RelayFailure. It returns
-// the body of the one that was kept before.
-func (out *callerResponse) keepFailure(resp *http.Response, body []byte) []byte {
-	var old []byte
+// keepFailure keeps a 5xx response of an upstream for dispatcher.RelayFailure, and drops the
+// one that was kept before.
+func (out *callerResponse) keepFailure(resp *http.Response, body []byte, taken *intake) {
+	out.dropFailure()
+	out.failure = &failureResponse{resp.StatusCode, resp.Header, body, taken}
+}
+
+// dropFailure drops the kept 5xx response, if any.
+func (out *callerResponse) dropFailure() {
 	if out.failure != nil {
-		old = out.failure.body
+		out.failure.taken.close()
+		out.failure = nil
 	}
-	out.failure = &failureResponse{resp.StatusCode, resp.Header, body}
-	return old
 }
 
 // abort ends the handler with a panic that makes net/http close the connection,
--- a/internal/relayer/events.go
+++ b/internal/relayer/events.go
@@ -18,6 +18,7 @@
 var (
 	eventTerminator = []byte("\n\n")
 	errNotContinued = errors.New("stream is continued by an event without an id")
+	errEventSize    = errors.New("event exceeds the size limit")
 )
 
 // isEventStream reports whether h belongs to a stream of server-sent events.
@@ -30,14 +31,21 @@
 // returns the outcome of the send and the cause for the log.
 func (g *Gateway) relayEvents(ctx context.Context, up *upstreamResponse, out *callerResponse, e dispatcher.Send, stall *stallTimer) (dispatcher.Outcome, string) {
 	out.hold()
-	buf := make([]byte, 0, readBufferSize)
-	chunk := make([]byte, readBufferSize)
+	small := make([]byte, 0, readBufferSize) // part of the size of a request; larger buffers are taken
+	buf := small
 	began, resumed := false, out.headerWritten
 	out.continuing = resumed
 	for {
-		n, err := up.response.Body.Read(chunk)
+		if len(buf) == cap(buf) {
+			var err error
+			if buf, err = up.growEvents(buf); err != nil {
+				up.conn.abort()
+				return connFailureOutcome(ctx, out), err.Error()
+			}
+		}
+		n, err := up.response.Body.Read(buf[len(buf):cap(buf)])
 		searched := max(0, len(buf)-len(eventTerminator)+1) // no event ends before
-		buf = append(buf, chunk[:n]...)
+		buf = buf[:len(buf)+n]
 		if end := bytes.LastIndex(buf[searched:], eventTerminator); n > 0 && end >= 0 {
 			end += searched + len(eventTerminator)
 			undelivered, gapErr := out.dropDelivered(buf[:end])
@@ -56,21 +64,39 @@
 					g.cfg.Dispatcher.Reduce(dispatcher.AnswerBegan{ID: e.ID, Try: e.Try, Resumed: resumed})
 				}
 			}
-			buf = append(buf[:0], buf[end:]...)
+			if rest := buf[end:]; cap(buf) > readBufferSize && len(rest) < readBufferSize {
+				taken := cap(buf)
+				buf = append(small[:0], rest...)
+				up.taken.give(taken)
+			} else {
+				buf = append(buf[:0], rest...)
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return g.finishEvents(ctx, up, out, buf)
 		}
 		if err == nil && len(buf) > maxEventSize {
-			err = errors.New("event exceeds the size limit")
+			err = errEventSize
 		}
 		if err != nil {
 			up.conn.abort()
-			return connFailureOutcome(ctx, out), err.Error()
+			return connFailureOutcome(ctx, out), up.taken.cause(err).Error()
 		}
 	}
 }
 
+// growEvents returns a larger buffer for an event. The first one is not taken.
+func (up *upstreamResponse) growEvents(buf []byte) ([]byte, error) {
+	size := min(2*cap(buf), maxEventSize+readBufferSize)
+	if cap(buf) > readBufferSize {
+		return up.taken.grow(buf, size)
+	}
+	if err := up.taken.take(size); err != nil {
+		return buf, err
+	}
+	return append(make([]byte, 0, size), buf...), nil
+}
+
 // finishEvents handles the end of an upstream's stream; partial is what follows
 // the last complete event.
 func (g *Gateway) finishEvents(ctx context.Context, up *upstreamResponse, out *callerResponse, partial []byte) (dispatcher.Outcome, string) {
@@ -88,10 +114,10 @@
 }
 
 // dropDelivered returns the events without those that the caller has received
-// already. It returns an error if the ids skip an event, or if a stream is continued by
+// already, in the same memory. It returns an error if the ids skip an event, or if a stream is continued by
 // an event without an id. Later ones without an id are always returned.
 func (out *callerResponse) dropDelivered(events []byte) ([]byte, error) {
-	undelivered := events[:0:0]
+	undelivered := events[:0]
 	for len(events) > 0 {
 		end := bytes.Index(events, eventTerminator) + len(eventTerminator)
 		event := events[:end]
--- a/internal/relayer/gateway_test.go
+++ b/internal/relayer/gateway_test.go
@@ -86,13 +86,15 @@
 	deadline    time.Duration // of the last request
 	delay       time.Duration // of the processor
 	outdated    bool
-	overloaded  bool          // there is no processor time
-	lags        bool          // the configuration may not be the newest one
-	confirm     func()        // called by each question whether it may, before the answer; nil without one
-	now         time.Duration // all sends are decided at zero
-	timeout     time.Duration // of sends
-	stalls      int           // of sends, which ended them
-	stall       time.Duration // FirstTimeout and GapTimeout of sends, whose stalls end them
+	overloaded  bool                                    // there is no processor time
+	lags        bool                                    // the configuration may not be the newest one
+	confirm     func()                                  // called by each question whether it may, before the answer; nil without one
+	now         time.Duration                           // all sends are decided at zero
+	timeout     time.Duration                           // of sends
+	stalls      int                                     // of sends, which ended them
+	stall       time.Duration                           // FirstTimeout and GapTimeout of sends, whose stalls end them
+	upstreamOf  func(attemptID string) (address string) // the only one of each request, nil for addresses
+	chosen      map[dispatcher.RequestID]string         // by upstreamOf
 }
 
 func newFakeDispatcher(addresses ...string) *fakeDispatcher {
@@ -101,7 +103,7 @@
 		Routes: []registrar.Route{{Host: "dues.example", Prefix: "/a/", Timeout: 5 * time.Second, Kind: registrar.Idempotent, Service: "s"}},
 	}
 	registrar.New(registrar.Config{}).Install(cfg)
-	return &fakeDispatcher{cfg: cfg, addresses: addresses, timeout: 3 * time.Second, mailboxes: map[dispatcher.RequestID]*Mailbox{}, tries: map[dispatcher.RequestID]dispatcher.Try{}}
+	return &fakeDispatcher{cfg: cfg, addresses: addresses, timeout: 3 * time.Second, mailboxes: map[dispatcher.RequestID]*Mailbox{}, tries: map[dispatcher.RequestID]dispatcher.Try{}, chosen: map[dispatcher.RequestID]string{}}
 }
 
 func (d *fakeDispatcher) Configuration() *registrar.Configuration { return d.cfg }
@@ -125,6 +127,9 @@
 	d.deadline = req.Deadline
 	id := dispatcher.RequestID(len(d.mailboxes) + 1)
 	d.mailboxes[id] = mailbox
+	if d.upstreamOf != nil {
+		d.chosen[id] = d.upstreamOf(req.AttemptID)
+	}
 	d.sendNext(id)
 	return id
 }
@@ -144,6 +149,10 @@
 func (d *fakeDispatcher) sendNext(id dispatcher.RequestID) {
 	try := d.tries[id]
 	d.tries[id]++
+	if address := d.chosen[id]; address != "" && try == 0 {
+		d.mailboxes[id].Put(dispatcher.Send{ID: id, Try: try + 1, Upstream: registrar.UpstreamID(address), Address: address, Timeout: d.timeout})
+		return
+	}
 	if int(try) >= len(d.addresses) {
 		d.mailboxes[id].Put(dispatcher.Fail{ID: id, Kind: classifier.Lost})
 		return
--- /dev/null
+++ b/internal/relayer/headmeter.go
@@ -0,0 +1,62 @@
+package relayer
+
+// Memory that headers take beyond what is counted for each connection and request.
+const (
+	freeHeadBytes = 4 << 10 // of headers, covered by the size of a connection or a request
+	freeHeadLines = 32      // the same
+	headByteCost  = 2       // bytes held of a byte beyond
+	headLineCost  = 384     // bytes held of a line beyond, in the maps of a request and its copies
+)
+
+// statusClass is the index of the first digit of the status in the line that begins a response.
+const statusClass = len("HTTP/1.1 ")
+
+// headMeter follows the headers of a message as they are read.
+type headMeter struct {
+	response bool // informational responses may come before
+
+	bytes, lines int
+	line, length int  // number of the present line of the message, and bytes in it
+	interim      bool // another response follows
+	done         bool
+}
+
+// observe reads on in the bytes of a message, up to the end of its headers.
+func (m *headMeter) observe(p []byte) {
+	for _, b := range p {
+		if m.done {
+			return
+		}
+		m.bytes++
+		switch b {
+		case '\n':
+			m.lines++
+			m.endLine()
+		case '\r':
+		default:
+			if m.response && m.line == 0 && m.length == statusClass {
+				m.interim = b == '1'
+			}
+			m.length++
+		}
+	}
+}
+
+// endLine ends the present line. An empty one ends the headers.
+func (m *headMeter) endLine() {
+	empty := m.length == 0
+	m.length = 0
+	switch {
+	case !empty:
+		m.line++
+	case m.line > 0 && m.interim:
+		m.line, m.interim = 0, false
+	case m.line > 0:
+		m.done = true
+	}
+}
+
+// cost returns the bytes of memory to count for the headers.
+func (m *headMeter) cost() int {
+	return headByteCost*max(0, m.bytes-freeHeadBytes) + headLineCost*max(0, m.lines-freeHeadLines)
+}
--- /dev/null
+++ b/internal/relayer/intake.go
@@ -0,0 +1,271 @@
+package relayer
+
+import (
+	"time"
+
+	"github.com/egretwall/egretwall/internal/budgeter"
+)
+
+// Waits for room.
+const (
+	answerPatience   = time.Second // an upstream may wait no longer for its answer to be read
+	answerPollPeriod = 10 * time.Millisecond
+	admitPatience    = 150 * time.Millisecond // for an intake that has been ended to be given back
+	shortTime        = time.Second            // after requests lacked room, for which less may be held of incomplete answers
+	fillerFactor     = 2                      // an intake is ended for another that would be so many times smaller
+)
+
+// sender is who sends the bytes of intakes: an upstream, or the host of a caller.
+type sender string
+
+// intake counts what is held of a message until it is complete: headers, a body, and what has
+// come of an event. Without room its sender waits or, if it is the largest one of the sender
+// that fills most, its message is given up.
+type intake struct {
+	account *account
+	purpose budgeter.Purpose
+	sender  sender
+	abort   func() // gives up the message
+
+	// Guarded by account.mu.
+	size    int
+	ended   bool
+	settled bool // the message is complete
+}
+
+// intakes are the intakes of one sender that may be ended.
+type intakes struct {
+	size    int // of those that have not been ended
+	members map[*intake]struct{}
+}
+
+// search is the last search for intakes to end.
+type search struct {
+	at    time.Time
+	found bool // some were ended
+}
+
+// senders are the intakes of one purpose.
+type senders map[sender]*intakes
+
+func (a *account) newIntake(p budgeter.Purpose, from sender, abort func()) *intake {
+	return &intake{account: a, purpose: p, sender: from, abort: abort}
+}
+
+// take reserves n further bytes. It waits for room, but not longer than answerPatience.
+func (i *intake) take(n int) error {
+	for waited := time.Duration(0); ; waited += answerPollPeriod {
+		taken, fillers := i.account.takeIn(i, n)
+		if taken {
+			return nil
+		}
+		abortAll(fillers)
+		if i.cause(nil) != nil || waited >= answerPatience {
+			return errResponseMemory
+		}
+		time.Sleep(answerPollPeriod)
+	}
+}
+
+// tryTake reserves n further bytes and reports whether there is room.
+func (i *intake) tryTake(n int) bool {
+	i.account.mu.Lock()
+	defer i.account.mu.Unlock()
+	if i.ended || n > 0 && !i.account.account.Take(i.purpose, budgeter.Bytes(n)) {
+		return false
+	}
+	i.account.resize(i, n)
+	return true
+}
+
+// protect keeps a message from being given up for others. It reports whether that was done in
+// time.
+func (i *intake) protect() bool {
+	i.account.mu.Lock()
+	defer i.account.mu.Unlock()
+	if i.ended {
+		return false
+	}
+	i.account.forget(i)
+	i.settled = true
+	return true
+}
+
+// count adds n bytes that have been reserved otherwise.
+func (i *intake) count(n int) {
+	i.account.mu.Lock()
+	defer i.account.mu.Unlock()
+	i.account.resize(i, n)
+}
+
+// give gives back n bytes.
+func (i *intake) give(n int) {
+	i.account.mu.Lock()
+	defer i.account.mu.Unlock()
+	i.account.account.Release(i.purpose, budgeter.Bytes(n))
+	i.account.resize(i, -n)
+}
+
+// settle keeps a complete answer from being given up for others. Its bytes are held until
+// close. It reports whether the answer was complete before it was given up.
+func (i *intake) settle() bool {
+	i.account.mu.Lock()
+	defer i.account.mu.Unlock()
+	if i.ended {
+		return false
+	}
+	i.account.forget(i)
+	i.account.account.Complete(budgeter.Bytes(i.size))
+	i.purpose, i.settled = budgeter.Answer, true
+	return true
+}
+
+// hand returns another intake with all bytes of a complete answer, which outlives the send.
+func (i *intake) hand() *intake {
+	i.account.mu.Lock()
+	defer i.account.mu.Unlock()
+	kept := &intake{account: i.account, purpose: i.purpose, sender: i.sender, size: i.size, settled: true}
+	i.size = 0
+	return kept
+}
+
+// close gives back all bytes. It may be called more than once.
+func (i *intake) close() {
+	i.account.mu.Lock()
+	defer i.account.mu.Unlock()
+	i.account.account.Release(i.purpose, budgeter.Bytes(i.size))
+	i.account.forget(i)
+	i.size = 0
+}
+
+// release stops counting bytes that are given back otherwise, and reports whether the message
+// was given up.
+func (i *intake) release() (ended bool) {
+	i.account.mu.Lock()
+	defer i.account.mu.Unlock()
+	i.account.forget(i)
+	i.size, i.settled = 0, true
+	return i.ended
+}
+
+// cause returns why a read failed: the message was given up, or err.
+func (i *intake) cause(err error) error {
+	i.account.mu.Lock()
+	defer i.account.mu.Unlock()
+	if i.ended {
+		return errResponseMemory
+	}
+	return err
+}
+
+// grow returns a copy of a buffer with another capacity. The buffer must not be used any more.
+func (i *intake) grow(buf []byte, size int) ([]byte, error) {
+	if err := i.take(size); err != nil {
+		return buf, err
+	}
+	larger := append(make([]byte, 0, size), buf...)
+	i.give(cap(buf))
+	return larger, nil
+}
+
+func abortAll(fillers []*intake) {
+	for _, i := range fillers {
+		i.abort()
+	}
+}
+
+// takeIn reserves n further bytes for an intake that has not been ended. If there is no room,
+// it returns the intakes to end.
+func (a *account) takeIn(i *intake, n int) (taken bool, fillers []*intake) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if i.ended {
+		return false, nil
+	}
+	a.account.SetShort(time.Now().Before(a.shortUntil))
+	if a.account.Take(i.purpose, budgeter.Bytes(n)) {
+		a.resize(i, n)
+		return true, nil
+	}
+	fillers, _ = a.endFillers(i.purpose, fillerFactor*(i.size+n))
+	return false, fillers
+}
+
+// endFillers ends the largest intakes of a purpose that have at least the given size, as many
+// as make headroom, and returns them. It reports whether that makes room, or did so just
+// before. The caller holds mu.
+func (a *account) endFillers(p budgeter.Purpose, size int) (ended []*intake, room bool) {
+	last := a.searches[p]
+	now := time.Now()
+	if now.Sub(last.at) < answerPollPeriod {
+		return nil, last.found
+	}
+	for freed, headroom := 0, int(a.account.Headroom()); freed < headroom; {
+		filler := a.intakes[p].largest(size)
+		if filler == nil {
+			break
+		}
+		filler.ended = true
+		a.intakes[p][filler.sender].size -= filler.size
+		freed += filler.size
+		ended = append(ended, filler)
+	}
+	a.searches[p] = search{now, len(ended) > 0}
+	return ended, len(ended) > 0
+}
+
+// largest returns the largest intake of the sender that fills most, nil if it has none of a
+// size or more that has not been ended.
+func (s senders) largest(size int) *intake {
+	var fullest *intakes
+	for _, all := range s {
+		if fullest == nil || all.size > fullest.size {
+			fullest = all
+		}
+	}
+	if fullest == nil {
+		return nil
+	}
+	var largest *intake
+	for i := range fullest.members {
+		if !i.ended && i.size >= size && (largest == nil || i.size > largest.size) {
+			largest = i
+		}
+	}
+	return largest
+}
+
+// resize changes the size of an intake. The caller holds mu.
+func (a *account) resize(i *intake, n int) {
+	i.size += n
+	if i.settled {
+		return
+	}
+	all := a.intakes[i.purpose][i.sender]
+	if all == nil {
+		all = &intakes{members: map[*intake]struct{}{}}
+		a.intakes[i.purpose][i.sender] = all
+	}
+	all.members[i] = struct{}{}
+	if !i.ended {
+		all.size += n
+	}
+}
+
+// forget removes an intake from those that may be ended. The caller holds mu.
+func (a *account) forget(i *intake) {
+	all := a.intakes[i.purpose][i.sender]
+	if all == nil {
+		return
+	}
+	if _, ok := all.members[i]; !ok {
+		return
+	}
+	delete(all.members, i)
+	if !i.ended {
+		all.size -= i.size
+	}
+	if len(all.members) == 0 {
+		delete(a.intakes[i.purpose], i.sender)
+	}
+}
--- a/internal/relayer/requestreader.go
+++ b/internal/relayer/requestreader.go
@@ -56,10 +56,15 @@
 		return classifier.None
 	}
 	var err error
-	in.body, err = g.readRequestBody(in, http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	taken := g.account.newIntake(budgeter.Request, sender(in.caller), func() { _ = out.controller.SetReadDeadline(time.Now()) })
+	taken.count(in.reserved)
+	in.body, err = g.readRequestBody(in, http.MaxBytesReader(w, r.Body, limit), r.ContentLength, taken)
 	_ = out.controller.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
-	switch {
+	switch givenUp := taken.release(); {
+	case givenUp:
+		out.w.Header().Set("Connection", "close")
+		return classifier.Busy
 	case errors.Is(err, errRequestMemory):
 		return classifier.Busy
 	case errors.As(err, &large):
@@ -83,7 +88,7 @@
 
 // readRequestBody reads a body of the given length, negative if it is unknown. For an
 // unknown length, it reserves the bytes as they come.
-func (g *Gateway) readRequestBody(in *callerRequest, r io.Reader, length int64) ([]byte, error) {
+func (g *Gateway) readRequestBody(in *callerRequest, r io.Reader, length int64, taken *intake) ([]byte, error) {
 	if length >= 0 {
 		body := make([]byte, length)
 		n, err := io.ReadFull(r, body)
@@ -97,6 +102,7 @@
 				return nil, errRequestMemory
 			}
 			in.reserved += size - cap(body)
+			taken.count(size - cap(body))
 			body = append(make([]byte, 0, size), body...)
 		}
 		n, err := r.Read(body[len(body):cap(body)])
@@ -113,9 +119,7 @@
 // releaseRequest gives back what the account holds for a request and its response.
 func (g *Gateway) releaseRequest(in *callerRequest, out *callerResponse) {
 	g.account.release(budgeter.Request, in.reserved)
-	if out.failure != nil {
-		g.account.release(budgeter.Answer, cap(out.failure.body))
-	}
+	out.dropFailure()
 	in.body, in.reserved = nil, 0
 }
 
--- a/internal/relayer/responselimit.go
+++ b/internal/relayer/responselimit.go
@@ -4,20 +4,12 @@
 	"errors"
 	"io"
 	"net"
-	"time"
-
-	"github.com/egretwall/egretwall/internal/budgeter"
-)
-
-// Waits for room for an answer.
-const (
-	answerPatience   = time.Second // an upstream may wait no longer for its answer to be read
-	answerPollPeriod = 10 * time.Millisecond
 )
 
 // Limits of what an upstream may send. A faulty one may send bytes without end.
 const (
 	maxResponseHeader = 64 << 10 // bytes of the headers of a response, with those of informational responses before it
+	maxResponseLines  = 1 << 10  // of these headers
 	maxResponseSize   = 16 << 20 // bytes of a response body that is buffered until it is complete
 	maxDiscarded      = 1 << 20  // bytes of a body that is read only to use the connection again
 	minBodyBuffer     = 1 << 10  // bytes; most plain answers are smaller
@@ -29,21 +21,13 @@
 	errResponseMemory = errors.New("no memory for a further response")
 )
 
-// readBody reads a body up to its end. Without room for more it lets the upstream wait, but
-// not longer than answerPatience in all. The caller releases the capacity of the body when it
-// has been forwarded, also after an error.
-func (a *account) readBody(r io.Reader) (body []byte, err error) {
-	var waited time.Duration
+// readBody reads the body of a response up to its end.
+func readBody(in *intake, r io.Reader) (body []byte, err error) {
 	for {
 		if len(body) == cap(body) {
-			size := max(minBodyBuffer, 2*cap(body))
-			for ; !a.take(budgeter.Answer, size-cap(body)); waited += answerPollPeriod {
-				if waited >= answerPatience {
-					return body, errResponseMemory
-				}
-				time.Sleep(answerPollPeriod)
+			if body, err = in.grow(body, max(minBodyBuffer, 2*cap(body))); err != nil {
+				return nil, err
 			}
-			body = append(make([]byte, 0, size), body...)
 		}
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -51,9 +35,9 @@
 		case errors.Is(err, io.EOF):
 			return body, nil
 		case err != nil:
-			return body, err
+			return nil, in.cause(err)
 		case len(body) > maxResponseSize:
-			return body, errResponseSize
+			return nil, errResponseSize
 		}
 	}
 }
@@ -67,31 +51,40 @@
 	return err
 }
 
-// headerLimiter reads from a connection and, while it is limited, fails after so many bytes.
+// headerLimiter reads from a connection. While it is limited, it counts headers of responses
+// and fails after too many.
 type headerLimiter struct {
-	conn      net.Conn
-	limited   bool
-	remaining int
+	conn    net.Conn
+	limited bool
+	meter   headMeter
+	intake  *intake // takes what the headers cost
+	cost    int     // of the headers so far
 }
 
-// limit allows n further bytes.
-func (l *headerLimiter) limit(n int) {
-	l.limited, l.remaining = true, n
+// limit begins to count the headers of a response.
+func (l *headerLimiter) limit(in *intake) {
+	l.limited, l.meter, l.intake, l.cost = true, headMeter{response: true}, in, 0
 }
 
 // unlimit allows any number of bytes.
 func (l *headerLimiter) unlimit() {
-	l.limited = false
+	l.limited, l.intake = false, nil
 }
 
 func (l *headerLimiter) Read(p []byte) (int, error) {
 	if !l.limited {
 		return l.conn.Read(p)
 	}
-	if l.remaining <= 0 {
+	if l.meter.bytes >= maxResponseHeader || l.meter.lines >= maxResponseLines {
 		return 0, errResponseHeader
 	}
-	n, err := l.conn.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
+	n, err := l.conn.Read(p[:min(len(p), maxResponseHeader-l.meter.bytes)])
+	l.meter.observe(p[:n])
+	if cost := l.meter.cost(); cost > l.cost {
+		if takeErr := l.intake.take(cost - l.cost); takeErr != nil {
+			return n, takeErr
+		}
+		l.cost = cost
+	}
 	return n, err
 }
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -50,6 +50,7 @@
 	response    *http.Response
 	info        ResponseInfo
 	writeResult <-chan error // receives the result of writing the request
+	taken       *intake
 }
 
 var (
@@ -114,9 +115,9 @@
 }
 
 // release returns the connection to the pool, or resets it if it can't be used for
-// another request.
+// another request. An intake that is ended for others would reset it later.
 func (up *upstreamResponse) release(p *Pool) {
-	if !up.requestWritten() || !up.conn.updateKeepAlive(up.response) || up.conn.reader.Buffered() > 0 {
+	if !up.taken.protect() || !up.requestWritten() || !up.conn.updateKeepAlive(up.response) || up.conn.reader.Buffered() > 0 {
 		up.conn.abort()
 		return
 	}
@@ -130,9 +131,9 @@
 // readResponse reads the headers of the response to a request. It skips responses
 // to other requests that come before, up to maxOtherResponses. Only the first response on a
 // connection may omit the attempt, since a later one may belong to an earlier request.
-func (g *Gateway) readResponse(c *upstreamConn, in *callerRequest, e dispatcher.Send) (*http.Response, ResponseInfo, error) {
+func (g *Gateway) readResponse(c *upstreamConn, in *callerRequest, e dispatcher.Send, taken *intake) (*http.Response, ResponseInfo, error) {
 	for range maxOtherResponses + 1 {
-		resp, err := readResponseHeader(c, in.method)
+		resp, err := readResponseHeader(c, in.method, taken)
 		if err != nil {
 			return nil, ResponseInfo{}, err
 		}
@@ -182,13 +183,13 @@
 
 // readResponseHeader reads the headers of the next response that is not
 // informational (1xx).
-func readResponseHeader(c *upstreamConn, method string) (*http.Response, error) {
-	c.source.limit(maxResponseHeader)
+func readResponseHeader(c *upstreamConn, method string, taken *intake) (*http.Response, error) {
+	c.source.limit(taken)
 	defer c.source.unlimit()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
-			return nil, err
+			return nil, taken.cause(err)
 		}
 		// In HTTP/1.0 chunks are no framing, but may be part of the body.
 		if resp.ProtoMajor != 1 || resp.ProtoMinor != 1 {
@@ -253,12 +254,14 @@
 	}
 	header := g.forwardHeader(in, ForwardInfo{Timeout: e.Timeout, Upstream: e.Upstream, Priority: e.Priority, LastEventID: lastEventID})
 	writeResult := in.write(conn, header)
-	resp, info, err := g.readResponse(conn, in, e)
+	taken := g.account.newIntake(budgeter.Incoming, sender(e.Upstream), conn.abort)
+	defer taken.close()
+	resp, info, err := g.readResponse(conn, in, e, taken)
 	if err != nil {
 		conn.abort()
 		return connFailureOutcome(ctx, out), err.Error()
 	}
-	up := &upstreamResponse{conn: conn, response: resp, info: info, writeResult: writeResult}
+	up := &upstreamResponse{conn: conn, response: resp, info: info, writeResult: writeResult, taken: taken}
 	return g.handleResponse(ctx, up, in, out, e, stall)
 }
 
@@ -296,15 +299,18 @@
 	if isEventStream(resp.Header) && (status == http.StatusOK || status < http.StatusMultipleChoices && !out.headerWritten) {
 		return g.relayEvents(ctx, up, out, e, stall)
 	}
-	body, err := g.account.readBody(resp.Body)
-	defer func() { g.account.release(budgeter.Answer, cap(body)) }()
+	body, err := readBody(up.taken, resp.Body)
+	if err == nil && !up.taken.settle() {
+		err = errResponseMemory
+	}
 	if err != nil {
 		up.conn.abort()
 		return connFailureOutcome(ctx, out), err.Error()
 	}
+	resp.Trailer = nil
 	up.release(g.pool)
 	if status >= 500 {
-		body = out.keepFailure(resp, body)
+		out.keepFailure(resp, body, up.taken.hand())
 		return dispatcher.Failed, "status " + strconv.Itoa(status)
 	}
 	if out.headerWritten {
