Write verdicts of stewards that are gone to a restored store

Callers would see: a request that crashes upstreams, found before, crashes three more after the stewards that found it were lost, the store came back from a copy from before, and the other processes started again.

Cause: after a restore a steward wrote the verdicts that it had reached itself, and not those that it had learned. A verdict written again got the time of that write, and lasted an hour longer.

Change: one to two seconds after a restore, a steward writes the lasting verdicts that it knows and the store lacks, with their age.

Ruled out: that stewards which start again lack the verdict before the restore.

Evidence: TestVerdictsOfStewardsThatAreGoneAreWrittenAgain fails without the change (nothing written) and passes with one write of 20 stewards a restore.

--- a/internal/driver/isolation.go
+++ b/internal/driver/isolation.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"syscall"
@@ -21,12 +22,13 @@
 	verdictsPeriod     = time.Second            // between messages with unchanged verdicts
 	verdictRetryPeriod = 500 * time.Millisecond // after a call to the store that failed
 	verdictsGrace      = 2 * time.Second        // from the start until a gateway is ready though it could not read them
+	verdictFillDelay   = time.Second            // at least, after a restore of the store, until verdicts of others are written; up to twice as long
 )
 
 // VerdictStore keeps verdicts in the platform's store, so that they outlive all processes.
 type VerdictStore interface {
-	// AppendVerdict writes a verdict that was reached now.
-	AppendVerdict(ctx context.Context, trait isolator.Trait) error
+	// AppendVerdict writes a verdict.
+	AppendVerdict(ctx context.Context, verdict isolator.Verdict) error
 	// ReadVerdicts returns all verdicts with their ages.
 	ReadVerdicts(ctx context.Context) ([]isolator.Verdict, error)
 }
@@ -53,7 +55,7 @@
 	changed  bool             // verdicts, since they were last sent
 	sentAt   time.Duration    // when they were
 	own      []isolator.Trait // verdicts of this steward
-	unsaved  []isolator.Trait // of these, those that are not in the store yet
+	unsaved  []isolator.Trait // verdicts to write to the store
 	crashed  chan struct{}    // wakes judge
 	save     chan struct{}    // wakes keepVerdicts
 }
@@ -155,13 +157,15 @@
 }
 
 // keepVerdicts reads the verdicts in the store and then writes those of this steward to it,
-// once more when the store is restored from a backup, until ctx ends.
+// until ctx ends. When the store is restored from a backup, it writes them once more, and those
+// of others that the store lacks, since the stewards that reached them may be gone.
 func (s *Steward) keepVerdicts(ctx context.Context) {
 	stored := readVerdicts(ctx, s.verdicts.store, s.cfg.Log.Logger)
 	s.syncer.mu.Lock()
 	s.learnVerdicts(stored, "store")
 	s.syncer.mu.Unlock()
 	_, restored := s.cfg.Store.Era()
+	var fill <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -171,30 +175,47 @@
 			s.syncer.mu.Lock()
 			s.verdicts.unsaved = slices.Clone(s.verdicts.own)
 			s.syncer.mu.Unlock()
+			fill = time.After(verdictFillDelay + rand.N(verdictFillDelay)) // few stewards write what all know
+		case <-fill:
+			s.fillVerdicts(readVerdicts(ctx, s.verdicts.store, s.cfg.Log.Logger))
 		case <-s.verdicts.save:
 		}
 		s.saveVerdicts(ctx)
 	}
 }
 
-// saveVerdicts writes the verdicts of this steward to the store, and tries until that
-// succeeds or ctx ends.
+// fillVerdicts makes the lasting verdicts be written that a restored store lacks.
+func (s *Steward) fillVerdicts(stored []isolator.Verdict) {
+	s.syncer.mu.Lock()
+	defer s.syncer.mu.Unlock()
+	s.learnVerdicts(stored, "store")
+	for _, v := range s.verdicts.verdicts.Lasting(s.syncer.now()) {
+		inStore := slices.ContainsFunc(stored, func(other isolator.Verdict) bool { return other.Trait == v.Trait })
+		if !inStore && !slices.Contains(s.verdicts.unsaved, v.Trait) {
+			s.verdicts.unsaved = append(s.verdicts.unsaved, v.Trait)
+		}
+	}
+}
+
+// saveVerdicts writes the verdicts that are not in the store, and tries until that succeeds
+// or ctx ends.
 func (s *Steward) saveVerdicts(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.syncer.mu.Lock()
 		unsaved := s.verdicts.unsaved
-		s.syncer.mu.Unlock()
 		if len(unsaved) == 0 {
+			s.syncer.mu.Unlock()
 			return
 		}
-		trait := unsaved[0]
-		if err := s.verdicts.store.AppendVerdict(ctx, trait); err != nil {
-			s.cfg.Log.Logger.Warn().Str("trait", string(trait)).Err(err).Msg("verdict not written")
+		verdict := isolator.Verdict{Trait: unsaved[0], Age: s.verdicts.verdicts.Age(s.syncer.now(), unsaved[0])}
+		s.syncer.mu.Unlock()
+		if err := s.verdicts.store.AppendVerdict(ctx, verdict); err != nil {
+			s.cfg.Log.Logger.Warn().Str("trait", string(verdict.Trait)).Err(err).Msg("verdict not written")
 			pause(ctx, verdictRetryPeriod)
 			continue
 		}
 		s.syncer.mu.Lock()
-		s.verdicts.unsaved = slices.DeleteFunc(s.verdicts.unsaved, func(t isolator.Trait) bool { return t == trait })
+		s.verdicts.unsaved = slices.DeleteFunc(s.verdicts.unsaved, func(t isolator.Trait) bool { return t == verdict.Trait })
 		s.syncer.mu.Unlock()
 	}
 }
--- a/internal/driver/isolation_test.go
+++ b/internal/driver/isolation_test.go
@@ -30,13 +30,22 @@
 	s.away = away
 }
 
-func (s *verdictStore) AppendVerdict(_ context.Context, part isolator.Trait) error {
+// replace replaces the verdicts and returns those from before.
+func (s *verdictStore) replace(stored ...isolator.Verdict) []isolator.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.stored
+	s.stored = stored
+	return before
+}
+
+func (s *verdictStore) AppendVerdict(_ context.Context, verdict isolator.Verdict) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
 		return errors.New("the store is away")
 	}
-	s.stored = append(s.stored, isolator.Verdict{Trait: part})
+	s.stored = append(s.stored, isolator.Verdict{Trait: verdict.Trait})
 	return nil
 }
 
@@ -116,3 +125,32 @@
 		require.NoError(t, log.Close())
 	})
 }
+
+// Only the stewards that had reached a verdict wrote it again to a restored store. When they
+// were gone by then, processes that started later did not learn of it.
+func TestVerdictsOfStewardsThatAreGoneAreWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const stewards = 20
+		log, err := observer.NewBoundedLogger(io.Discard, "info")
+		require.NoError(t, err)
+		store, eras := &verdictStore{stored: []isolator.Verdict{{Trait: "kept"}}}, watcher.NewEraTracker()
+		ctx, cancel := context.WithCancel(t.Context())
+		var g sync.WaitGroup
+		for range stewards {
+			s := &Steward{
+				cfg: StewardConfig{Log: log, Store: &restorableStore{eras: eras}}, syncer: newSyncer(&longPollStore{}, log.Logger, stewardPollTiming), verdicts: newVerdictKeeper(store),
+			}
+			s.learnVerdicts([]isolator.Verdict{{Trait: "dead", Age: time.Minute}, {Trait: "brief", Age: time.Hour - time.Second}}, "peer")
+			g.Go(func() { s.keepVerdicts(ctx) })
+		}
+		for era := range watcher.Era(2) {
+			time.Sleep(time.Second)
+			require.NoError(t, eras.Observe(era+1))
+			time.Sleep(3 * verdictFillDelay)
+			require.Equal(t, []isolator.Verdict{{Trait: "kept"}, {Trait: "dead"}}, store.replace(isolator.Verdict{Trait: "kept"}), "one of them writes")
+		}
+		cancel()
+		g.Wait()
+		require.NoError(t, log.Close())
+	})
+}
--- a/internal/isolator/verdict.go
+++ b/internal/isolator/verdict.go
@@ -147,12 +147,26 @@
 	return remaining
 }
 
+// Age returns how long ago a verdict was reached, zero without one.
+func (v *Verdicts) Age(now time.Duration, t Trait) time.Duration {
+	at, ok := v.reachedAt[t]
+	if !ok {
+		return 0
+	}
+	return now - at
+}
+
 // brief reports whether a trait is isolated for a short time only.
 func (v *Verdicts) brief(now time.Duration, t Trait) bool {
 	remaining := v.Remaining(now, []Trait{t})
 	return remaining > 0 && remaining <= trialDelay
 }
 
+// Lasting returns the verdicts in force that hold for long, in the order of their traits.
+func (v *Verdicts) Lasting(now time.Duration) []Verdict {
+	return slices.DeleteFunc(v.All(now), func(verdict Verdict) bool { return v.brief(now, verdict.Trait) })
+}
+
 // All returns the verdicts in force, in the order of their traits.
 func (v *Verdicts) All(now time.Duration) []Verdict {
 	var all []Verdict
