Ask stewards beyond the pool only when those of it are silent

A steward that has just started reads the store before its first answer, so that the second question asked six stewards in place of three, each of which read the store, and a search ended after the third question in place of the second. Stewards beyond the pool, and the store, are asked when two questions have had no answer.

--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -20,7 +20,7 @@
 	recorderCount     = 2                      // stewards that are told of each stream
 	askedRecorders    = 3                      // stewards that are asked; a recorder may have gone since
 	firstReportTime   = 300 * time.Millisecond // until stewards that hear of this gateway have reported
-	silentAsks        = 2                      // without an answer, after which stewards may be gone
+	silentAsks        = 2                      // without an answer, after which stewards may be gone; one that has just started answers the second
 	minRecorderPool   = 4                      // least number of stewards among which recorders are chosen
 	stewardsPerPool   = 24                     // one of so many is in that pool; few, since each of them writes to the store
 )
@@ -170,10 +170,9 @@
 	}
 	if r.search.asks == 0 {
 		r.search.until = min(r.search.until, d.now+originTimeout)
-	} else {
-		recorders = slices.Concat(recorders, others)
 	}
 	if r.search.asks >= silentAsks && !r.search.answered {
+		recorders = slices.Concat(recorders, others)
 		d.readStreams(r)
 	}
 	r.search.asks++
