--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 LENGTH ?= 6s
 LOGS ?=
 soak:
-	go test -race -count=1 -v -timeout 0 -run 'TestSoak($$|OfSlowReaders)' ./platform -soak.first=$(SEED) -soak.seeds=$(SEEDS) -soak.length=$(LENGTH) -soak.logs=$(LOGS)
+	go test -race -count=1 -v -timeout 0 -run 'TestSoak($$|OfSlowReaders|OfLosses)' ./platform -soak.first=$(SEED) -soak.seeds=$(SEEDS) -soak.length=$(LENGTH) -soak.logs=$(LOGS)
 
 # Fuzzes the decoders of what others send, a while each.
 decoders:
--- a/internal/driver/originlog.go
+++ b/internal/driver/originlog.go
@@ -41,10 +41,14 @@
 	Logger zerolog.Logger
 	Mu     *sync.Mutex
 	Now    func() time.Duration
-	Known  func() []tracker.Origin                            // origins that a restored store must hold
-	Loaded func(at time.Duration, origins []tracker.Origin)   // receives what has been read as of a time
-	Watch  bool                                               // other calls to the store are seconds apart
-	Choose func(now time.Duration) (unsaved []tracker.Origin) // origins that were not to be written before, nil if there are none
+	Watch  bool // other calls to the store are seconds apart, so that they show a restore late
+
+	Known func() []tracker.Origin // returns the origins that a restored store must hold
+	// Added returns further origins to write, asked for before each write. It may be nil.
+	Added func(now time.Duration) []tracker.Origin
+	// Loaded receives origins that have been read; with those before, they are all that the
+	// store had at a time or later.
+	Loaded func(at time.Duration, origins []tracker.Origin)
 }
 
 // originLog writes the origins of streams that a process knows to the store, and reads those
@@ -53,13 +57,13 @@
 	cfg     originLogConfig
 	pending []tracker.Origin // to be written, the last ones first
 	savedAt time.Duration    // when origins were last written
-	load    chan struct{}    // asks for the store to be read
+	wanted  chan struct{}    // asks for the store to be read
 
 	position watcher.Position // in the store, after the origins that have been read
 }
 
 func newOriginLog(cfg originLogConfig) *originLog {
-	return &originLog{cfg: cfg, load: make(chan struct{}, 1)}
+	return &originLog{cfg: cfg, wanted: make(chan struct{}, 1)}
 }
 
 // add adds origins to be written. If too many wait, the last ones are kept. The caller holds
@@ -74,8 +78,8 @@
 
 // takePending returns origins to write now. The caller holds Mu.
 func (l *originLog) takePending(now time.Duration) []tracker.Origin {
-	if l.cfg.Choose != nil {
-		l.add(l.cfg.Choose(now)...)
+	if l.cfg.Added != nil {
+		l.add(l.cfg.Added(now)...)
 	}
 	n := max(0, len(l.pending)-originsPerWrite)
 	taken := slices.Clone(l.pending[n:])
@@ -139,7 +143,7 @@
 	l.cfg.Mu.Lock()
 	defer l.cfg.Mu.Unlock()
 	if l.cfg.Watch && l.savedAt > 0 && l.cfg.Now()-l.savedAt < originWatchTime {
-		wake(l.load)
+		wake(l.wanted)
 	}
 }
 
@@ -149,7 +153,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-l.load:
+		case <-l.wanted:
 			l.read(ctx)
 			pause(ctx, originLoadPeriod)
 		}
--- a/internal/driver/origins.go
+++ b/internal/driver/origins.go
@@ -30,7 +30,7 @@
 	k := &originKeeper{Keeper: tracker.NewKeeper(), service: service, saving: map[registrar.ServiceName]bool{}}
 	k.log = newOriginLog(originLogConfig{
 		Store: store, Era: func() (watcher.Era, <-chan struct{}) { return s.store.Era() }, Logger: logger, Mu: &s.mu, Now: s.now, Watch: true,
-		Known: k.saved, Choose: k.choose,
+		Known: k.saved, Added: k.refreshSaving,
 		Loaded: func(at time.Duration, origins []tracker.Origin) {
 			for i := range origins {
 				origins[i].Service = k.serviceOr(origins[i].Service)
@@ -62,8 +62,9 @@
 	}
 }
 
-// choose returns the origins of the streams of services that have got a second release.
-func (k *originKeeper) choose(now time.Duration) []tracker.Origin {
+// refreshSaving updates saving, and returns the origins of the streams of services that have
+// got a second release since.
+func (k *originKeeper) refreshSaving(now time.Duration) []tracker.Origin {
 	added := map[registrar.ServiceName]bool{}
 	for service, releases := range k.Releases {
 		several := len(releases.Recent(now)) > 1
@@ -92,7 +93,7 @@
 		wake(s.syncer.listNow)
 	}
 	if answer.ReadStored {
-		wake(s.origins.log.load)
+		wake(s.origins.log.wanted)
 	}
 	if answer.Origin == nil && answer.Absence == nil {
 		return
--- a/internal/driver/origins_test.go
+++ b/internal/driver/origins_test.go
@@ -82,7 +82,7 @@
 					k.ConfirmList(now)
 					answer := k.Ask(now, "llm", id)
 					if answer.ReadStored {
-						wake(k.log.load)
+						wake(k.log.wanted)
 					}
 					syncer.mu.Unlock()
 					if answer.Absence != nil {
--- a/internal/driver/requests.go
+++ b/internal/driver/requests.go
@@ -116,7 +116,7 @@
 		case dispatcher.SaveStream:
 			g.saveOrigin(ef.Origin)
 		case dispatcher.ReadStreams:
-			wake(g.origins.load)
+			wake(g.origins.wanted)
 		case dispatcher.ReportCrash:
 			g.send(g.stewardsAt(ef.Addresses), messenger.Message{Crash: &ef.Crash, Version: g.syncer.version()})
 		case dispatcher.ProbeUpstream:
--- a/internal/tracker/keeper.go
+++ b/internal/tracker/keeper.go
@@ -12,10 +12,10 @@
 	maxQuestions   = 10_000
 )
 
-// Keeper is what a steward knows of the streams of its service, and of services whose upstreams
-// have no stewards. Its answers depend only on
-// what was true when a question came or later: a steward that was cut off, or stood still, may
-// not have seen yet which releases have joined. It is not safe for concurrent use.
+// Keeper is what a steward knows of the streams of its service, and of services whose
+// upstreams have no stewards. Its answers depend only on what was true when a question came or
+// later: a steward that was cut off, or stood still, may not have seen yet which releases have
+// joined. It is not safe for concurrent use.
 type Keeper struct {
 	Streams  *Tracker
 	Releases Services
@@ -70,7 +70,7 @@
 		return Answer{Origin: &Origin{Stream: id, Release: release, Service: service}}
 	}
 	releases := k.Releases.Of(service)
-	q, repeated := k.ask(now, id)
+	q, repeated := k.remember(now, id)
 	a := Answer{ReadList: k.listConfirmedAt < q.askedAt}
 	missing := false
 	switch {
@@ -86,8 +86,8 @@
 	return a
 }
 
-// ask remembers a question and reports whether it is repeated.
-func (k *Keeper) ask(now time.Duration, id StreamID) (question, bool) {
+// remember returns a question about an unknown stream, and whether it is repeated.
+func (k *Keeper) remember(now time.Duration, id StreamID) (question, bool) {
 	q, repeated := k.questions[id]
 	if repeated && now-q.repeatedAt < questionMemory {
 		q.repeatedAt = now
