Keep streams whole while memory is short

A stream without room for its next event was cut off after a second, also when connections that came later had taken the room; incomplete answers were given up for requests however small; a complete event that waits for its caller counted as incomplete.

Ruled out: the callers, the limit for callers that read nothing, the end of sends.

--- a/internal/budgeter/account.go
+++ b/internal/budgeter/account.go
@@ -65,7 +65,7 @@
 	streamPart         = 3 // by events
 	streamTotalPart    = 7 // by all that is held with events
 	incomingPart       = 4 // by what is incoming, so that there is room for requests
-	leastIncomingPart  = 1 // the same while requests lack room
+	leastIncomingPart  = 1 // the same while requests lack room; there is always as much for it and events
 	headroomPart       = 1 // made free at once by ending what fills most
 	peerPart           = 5 // by events and what is incoming together, for the same reason
 	answerPart         = 8 // by all that is held with answers
@@ -145,7 +145,7 @@
 		a.shed++
 		return false
 	}
-	a.add(Request, size)
+	a.Add(Request, size)
 	return true
 }
 
@@ -181,18 +181,22 @@
 		if a.incoming+size > a.incomingLimit() {
 			return false
 		}
+		if a.stream+a.incoming+size <= a.part(leastIncomingPart) {
+			a.Add(p, size)
+			return true
+		}
 	case Answer:
 	}
 	if a.Held()+size > a.part(part) {
 		return false
 	}
-	a.add(p, size)
+	a.Add(p, size)
 	return true
 }
 
-// Release gives back bytes that Admit or Take has reserved.
+// Release gives back reserved bytes.
 func (a *Account) Release(p Purpose, size Bytes) {
-	a.add(p, -size)
+	a.Add(p, -size)
 }
 
 // Headroom returns how much is made free at once when room is short.
@@ -218,10 +222,10 @@
 	return a.incoming-ending > a.part(leastIncomingPart)
 }
 
-// Complete counts incoming bytes as those of an answer.
-func (a *Account) Complete(size Bytes) {
-	a.incoming -= size
-	a.answer += size
+// Move counts held bytes for another purpose, also beyond its part.
+func (a *Account) Move(from, to Purpose, size Bytes) {
+	a.Add(from, -size)
+	a.Add(to, size)
 }
 
 // PerCaller returns how many bytes of events may be held for one caller.
@@ -257,7 +261,8 @@
 	return room * Bytes(n) / eighths
 }
 
-func (a *Account) add(p Purpose, size Bytes) {
+// Add reserves bytes, also without room.
+func (a *Account) Add(p Purpose, size Bytes) {
 	switch p {
 	case Request:
 		a.request += size
--- a/internal/budgeter/account_test.go
+++ b/internal/budgeter/account_test.go
@@ -141,11 +141,26 @@
 	require.Greater(t, fill(a, kilobyte, 0), 250)
 }
 
+// Streams that were taken in all waited for one another, when connections had taken their room.
+func TestThereIsAlwaysRoomForSomeEvents(t *testing.T) {
+	a := newTestAccount()
+	fill(a, kilobyte, 0)
+	a.Connected(40)
+	require.Greater(t, a.Held(), a.part(eighths))
+	require.False(t, a.Take(Answer, kilobyte))
+	require.True(t, a.Take(Incoming, 20*kilobyte))
+	require.False(t, a.Take(Incoming, 10*kilobyte))
+	a.Move(Incoming, Stream, 20*kilobyte)
+	require.False(t, a.Take(Incoming, 10*kilobyte), "the caller has not read")
+	a.Release(Stream, 20*kilobyte)
+	require.True(t, a.Take(Incoming, 20*kilobyte))
+}
+
 func TestCompleteAnswersAreNoLongerIncoming(t *testing.T) {
 	a := newTestAccount()
 	require.True(t, a.Take(Incoming, 400*kilobyte))
 	require.False(t, a.Take(Incoming, kilobyte))
-	a.Complete(400 * kilobyte)
+	a.Move(Incoming, Answer, 400*kilobyte)
 	require.True(t, a.Take(Incoming, 400*kilobyte))
 	require.Equal(t, 800*kilobyte, a.Held())
 }
--- a/internal/relayer/account.go
+++ b/internal/relayer/account.go
@@ -85,7 +85,7 @@
 	fillers, wait = a.endFillers(budgeter.Request, fillerFactor*size)
 	if a.account.IncomingFills(budgeter.Bytes(a.ending[budgeter.Incoming])) {
 		a.shortUntil = time.Now().Add(shortTime)
-		incoming, more := a.endFillers(budgeter.Incoming, 0)
+		incoming, more := a.endFillers(budgeter.Incoming, smallIntake+1)
 		fillers, wait = append(fillers, incoming...), wait || more
 	}
 	return fillers, wait || a.ending[budgeter.Request]+a.ending[budgeter.Incoming] > 0
--- a/internal/relayer/events.go
+++ b/internal/relayer/events.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/egretwall/egretwall/internal/dispatcher"
 )
@@ -54,7 +55,7 @@
 				return connFailureOutcome(ctx, out), gapErr.Error()
 			}
 			if len(undelivered) > 0 {
-				if writeErr := out.writeEvents(up.response, undelivered); writeErr != nil {
+				if writeErr := up.taken.deliver(func() error { return out.writeEvents(up.response, undelivered) }); writeErr != nil {
 					up.conn.abort()
 					return dispatcher.CallerClosed, writeErr.Error()
 				}
@@ -85,13 +86,17 @@
 	}
 }
 
-// growEvents returns a larger buffer for an event. The first one is not taken.
+// growEvents returns a larger buffer for an event. The first one is not taken. Without room, the
+// stream waits at its upstream.
 func (up *upstreamResponse) growEvents(buf []byte) ([]byte, error) {
+	take := func(n int) error {
+		return up.taken.takeWhile(n, func() bool { return !up.conn.closed.Load() && time.Now().Before(up.deadline) })
+	}
 	size := min(2*cap(buf), maxEventSize+readBufferSize)
 	if cap(buf) > readBufferSize {
-		return up.taken.grow(buf, size)
+		return up.taken.grow(buf, size, take)
 	}
-	if err := up.taken.take(size); err != nil {
+	if err := take(size); err != nil {
 		return buf, err
 	}
 	return append(make([]byte, 0, size), buf...), nil
--- a/internal/relayer/intake.go
+++ b/internal/relayer/intake.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/egretwall/egretwall/internal/budgeter"
@@ -15,6 +16,10 @@
 	fillerFactor     = 2                      // an intake is ended for another that would be so many times smaller
 )
 
+// smallIntake is the size of an intake, in bytes, up to which it always has room, and is not ended for
+// a request, which would need as much.
+const smallIntake = int(budgeter.RequestSize)
+
 // sender is who sends the bytes of intakes: an upstream, or the host of a caller.
 type sender string
 
@@ -25,7 +30,8 @@
 	account *account
 	purpose budgeter.Purpose
 	sender  sender
-	abort   func() // gives up the message
+	abort   func()      // gives up the message
+	waiting atomic.Bool // for room
 
 	// Guarded by account.mu.
 	size    int
@@ -54,19 +60,37 @@
 
 // take reserves n further bytes. It waits for room, but not longer than answerPatience.
 func (i *intake) take(n int) error {
-	for waited := time.Duration(0); ; waited += answerPollPeriod {
+	start := time.Now()
+	return i.takeWhile(n, func() bool { return time.Since(start) < answerPatience })
+}
+
+// takeWhile reserves n further bytes. It waits for room as long as patient returns true.
+func (i *intake) takeWhile(n int, patient func() bool) error {
+	defer i.waiting.Store(false)
+	for {
 		taken, fillers := i.account.takeIn(i, n)
 		if taken {
 			return nil
 		}
+		i.waiting.Store(true)
 		abortAll(fillers)
-		if i.cause(nil) != nil || waited >= answerPatience {
+		if i.cause(nil) != nil || !patient() {
 			return errResponseMemory
 		}
 		time.Sleep(answerPollPeriod)
 	}
 }
 
+// deliver calls write, which passes on what has come. Meanwhile, the bytes count as unread by the
+// caller, and the message is not given up for others.
+func (i *intake) deliver(write func() error) error {
+	if !i.complete(budgeter.Stream) {
+		return errResponseMemory
+	}
+	defer i.reopen()
+	return write()
+}
+
 // tryTake reserves n further bytes and reports whether there is room.
 func (i *intake) tryTake(n int) bool {
 	i.account.mu.Lock()
@@ -109,17 +133,32 @@
 // settle keeps a complete answer from being given up for others. Its bytes are held until
 // close. It reports whether the answer was complete before it was given up.
 func (i *intake) settle() bool {
-	i.account.mu.Lock()
-	defer i.account.mu.Unlock()
-	if i.ended {
+	return i.complete(budgeter.Answer)
+}
+
+// complete keeps a message from being given up for others, and counts its bytes for another
+// purpose. It reports whether that was done in time.
+func (i *intake) complete(p budgeter.Purpose) bool {
+	if !i.protect() {
 		return false
 	}
-	i.account.forget(i)
-	i.account.account.Complete(budgeter.Bytes(i.size))
-	i.purpose, i.settled = budgeter.Answer, true
+	i.account.mu.Lock()
+	defer i.account.mu.Unlock()
+	i.account.account.Move(i.purpose, p, budgeter.Bytes(i.size))
+	i.purpose = p
 	return true
 }
 
+// reopen undoes complete, for a message of which more comes.
+func (i *intake) reopen() {
+	i.account.mu.Lock()
+	defer i.account.mu.Unlock()
+	i.account.account.Move(i.purpose, budgeter.Incoming, budgeter.Bytes(i.size))
+	size := i.size
+	i.purpose, i.size, i.settled = budgeter.Incoming, 0, false
+	i.account.resize(i, size)
+}
+
 // hand returns another intake with all bytes of a complete answer, which outlives the send.
 func (i *intake) hand() *intake {
 	i.account.mu.Lock()
@@ -158,9 +197,10 @@
 	return err
 }
 
-// grow returns a copy of a buffer with another capacity. The buffer must not be used any more.
-func (i *intake) grow(buf []byte, size int) ([]byte, error) {
-	if err := i.take(size); err != nil {
+// grow returns a copy of a buffer with another capacity, for which take has reserved the bytes.
+// The buffer must not be used any more.
+func (i *intake) grow(buf []byte, size int, take func(n int) error) ([]byte, error) {
+	if err := take(size); err != nil {
 		return buf, err
 	}
 	larger := append(make([]byte, 0, size), buf...)
@@ -182,6 +222,11 @@
 	if i.ended {
 		return false, nil
 	}
+	if i.size+n <= smallIntake {
+		a.account.Add(i.purpose, budgeter.Bytes(n))
+		a.resize(i, n)
+		return true, nil
+	}
 	a.account.SetShort(time.Now().Before(a.shortUntil))
 	if a.account.Take(i.purpose, budgeter.Bytes(n)) {
 		a.resize(i, n)
@@ -215,20 +260,26 @@
 	return ended, len(ended) > 0
 }
 
-// largest returns the largest intake of the sender that fills most, nil if it has none of a
-// size or more that has not been ended.
+// largest returns the largest intake of the sender that fills most, among the senders that have
+// one of a size or more that has not been ended. It returns nil if none has.
 func (s senders) largest(size int) *intake {
-	var fullest *intakes
+	var filler *intake
+	fullest := -1
 	for _, all := range s {
-		if fullest == nil || all.size > fullest.size {
-			fullest = all
+		if all.size <= fullest {
+			continue
+		}
+		if i := all.largest(size); i != nil {
+			filler, fullest = i, all.size
 		}
 	}
-	if fullest == nil {
-		return nil
-	}
+	return filler
+}
+
+// largest returns the largest intake that has not been ended, nil without one of a size or more.
+func (all *intakes) largest(size int) *intake {
 	var largest *intake
-	for i := range fullest.members {
+	for i := range all.members {
 		if !i.ended && i.size >= size && (largest == nil || i.size > largest.size) {
 			largest = i
 		}
--- a/internal/relayer/responselimit.go
+++ b/internal/relayer/responselimit.go
@@ -25,7 +25,7 @@
 func readBody(in *intake, r io.Reader) (body []byte, err error) {
 	for {
 		if len(body) == cap(body) {
-			if body, err = in.grow(body, max(minBodyBuffer, 2*cap(body))); err != nil {
+			if body, err = in.grow(body, max(minBodyBuffer, 2*cap(body)), in.take); err != nil {
 				return nil, err
 			}
 		}
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -51,6 +51,7 @@
 	info        ResponseInfo
 	writeResult <-chan error // receives the result of writing the request
 	taken       *intake
+	deadline    time.Time // of the send
 }
 
 var (
@@ -233,9 +234,10 @@
 	defer stop()
 	clearCancel := mailbox.OnCancel(conn.abort)
 	defer clearCancel()
-	caller := out.conn
+	caller, taken := out.conn, g.account.newIntake(budgeter.Incoming, sender(e.Upstream), conn.abort)
+	defer taken.close()
 	stall := newStallTimer(e, func() {
-		if !caller.waiting() {
+		if !caller.waiting() && !taken.waiting.Load() {
 			g.cfg.Dispatcher.Reduce(dispatcher.SendStalled{ID: e.ID, Try: e.Try})
 		}
 	})
@@ -243,7 +245,8 @@
 		stall.stop()
 		out.longestPause = stall.pause()
 	}()
-	if err := conn.SetDeadline(time.Now().Add(e.Timeout + responseGrace)); err != nil {
+	deadline := time.Now().Add(e.Timeout + responseGrace)
+	if err := conn.SetDeadline(deadline); err != nil {
 		conn.abort()
 		return dispatcher.Unsent, err.Error()
 	}
@@ -254,14 +257,12 @@
 	}
 	header := g.forwardHeader(in, ForwardInfo{Timeout: e.Timeout, Upstream: e.Upstream, Priority: e.Priority, LastEventID: lastEventID})
 	writeResult := in.write(conn, header)
-	taken := g.account.newIntake(budgeter.Incoming, sender(e.Upstream), conn.abort)
-	defer taken.close()
 	resp, info, err := g.readResponse(conn, in, e, taken)
 	if err != nil {
 		conn.abort()
 		return connFailureOutcome(ctx, out), err.Error()
 	}
-	up := &upstreamResponse{conn: conn, response: resp, info: info, writeResult: writeResult, taken: taken}
+	up := &upstreamResponse{conn: conn, response: resp, info: info, writeResult: writeResult, taken: taken, deadline: deadline}
 	return g.handleResponse(ctx, up, in, out, e, stall)
 }
 
