Count answers of the store and of other processes against memory

Answers of the store and fetches from peers had a bound of 16 MiB and stood on none.

Cause: puller grew its buffer by itself, up to 32 MiB with the old one beside it.

Change: the buffers of such calls are taken from the account of a gateway, or from one of its own in a steward: 3/8 of it for all, half of what others leave for one sender, and the fullest sender is ended for one that would hold half as much. Buffers don't grow beyond the bound.

--- a/internal/budgeter/account.go
+++ b/internal/budgeter/account.go
@@ -29,6 +29,8 @@
 	Answer  Purpose = "answer"  // plain answers of upstreams until they are written
 	// Incoming is for what has come of answers, and of events, that are not complete.
 	Incoming Purpose = "incoming"
+	// Control is for what has come of answers of the store and of other processes.
+	Control Purpose = "control"
 )
 
 // Sizes of what a gateway holds beside the bytes of callers and upstreams.
@@ -67,10 +69,12 @@
 	incomingPart       = 4 // by what is incoming, so that there is room for requests
 	leastIncomingPart  = 1 // the same while requests lack room; there is always as much for it and events
 	headroomPart       = 1 // made free at once by ending what fills most
+	controlPart        = 3 // of the total by what is for control, also beyond the room, since requests need it
 	peerPart           = 5 // by events and what is incoming together, for the same reason
 	answerPart         = 8 // by all that is held with answers
 	minHeldPart        = 2 // of the total that connections leave to held bytes
 	maxRequestFraction = 2 // a request takes at most 1/maxRequestFraction of the free room
+	maxPeerFraction    = 2 // the same of what is for control that others leave to the store or a process
 )
 
 // Config configures an Account.
@@ -108,6 +112,7 @@
 	stream      Bytes
 	answer      Bytes
 	incoming    Bytes
+	control     Bytes
 	short       bool // requests lack room
 	peak        Bytes
 	shed        int64
@@ -185,6 +190,12 @@
 			a.Add(p, size)
 			return true
 		}
+	case Control:
+		if a.control+size > a.controlLimit() {
+			return false
+		}
+		a.Add(p, size)
+		return true
 	case Answer:
 	}
 	if a.Held()+size > a.part(part) {
@@ -209,6 +220,15 @@
 	a.short = short
 }
 
+func (a *Account) controlLimit() Bytes {
+	return a.cfg.Total * controlPart / eighths
+}
+
+// PeerLimit returns how much may be held for control of one peer, of which so much is held.
+func (a *Account) PeerLimit(held Bytes) Bytes {
+	return (a.controlLimit() - a.control + held) / maxPeerFraction
+}
+
 func (a *Account) incomingLimit() Bytes {
 	if a.short {
 		return a.part(leastIncomingPart)
@@ -235,7 +255,7 @@
 
 // Held returns all held bytes without those of connections.
 func (a *Account) Held() Bytes {
-	return a.request + a.stream + a.incoming + a.answer
+	return a.request + a.stream + a.incoming + a.answer + a.control
 }
 
 // Holdings returns what the account holds.
@@ -272,6 +292,8 @@
 		a.answer += size
 	case Incoming:
 		a.incoming += size
+	case Control:
+		a.control += size
 	}
 	a.peak = max(a.peak, a.Held())
 }
--- a/internal/budgeter/account_test.go
+++ b/internal/budgeter/account_test.go
@@ -180,3 +180,14 @@
 	require.True(t, a.Take(Answer, 400*kilobyte))
 	require.False(t, a.Take(Answer, kilobyte))
 }
+
+func TestPeersLeaveRoomToEachOther(t *testing.T) {
+	a := newTestAccount()
+	fill(a, kilobyte, 0)
+	require.Equal(t, 150*kilobyte, a.PeerLimit(0))
+	require.True(t, a.Take(Control, 150*kilobyte), "also beyond the room")
+	require.Equal(t, 150*kilobyte, a.PeerLimit(150*kilobyte), "of the one that holds it")
+	require.Equal(t, 75*kilobyte, a.PeerLimit(0))
+	require.False(t, a.Take(Control, 200*kilobyte))
+	a.Release(Control, 150*kilobyte)
+}
--- a/internal/driver/gateway.go
+++ b/internal/driver/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/egretwall/egretwall/internal/exchanger"
 	"github.com/egretwall/egretwall/internal/messenger"
 	"github.com/egretwall/egretwall/internal/observer"
+	"github.com/egretwall/egretwall/internal/puller"
 	"github.com/egretwall/egretwall/internal/registrar"
 	"github.com/egretwall/egretwall/internal/relayer"
 	"github.com/egretwall/egretwall/internal/tracker"
@@ -150,6 +151,7 @@
 	}
 	g.syncer.onListConfirmed = func(at time.Duration) { g.apply(dispatcher.ListConfirmed{At: at}) }
 	g.relayer = relayer.New(relayer.Config{HeaderCodec: cfg.HeaderCodec, Dispatcher: g, Logger: cfg.Log.Logger, Budget: budgeter.ConfigOf(cfg.limits())})
+	g.syncer.fetch = fetchWith(g.relayer.PeerAccount())
 	peer, err := netip.ParseAddrPort(cfg.PeerAddress)
 	if err != nil {
 		return nil, classifier.Wrap(classifier.Invalid, err, "peer address")
@@ -198,7 +200,7 @@
 // Run serves until ctx ends, a server fails or the gateway has drained after Stop. It
 // returns nil only if all open requests were answered after Stop.
 func (g *Gateway) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(puller.WithAccount(ctx, g.relayer.PeerAccount()))
 	defer cancel()
 	health := &http.Server{Handler: http.HandlerFunc(g.serveHealth), ReadHeaderTimeout: time.Second, MaxHeaderBytes: maxHealthHeader}
 	errc := make(chan error, 4)
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -8,14 +8,17 @@
 	"time"
 
 	"github.com/egretwall/egretwall/internal/apportioner"
+	"github.com/egretwall/egretwall/internal/budgeter"
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/estimator"
 	"github.com/egretwall/egretwall/internal/exchanger"
 	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/messenger"
 	"github.com/egretwall/egretwall/internal/observer"
+	"github.com/egretwall/egretwall/internal/puller"
 	"github.com/egretwall/egretwall/internal/reconciler"
 	"github.com/egretwall/egretwall/internal/registrar"
+	"github.com/egretwall/egretwall/internal/relayer"
 )
 
 // Timing of stewards.
@@ -88,6 +91,7 @@
 
 	messenger *messenger.Messenger
 	exchanger *exchanger.Server
+	peers     puller.Account // of what the store and other processes send
 	admin     *observer.AdminServer
 }
 
@@ -98,6 +102,8 @@
 		limits: limiter.NewTable(), orders: make(chan reconciler.Order, 1), pollNow: make(chan struct{}, 1), stopRequested: make(chan struct{}, 1),
 	}
 	setMemoryLimit(cfg.MemoryMB)
+	s.peers = relayer.NewPeerAccount(budgeter.ConfigOf(budgeter.Limits{Memory: budgeter.Bytes(cfg.MemoryMB * (1 << 20))}))
+	s.syncer.fetch = fetchWith(s.peers)
 	s.issuer = limiter.NewIssuer(s.limits)
 	s.origins = newOriginKeeper(cfg.Service, s.syncer, cfg.Origins, cfg.Log.Logger)
 	s.verdicts = newVerdictKeeper(cfg.Verdicts)
@@ -149,7 +155,7 @@
 // Run serves until ctx ends, Stop is called or a server fails, and returns the server's
 // error, if any.
 func (s *Steward) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancel(puller.WithAccount(ctx, s.peers))
 	defer cancel()
 	var g sync.WaitGroup
 	for _, run := range []func(context.Context){s.syncer.run, s.messenger.Run, s.acquireFence, s.pollRunner, s.sendOrders, s.origins.log.runWrites, s.origins.log.runReads, s.judge, s.keepVerdicts} {
--- a/internal/driver/syncer.go
+++ b/internal/driver/syncer.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/egretwall/egretwall/internal/exchanger"
+	"github.com/egretwall/egretwall/internal/puller"
 	"github.com/egretwall/egretwall/internal/registrar"
 	"github.com/egretwall/egretwall/internal/watcher"
 )
@@ -71,6 +72,13 @@
 	cancel  context.CancelFunc
 }
 
+// fetchWith is exchanger.Fetch with an account.
+func fetchWith(a puller.Account) func(context.Context, exchanger.Request) (exchanger.Record, error) {
+	return func(ctx context.Context, r exchanger.Request) (exchanger.Record, error) {
+		return exchanger.Fetch(puller.WithAccount(ctx, a), r)
+	}
+}
+
 // pollTiming configures how often the store is polled.
 type pollTiming struct {
 	configurationTimeout time.Duration // long-poll timeout of reads of the configuration; a dead connection is noticed soon after it
--- a/internal/puller/puller.go
+++ b/internal/puller/puller.go
@@ -29,6 +29,9 @@
 // maxFirstBuffer bounds what is allocated for a body before it comes.
 const maxFirstBuffer = 1 << 20
 
+// errGivenUp is the error of a call whose body the account has given up.
+var errGivenUp = errors.New("given up for want of memory")
+
 // ErrTooLarge is wrapped by the error for a body of more than MaxBytes.
 var ErrTooLarge = errors.New("response is too large")
 
@@ -85,8 +88,12 @@
 	defer cancel(nil)
 	startedAt, body := time.Now(), []byte(nil)
 	fail := func(err error) error {
-		if ctx.Err() != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) && req.Context().Err() == nil {
+		switch cause := context.Cause(ctx); {
+		case req.Context().Err() != nil:
+		case errors.Is(cause, context.DeadlineExceeded):
 			return &StallError{Bytes: len(body), Took: time.Since(startedAt)}
+		case errors.Is(cause, errGivenUp):
+			return errGivenUp
 		}
 		return err
 	}
@@ -100,8 +107,14 @@
 	if resp.ContentLength > int64(p.cfg.MaxBytes) {
 		return nil, fmt.Errorf("%w: %d bytes", ErrTooLarge, resp.ContentLength)
 	}
+	hold := accountOf(ctx).Begin(req.URL.Host, func() { cancel(errGivenUp) })
+	defer hold.Close()
 	headerAt := time.Now()
-	body = make([]byte, 0, max(partBytes, min(resp.ContentLength+1, maxFirstBuffer))) // one more for the read that returns EOF
+	first := max(partBytes, min(int(resp.ContentLength)+1, maxFirstBuffer)) // one more for the read that returns EOF
+	if err := hold.Take(first); err != nil {
+		return nil, err
+	}
+	body = make([]byte, 0, first)
 	for {
 		if o.Progress != nil {
 			o.Progress(body)
@@ -109,7 +122,9 @@
 		left := p.cfg.Timeout + time.Duration(len(body))*time.Second/minRate - time.Since(headerAt)
 		timer.Reset(min(p.cfg.Timeout, left))
 		if len(body) == cap(body) {
-			body = append(make([]byte, 0, 2*cap(body)), body...)
+			if body, err = grow(body, p.nextSize(body, resp.ContentLength), hold); err != nil {
+				return nil, err
+			}
 		}
 		n, err := resp.Body.Read(body[len(body):min(cap(body), len(body)+partBytes)])
 		body = body[:len(body)+n]
@@ -123,3 +138,23 @@
 		}
 	}
 }
+
+// nextSize returns the size of the next buffer for a body of the given length, negative if it is
+// unknown.
+func (p *Puller) nextSize(body []byte, length int64) int {
+	most := p.cfg.MaxBytes + partBytes
+	if length >= int64(cap(body)) {
+		most = int(length) + 1
+	}
+	return min(2*cap(body), most)
+}
+
+// grow returns a copy of a buffer with another capacity.
+func grow(buf []byte, size int, hold Hold) ([]byte, error) {
+	if err := hold.Take(size); err != nil {
+		return buf, err
+	}
+	larger := append(make([]byte, 0, size), buf...)
+	hold.Give(cap(buf))
+	return larger, nil
+}
--- a/internal/puller/puller_test.go
+++ b/internal/puller/puller_test.go
@@ -129,3 +129,75 @@
 		require.LessOrEqual(t, cap(resp.Body), maxFirstBuffer)
 	})
 }
+
+// countingAccount is an account that fails beyond a limit.
+type countingAccount struct {
+	limit, held, most int
+	abort             func()
+}
+
+func (a *countingAccount) Begin(_ string, abort func()) Hold {
+	a.abort = abort
+	return a
+}
+
+func (a *countingAccount) Take(n int) error {
+	if a.held+n > a.limit {
+		return errors.New("no room")
+	}
+	a.held += n
+	a.most = max(a.most, a.held)
+	return nil
+}
+
+func (a *countingAccount) Give(n int) { a.held -= n }
+
+func (a *countingAccount) Close() { a.held = 0 }
+
+// What a peer made a process hold of a body was not counted, and was up to three times its bound.
+func TestBodyStandsOnTheAccount(t *testing.T) {
+	const limit = 4 << 20
+	for name, c := range map[string]struct {
+		length int64 // that the peer announces
+		room   int
+		most   int
+		err    string
+	}{
+		"known length":      {3 << 20, 16 << 20, 5<<20 + 1, ""},
+		"unknown length":    {-1, 16 << 20, 6 << 20, ""},
+		"without room":      {-1, 2 << 20, 2 << 20, "no room"},
+		"no room for parts": {-1, 1, 0, "no room"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := &countingAccount{limit: c.room}
+				server := slowServer{part: partBytes, parts: 3 << 20 / partBytes, length: c.length}
+				p := New(Config{Client: &http.Client{Transport: server}, Timeout: time.Second, MaxBytes: limit})
+				req, err := http.NewRequestWithContext(WithAccount(t.Context(), a), http.MethodGet, "http://store/", nil)
+				require.NoError(t, err)
+				_, err = p.Pull(req, Options{})
+				if c.err == "" {
+					require.NoError(t, err)
+				} else {
+					require.ErrorContains(t, err, c.err)
+				}
+				require.LessOrEqual(t, a.most, c.most)
+				require.Zero(t, a.held)
+			})
+		})
+	}
+}
+
+func TestBodyIsGivenUpForOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &countingAccount{limit: 16 << 20}
+		server := slowServer{part: partBytes, parts: 1000, pause: 100 * time.Millisecond, length: -1}
+		p := New(Config{Client: &http.Client{Transport: server}, Timeout: time.Second, MaxBytes: 64 << 20})
+		req, err := http.NewRequestWithContext(WithAccount(t.Context(), a), http.MethodGet, "http://store/", nil)
+		require.NoError(t, err)
+		time.AfterFunc(time.Second, func() { a.abort() })
+		_, err = p.Pull(req, Options{})
+		require.ErrorIs(t, err, errGivenUp)
+		require.Zero(t, a.held)
+	})
+}
--- a/internal/relayer/account.go
+++ b/internal/relayer/account.go
@@ -20,7 +20,7 @@
 func newAccount(cfg budgeter.Config) *account {
 	return &account{
 		account: budgeter.New(cfg), searches: map[budgeter.Purpose]search{}, ending: map[budgeter.Purpose]int{},
-		intakes: map[budgeter.Purpose]senders{budgeter.Incoming: {}, budgeter.Request: {}},
+		intakes: map[budgeter.Purpose]senders{budgeter.Incoming: {}, budgeter.Request: {}, budgeter.Control: {}},
 	}
 }
 
@@ -82,10 +82,10 @@
 	if a.account.Fits(budgeter.Bytes(size), priority) {
 		return nil, false
 	}
-	fillers, wait = a.endFillers(budgeter.Request, fillerFactor*size)
+	fillers, wait = a.endFillers(budgeter.Request, fillerSize{message: fillerFactor * size})
 	if a.account.IncomingFills(budgeter.Bytes(a.ending[budgeter.Incoming])) {
 		a.shortUntil = time.Now().Add(shortTime)
-		incoming, more := a.endFillers(budgeter.Incoming, smallIntake+1)
+		incoming, more := a.endFillers(budgeter.Incoming, fillerSize{message: smallIntake + 1})
 		fillers, wait = append(fillers, incoming...), wait || more
 	}
 	return fillers, wait || a.ending[budgeter.Request]+a.ending[budgeter.Incoming] > 0
--- a/internal/relayer/intake.go
+++ b/internal/relayer/intake.go
@@ -45,6 +45,12 @@
 	members map[*intake]struct{}
 }
 
+// fillerSize is the least size of what is ended for others.
+type fillerSize struct {
+	message int
+	sender  int // of all messages of its sender
+}
+
 // search is the last search for intakes to end.
 type search struct {
 	at    time.Time
@@ -228,25 +234,54 @@
 		return true, nil
 	}
 	a.account.SetShort(time.Now().Before(a.shortUntil))
-	if a.account.Take(i.purpose, budgeter.Bytes(n)) {
+	if a.within(i, n) && a.account.Take(i.purpose, budgeter.Bytes(n)) {
 		a.resize(i, n)
 		return true, nil
 	}
-	fillers, _ = a.endFillers(i.purpose, fillerFactor*(i.size+n))
+	fillers, _ = a.endFillers(i.purpose, a.leastFiller(i, n))
 	return false, fillers
 }
 
-// endFillers ends the largest intakes of a purpose that have at least the given size, as many
+// leastFiller returns the least size of what is ended for n further bytes of an intake. The store and
+// other processes are asked again for what they have sent, so it is their sum that counts. The
+// caller holds mu.
+func (a *account) leastFiller(i *intake, n int) fillerSize {
+	if i.purpose != budgeter.Control {
+		return fillerSize{message: fillerFactor * (i.size + n)}
+	}
+	return fillerSize{sender: fillerFactor * (a.ofSender(i) + n)}
+}
+
+// within reports whether the sender of an intake may send n further bytes. The store and other
+// processes leave room to each other. The caller holds mu.
+func (a *account) within(i *intake, n int) bool {
+	if i.purpose != budgeter.Control {
+		return true
+	}
+	held := budgeter.Bytes(a.ofSender(i))
+	return held+budgeter.Bytes(n) <= a.account.PeerLimit(held)
+}
+
+// ofSender returns the size of the intakes of an intake's sender that have not been ended. The
+// caller holds mu.
+func (a *account) ofSender(i *intake) int {
+	if all := a.intakes[i.purpose][i.sender]; all != nil {
+		return all.size
+	}
+	return 0
+}
+
+// endFillers ends the largest intakes of a purpose that have at least the given sizes, as many
 // as make headroom together with those that have been ended before, and returns them. It
 // reports whether that makes room, or did so just before. The caller holds mu.
-func (a *account) endFillers(p budgeter.Purpose, size int) (ended []*intake, room bool) {
+func (a *account) endFillers(p budgeter.Purpose, least fillerSize) (ended []*intake, room bool) {
 	last := a.searches[p]
 	now := time.Now()
 	if now.Sub(last.at) < answerPollPeriod {
 		return nil, last.found
 	}
 	for freed, headroom := a.ending[p], int(a.account.Headroom()); freed < headroom; {
-		filler := a.intakes[p].largest(size)
+		filler := a.intakes[p].largest(least)
 		if filler == nil {
 			break
 		}
@@ -260,16 +295,16 @@
 	return ended, len(ended) > 0
 }
 
-// largest returns the largest intake of the sender that fills most, among the senders that have
-// one of a size or more that has not been ended. It returns nil if none has.
-func (s senders) largest(size int) *intake {
+// largest returns the largest intake of the sender that fills most, among the senders of a size or
+// more that have one of a size or more that has not been ended. It returns nil if none has.
+func (s senders) largest(least fillerSize) *intake {
 	var filler *intake
 	fullest := -1
 	for _, all := range s {
-		if all.size <= fullest {
+		if all.size <= fullest || all.size < least.sender {
 			continue
 		}
-		if i := all.largest(size); i != nil {
+		if i := all.largest(least.message); i != nil {
 			filler, fullest = i, all.size
 		}
 	}
--- a/internal/relayer/intake_test.go
+++ b/internal/relayer/intake_test.go
@@ -126,3 +126,22 @@
 		require.Zero(t, a.ending[budgeter.Incoming])
 	})
 }
+
+// Peers that fill the part for answers of the store and of other processes are ended for one that
+// holds less, however many they are.
+func TestFullestPeerIsEndedForAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, aborted := newIntakes(16), []sender{}
+		for _, from := range []sender{"p1", "p2", "p3", "p4", "p5", "p6"} {
+			var i *intake
+			i = a.newIntake(budgeter.Control, from, func() {
+				aborted = append(aborted, from)
+				i.close()
+			})
+			for n, _ := a.takeIn(i, intakeSize/4); n; n, _ = a.takeIn(i, intakeSize/4) {
+			}
+		}
+		require.NoError(t, a.newIntake(budgeter.Control, "store", func() {}).take(intakeSize))
+		require.Equal(t, sender("p1"), aborted[0])
+	})
+}
