--- a/internal/relayer/intake.go
+++ b/internal/relayer/intake.go
@@ -325,7 +325,7 @@
 // resize changes the size of an intake. The caller holds mu.
 func (a *account) resize(i *intake, n int) {
 	i.size += n
-	if i.settled {
+	if i.settled || n == 0 {
 		return
 	}
 	all := a.intakes[i.purpose][i.sender]
