End answers of the store and of other processes for requests

What callers would see: with the store or another process sending without end beside all other fillers, a gateway refused most requests.

Cause: counts these answers, up to 3/8 of the account, and requests stop at 3/4 of the room; only what upstreams and callers send was given up for requests.

Change: while requests lack room, these answers have an eighth of the account, and what fills more is ended, the largest of the fullest sender first, as for upstreams.

Ruled out: the limit for incoming answers (IncomingFills was false) and the callers.

--- a/internal/budgeter/account.go
+++ b/internal/budgeter/account.go
@@ -74,6 +74,7 @@
 	answerPart         = 8 // by all that is held with answers
 	minHeldPart        = 2 // of the total that connections leave to held bytes
 	maxRequestFraction = 2 // a request takes at most 1/maxRequestFraction of the free room
+	leastControlPart   = 1 // the same while requests lack room
 	maxPeerFraction    = 2 // the same of what is for control that others leave to the store or a process
 )
 
@@ -215,15 +216,24 @@
 	return a.part(headroomPart)
 }
 
-// SetShort says whether new requests lack room, so that less may be held of what is incoming.
+// SetShort says whether new requests lack room, so that less may be held of what is incoming and for
+// control.
 func (a *Account) SetShort(short bool) {
 	a.short = short
 }
 
 func (a *Account) controlLimit() Bytes {
+	if a.short {
+		return a.cfg.Total * leastControlPart / eighths
+	}
 	return a.cfg.Total * controlPart / eighths
 }
 
+// ControlFills is IncomingFills for control.
+func (a *Account) ControlFills(ending Bytes) bool {
+	return a.control-ending > a.cfg.Total*leastControlPart/eighths
+}
+
 // PeerLimit returns how much may be held for control of one peer, of which so much is held.
 func (a *Account) PeerLimit(held Bytes) Bytes {
 	return (a.controlLimit() - a.control + held) / maxPeerFraction
--- a/internal/budgeter/account_test.go
+++ b/internal/budgeter/account_test.go
@@ -189,5 +189,10 @@
 	require.Equal(t, 150*kilobyte, a.PeerLimit(150*kilobyte), "of the one that holds it")
 	require.Equal(t, 75*kilobyte, a.PeerLimit(0))
 	require.False(t, a.Take(Control, 200*kilobyte))
-	a.Release(Control, 150*kilobyte)
+	require.True(t, a.ControlFills(0))
+	require.False(t, a.ControlFills(50*kilobyte))
+	a.SetShort(true)
+	require.False(t, a.Take(Control, kilobyte), "requests lack room")
+	a.Release(Control, 100*kilobyte)
+	require.True(t, a.Take(Control, kilobyte))
 }
--- a/internal/relayer/account.go
+++ b/internal/relayer/account.go
@@ -74,8 +74,8 @@
 }
 
 // makeRoom returns the intakes to end for a new request that does not fit, and reports whether
-// the request is to wait since bytes are about to be given back. Incomplete answers are ended
-// only if they fill a part of the memory.
+// the request is to wait since bytes are about to be given back. Incomplete answers of upstreams, of
+// the store and of other processes are ended only if they fill a part of the memory.
 func (a *account) makeRoom(size, priority int) (fillers []*intake, wait bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -83,12 +83,16 @@
 		return nil, false
 	}
 	fillers, wait = a.endFillers(budgeter.Request, fillerSize{message: fillerFactor * size})
-	if a.account.IncomingFills(budgeter.Bytes(a.ending[budgeter.Incoming])) {
-		a.shortUntil = time.Now().Add(shortTime)
-		incoming, more := a.endFillers(budgeter.Incoming, fillerSize{message: smallIntake + 1})
-		fillers, wait = append(fillers, incoming...), wait || more
+	for p, fills := range map[budgeter.Purpose]func(ending budgeter.Bytes) bool{
+		budgeter.Incoming: a.account.IncomingFills, budgeter.Control: a.account.ControlFills,
+	} {
+		if fills(budgeter.Bytes(a.ending[p])) {
+			a.shortUntil = time.Now().Add(shortTime)
+			ended, more := a.endFillers(p, fillerSize{message: smallIntake + 1})
+			fillers, wait = append(fillers, ended...), wait || more
+		}
 	}
-	return fillers, wait || a.ending[budgeter.Request]+a.ending[budgeter.Incoming] > 0
+	return fillers, wait || a.ending[budgeter.Request]+a.ending[budgeter.Incoming]+a.ending[budgeter.Control] > 0
 }
 
 func (a *account) take(p budgeter.Purpose, size int) bool {
--- a/internal/relayer/filledmemory_test.go
+++ b/internal/relayer/filledmemory_test.go
@@ -231,6 +231,10 @@
 	f.fill(callers, false, nil, func(i int) string { return fillingRequest(fmt.Sprintf("slow.%d", i), 0) })
 	f.fill(callers, true, make([]byte, 512<<10), func(i int) string { return fillingRequest(fmt.Sprintf("slow.b%d", i), 1<<20) })
 	f.fill(callers, true, []byte(manyFields(2000)), func(int) string { return "GET /a/x HTTP/1.1\r\nHost: dues.example\r\n" })
+	peers := newPeerCaller(t, g)
+	for range 2 {
+		peers.fill(t, 4)
+	}
 	require.Eventually(t, func() bool { return g.Held().HeldBytes > budget.Total/4 && written.Load() > sends }, 30*time.Second, time.Millisecond, "it is filled")
 
 	var clients sync.WaitGroup
@@ -279,5 +283,6 @@
 	require.Less(t, measured, int64(fillingMemory), "callers and upstreams of this process included")
 	require.LessOrEqual(t, g.Held().PeakBytes, budget.Total)
 	f.stop()
+	peers.stop()
 	require.Eventually(t, func() bool { return g.Held().HeldBytes == 0 }, 20*time.Second, time.Millisecond)
 }
