Resume streams that are given up while an event comes

The send then ended as if the caller had left, and the stream was not resumed elsewhere; found when reading the diff. The events that have come are delivered now, and the next read tells that the stream was given up, as before.

TestStreamThatIsGivenUpIsNoCallerThatLeft failed before.

--- a/internal/relayer/intake.go
+++ b/internal/relayer/intake.go
@@ -88,12 +88,11 @@
 }
 
 // deliver calls write, which passes on what has come. Meanwhile, the bytes count as unread by the
-// caller, and the message is not given up for others.
+// caller, and the message is not given up for others unless it was before.
 func (i *intake) deliver(write func() error) error {
-	if !i.complete(budgeter.Stream) {
-		return errResponseMemory
+	if i.complete(budgeter.Stream) {
+		defer i.reopen()
 	}
-	defer i.reopen()
 	return write()
 }
 
--- a/internal/relayer/streamroom_test.go
+++ b/internal/relayer/streamroom_test.go
@@ -134,3 +134,24 @@
 		require.Equal(t, 16<<10, cap(buf))
 	}
 }
+
+// A stream that was given up for others while an event came counted as left by its caller, and was
+// not resumed.
+func TestStreamThatIsGivenUpIsNoCallerThatLeft(t *testing.T) {
+	a := newIntakes(16)
+	i := a.newIntake(budgeter.Incoming, "u", func() {})
+	require.NoError(t, i.take(2*intakeSize))
+	fillers, room := a.endFillers(budgeter.Incoming, fillerSize{})
+	require.True(t, room)
+	require.Equal(t, []*intake{i}, fillers)
+	delivered := false
+	require.NoError(t, i.deliver(func() error {
+		delivered = true
+		return nil
+	}))
+	require.True(t, delivered, "events that have come are whole")
+	require.ErrorIs(t, i.cause(nil), errResponseMemory)
+	i.close()
+	require.Zero(t, a.holdings().HeldBytes)
+	require.Zero(t, a.ending[budgeter.Incoming])
+}
