Let one peer send 16 MiB to a process of little memory

The store of the test answers a read with 10 MB; gateway and steward gave the call up for want of memory, again and again, and never followed again.

Cause: gave one sender half of 3/8 of the account, 6 MiB without a known memory, and counted the old buffer beside the new one while a body grew.

Change: the difference of the buffers is counted, as for bodies of requests, and there are at least 34 MiB for answers of peers, so that one of them can send its bound of 16 MiB; beyond an eighth of the account only while the account has room for it with all else.

--- a/internal/budgeter/account.go
+++ b/internal/budgeter/account.go
@@ -61,21 +61,22 @@
 // Parts of the room for held bytes, in eighths, that purposes may fill.
 const (
 	eighths            = 8
-	requestPart        = 6 // by all that is held with a request of the most urgent priority
-	largeRequestPart   = 5 // the same with a large request, or with what comes of a request beyond its size
-	leastRequestPart   = 4 // the same of the least urgent
-	streamPart         = 3 // by events
-	streamTotalPart    = 7 // by all that is held with events
-	incomingPart       = 4 // by what is incoming, so that there is room for requests
-	leastIncomingPart  = 1 // the same while requests lack room; there is always as much for it and events
-	headroomPart       = 1 // made free at once by ending what fills most
-	controlPart        = 3 // of the total by what is for control, also beyond the room, since requests need it
-	peerPart           = 5 // by events and what is incoming together, for the same reason
-	answerPart         = 8 // by all that is held with answers
-	minHeldPart        = 2 // of the total that connections leave to held bytes
-	maxRequestFraction = 2 // a request takes at most 1/maxRequestFraction of the free room
-	leastControlPart   = 1 // the same while requests lack room
-	maxPeerFraction    = 2 // the same of what is for control that others leave to the store or a process
+	requestPart        = 6        // by all that is held with a request of the most urgent priority
+	largeRequestPart   = 5        // the same with a large request, or with what comes of a request beyond its size
+	leastRequestPart   = 4        // the same of the least urgent
+	streamPart         = 3        // by events
+	streamTotalPart    = 7        // by all that is held with events
+	incomingPart       = 4        // by what is incoming, so that there is room for requests
+	leastIncomingPart  = 1        // the same while requests lack room; there is always as much for it and events
+	headroomPart       = 1        // made free at once by ending what fills most
+	controlPart        = 3        // of the total by what is for control, also beyond the room, since requests need it
+	peerPart           = 5        // by events and what is incoming together, for the same reason
+	answerPart         = 8        // by all that is held with answers
+	minHeldPart        = 2        // of the total that connections leave to held bytes
+	maxRequestFraction = 2        // a request takes at most 1/maxRequestFraction of the free room
+	leastControlPart   = 1        // the same while requests lack room
+	minControl         = 34 << 20 // bytes for control in a process of little memory, so that one peer can send 16 MiB
+	maxPeerFraction    = 2        // the same of what is for control that others leave to the store or a process
 )
 
 // Config configures an Account.
@@ -192,7 +193,8 @@
 			return true
 		}
 	case Control:
-		if a.control+size > a.controlLimit() {
+		least := a.cfg.Total * leastControlPart / eighths
+		if a.control+size > a.controlLimit() || a.control+size > least && a.Held()+size > a.cfg.Total {
 			return false
 		}
 		a.Add(p, size)
@@ -226,7 +228,7 @@
 	if a.short {
 		return a.cfg.Total * leastControlPart / eighths
 	}
-	return a.cfg.Total * controlPart / eighths
+	return max(minControl, a.cfg.Total*controlPart/eighths)
 }
 
 // ControlFills is IncomingFills for control.
--- a/internal/puller/account.go
+++ b/internal/puller/account.go
@@ -13,8 +13,6 @@
 type Hold interface {
 	// Take reserves n further bytes. It may wait for room, and fails without any.
 	Take(n int) error
-	// Give gives back n bytes.
-	Give(n int)
 	// Close gives back all bytes.
 	Close()
 }
@@ -40,6 +38,4 @@
 
 func (noAccount) Take(int) error { return nil }
 
-func (noAccount) Give(int) {}
-
 func (noAccount) Close() {}
--- a/internal/puller/puller.go
+++ b/internal/puller/puller.go
@@ -151,10 +151,8 @@
 
 // grow returns a copy of a buffer with another capacity.
 func grow(buf []byte, size int, hold Hold) ([]byte, error) {
-	if err := hold.Take(size); err != nil {
+	if err := hold.Take(size - cap(buf)); err != nil {
 		return buf, err
 	}
-	larger := append(make([]byte, 0, size), buf...)
-	hold.Give(cap(buf))
-	return larger, nil
+	return append(make([]byte, 0, size), buf...), nil
 }
--- a/internal/relayer/peeraccount.go
+++ b/internal/relayer/peeraccount.go
@@ -33,8 +33,5 @@
 // Take implements puller.Hold.
 func (h peerHold) Take(n int) error { return h.intake.take(n) }
 
-// Give implements puller.Hold.
-func (h peerHold) Give(n int) { h.intake.give(n) }
-
 // Close implements puller.Hold.
 func (h peerHold) Close() { h.intake.close() }
