Take no response for whole whose connection was reset during the upload

Callers got a part of a response as the whole of it: a runner answered a long upload at once, with a 200 without a length, and reset the connection while the request was still being written.

Cause: a socket reports a reset once. The goroutine that writes the request took the report, so that the one that reads got what had come and then a plain end, which ends a response without a length. On plain sockets here: if a write comes first, it gets "connection reset by peer" and the read "part" and no error; without a write the read gets the reset. After an orderly end the write gets EPIPE, so both can be told apart. A time-out of TCP is reported once too.

Change: connections to upstreams remember the failure of a write (package verifier).

--- a/internal/relayer/pool.go
+++ b/internal/relayer/pool.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/egretwall/egretwall/internal/verifier"
 )
 
 // Limits of connections to upstreams.
@@ -35,7 +37,7 @@
 
 // upstreamConn is a connection to an upstream. It carries one request at a time.
 type upstreamConn struct {
-	net.Conn
+	*verifier.Conn
 	address   string
 	source    *headerLimiter // of reader
 	reader    *bufio.Reader
@@ -96,12 +98,13 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*upstreamConn, error) {
-	conn, err := p.dialer.DialContext(ctx, "tcp", address)
+	socket, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	p.OnConnect()
 	p.account.upstreamConnected(1)
+	conn := verifier.NewConn(socket)
 	source := &headerLimiter{conn: conn}
 	return &upstreamConn{Conn: conn, address: address, source: source, reader: bufio.NewReaderSize(source, readBufferSize), keepAlive: defaultKeepAlive, account: p.account}, nil
 }
@@ -173,7 +176,7 @@
 // abort resets the connection, which discards undelivered data, so that a cancelled
 // request does not reach its upstream later.
 func (c *upstreamConn) abort() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.NetConn().(*net.TCPConn); ok {
 		// Fails only if the connection is closed already.
 		_ = tcp.SetLinger(0)
 	}
@@ -183,7 +186,7 @@
 // reusable reports whether the connection is open and has no data to read. Data
 // that an upstream sends between requests belongs to no request.
 func (c *upstreamConn) reusable() bool {
-	return c.reader.Buffered() == 0 && peekInput(c.Conn) == inputNone
+	return c.reader.Buffered() == 0 && peekInput(c.NetConn()) == inputNone
 }
 
 // updateKeepAlive sets keepAlive from the headers of a response and reports whether
--- a/internal/relayer/slowcallers_test.go
+++ b/internal/relayer/slowcallers_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/egretwall/egretwall/internal/budgeter"
 	"github.com/egretwall/egretwall/internal/dispatcher"
+	"github.com/egretwall/egretwall/internal/verifier"
 )
 
 const (
@@ -214,8 +215,9 @@
 	l := newPipeListener()
 	p.gateway = New(Config{HeaderCodec: testHeaderCodec{}, Dispatcher: d, Logger: zerolog.New(&p.log), Budget: budget})
 	near, far := net.Pipe()
-	source := &headerLimiter{conn: near}
-	p.gateway.pool.Put(&upstreamConn{Conn: near, address: d.addresses[0], source: source, reader: bufio.NewReader(source), keepAlive: time.Hour, account: p.gateway.account})
+	conn := verifier.NewConn(near)
+	source := &headerLimiter{conn: conn}
+	p.gateway.pool.Put(&upstreamConn{Conn: conn, address: d.addresses[0], source: source, reader: bufio.NewReader(source), keepAlive: time.Hour, account: p.gateway.account})
 	go func() {
 		defer func() { _ = far.Close() }()
 		script(far, bufio.NewReader(far))
