Take responses with a status out of range for no answers

Callers got an answer of a runner that had sent the status 000: the response was passed over as an informational one (status under 200), and what followed it was taken for the answer. Statuses from 600 on were kept as failures of the upstream and passed on, or believed as refusals.

Cause: net/http.ReadResponse takes any three characters that strconv.Atoi reads as a status, also +20 and 000, and blanks before them.

Change: verifier.Head checks the bytes of the heads of a response, interim ones included, as they come from the connection: status lines of HTTP/1.1 with a status from 100 to 599. A response with another one is broken, so its send is unknown; nothing else that it says is read, and its connection is reset. Bytes of a head that were read with the response before are now checked and counted as well.

--- /dev/null
+++ b/internal/relayer/brokenhead_test.go
@@ -0,0 +1,117 @@
+package relayer
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/egretwall/egretwall/internal/dispatcher"
+)
+
+// notices are headers that ask for no new requests, now or soon.
+const notices = "Leaving: 1\r\nLimit: 3\r\nRetry-After: 2s\r\n"
+
+// statusHeads are the heads of responses of each kind, with a status to be put in.
+var statusHeads = map[string]string{
+	"success": "%s\r\nTry: n1\r\nSeal: s\r\n" + notices,
+	"stream":  "%s\r\nTry: n1\r\nSeal: s\r\nContent-Type: text/event-stream\r\n" + notices,
+	"refusal": "%s\r\nTry: n1\r\nNot-Run: 1\r\n" + notices,
+}
+
+// forget drops what has been reported so far.
+func (d *fakeDispatcher) forget() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.endedSends, d.notices = nil, nil
+}
+
+// requireNoAnswer requires that a response to the request n1 is taken for nothing. If kept is true, it comes
+// on a connection that has carried a request before.
+func requireNoAnswer(t *testing.T, response string, kept bool) {
+	t.Helper()
+	d := newFakeDispatcher(startUpstream(t, func(c net.Conn, r *bufio.Reader) {
+		if req, _ := readRequest(r); kept && req != nil {
+			_, _ = io.WriteString(c, okResponse("n0", "fine"))
+			_, _ = readRequest(r)
+		}
+		_, _ = io.WriteString(c, response)
+	}))
+	g, gateway := startGateway(t, d)
+	if kept {
+		_, _, err := post(t, gateway, "n0", "")
+		require.NoError(t, err)
+	}
+	d.forget()
+	status, body, err := post(t, gateway, "n1", "")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, status)
+	require.NotContains(t, body, "body")
+	require.Equal(t, []dispatcher.Outcome{dispatcher.Unknown}, d.outcomes())
+	require.Empty(t, d.receivedNotices())
+	for _, idle := range g.pool.idle {
+		require.Empty(t, idle, "the connection is not used again")
+	}
+}
+
+// requireNoContinuation requires that a response does not go on with a stream.
+func requireNoContinuation(t *testing.T, response string) {
+	t.Helper()
+	d := newFakeDispatcher(answerOnce(t, brokenStream, false), answerOnce(t, response, false))
+	_, gateway := startGateway(t, d)
+	status, body, err := post(t, gateway, "n1", "")
+	require.Error(t, err, "the stream must not look complete")
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, streamBegin, body)
+	require.Equal(t, []dispatcher.Outcome{dispatcher.Interrupted, dispatcher.Interrupted}, d.outcomes())
+	for _, notice := range d.receivedNotices() {
+		require.True(t, notice.Unlimited, "only the response that begins the stream tells something")
+	}
+}
+
+// Callers got the body of a response with the status 000, which was passed over as an
+// informational one; those of statuses from 600 on were passed on.
+func TestResponseWithABrokenStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000 Oops", "000", "001 Oops", "099 Oops", "600 Oops", "999 Oops", "+20 OK", " 200 OK", "50 Full"} {
+		for kind, head := range statusHeads {
+			for _, f := range framings {
+				for _, kept := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%s/%s/%s/kept=%t", status, kind, f, kept), func(t *testing.T) {
+						t.Parallel()
+						response := frame(f, fmt.Sprintf(head, "HTTP/1.1 "+status), "id: 0\ndata: body\n\n")
+						requireNoAnswer(t, response, kept)
+						requireNoAnswer(t, response+okResponse("n1", "body"), kept)
+					})
+				}
+			}
+		}
+		t.Run(status+"/continuation", func(t *testing.T) {
+			t.Parallel()
+			requireNoContinuation(t, frame(framedByClose, fmt.Sprintf(statusHeads["stream"], "HTTP/1.1 "+status), streamRest))
+		})
+	}
+}
+
+// A broken response before another one is no informational response.
+func TestInterimResponseWithABrokenStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000 Oops", "000", "099 Oops", "+10 Hints", "1000 Hints"} {
+		for kind, head := range statusHeads {
+			t.Run(status+"/"+kind, func(t *testing.T) {
+				t.Parallel()
+				final := frame(framedByLength, fmt.Sprintf(head, "HTTP/1.1 200 OK"), "id: 0\ndata: body\n\n")
+				if kind == "refusal" {
+					final = strings.Replace(final, "200 OK", "503 Full", 1)
+				}
+				for _, interim := range []string{"\r\n\r\n", "\r\n" + notices + "\r\n", "\r\nContent-Length: 0\r\n\r\n"} {
+					requireNoAnswer(t, "HTTP/1.1 "+status+interim+final, false)
+					requireNoAnswer(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 "+status+interim+final, true)
+				}
+			})
+		}
+	}
+}
--- a/internal/relayer/headmeter.go
+++ b/internal/relayer/headmeter.go
@@ -8,20 +8,14 @@
 	headLineCost  = 384     // bytes held of a line beyond, in the maps of a request and its copies
 )
 
-// statusClass is the index of the first digit of the status in the line that begins a response.
-const statusClass = len("HTTP/1.1 ")
-
-// headMeter follows the headers of a message as they are read.
+// headMeter follows the headers of a request as they are read.
 type headMeter struct {
-	response bool // informational responses may come before
-
 	bytes, lines int
-	line, length int  // number of the present line of the message, and bytes in it
-	interim      bool // another response follows
+	line, length int // number of the present line of the request, and bytes in it
 	done         bool
 }
 
-// observe reads on in the bytes of a message, up to the end of its headers.
+// observe reads on in the bytes of a request, up to the end of its headers.
 func (m *headMeter) observe(p []byte) {
 	for _, b := range p {
 		if m.done {
@@ -34,9 +28,6 @@
 			m.endLine()
 		case '\r':
 		default:
-			if m.response && m.line == 0 && m.length == statusClass {
-				m.interim = b == '1'
-			}
 			m.length++
 		}
 	}
@@ -49,8 +40,6 @@
 	switch {
 	case !empty:
 		m.line++
-	case m.line > 0 && m.interim:
-		m.line, m.interim = 0, false
 	case m.line > 0:
 		m.done = true
 	}
@@ -58,5 +47,10 @@
 
 // cost returns the bytes of memory to count for the headers.
 func (m *headMeter) cost() int {
-	return headByteCost*max(0, m.bytes-freeHeadBytes) + headLineCost*max(0, m.lines-freeHeadLines)
+	return headCost(m.bytes, m.lines)
+}
+
+// headCost returns the bytes of memory to count for headers of a size.
+func headCost(bytes, lines int) int {
+	return headByteCost*max(0, bytes-freeHeadBytes) + headLineCost*max(0, lines-freeHeadLines)
 }
--- a/internal/relayer/headmeter_test.go
+++ b/internal/relayer/headmeter_test.go
@@ -8,20 +8,16 @@
 )
 
 func TestHeadMeterStopsAtTheEndOfTheHeaders(t *testing.T) {
-	const interim, head = "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n", "HTTP/1.1 200 OK\r\nTry: n1\r\n\r\n"
 	for name, c := range map[string]struct {
-		response bool
-		message  string
-		bytes    int
-		lines    int
+		message string
+		bytes   int
+		lines   int
 	}{
-		"response":         {true, head + "body\n\n\n", len(head), 3},
-		"interim response": {true, interim + interim + head + "\n\n", 2*len(interim) + len(head), 9},
-		"lines without CR": {true, "HTTP/1.1 200 OK\nA: b\n\n\n\n", 22, 3},
-		"request":          {false, "GET /abcd1 HTTP/1.1\r\nA: b\r\n\r\n\n\n", 29, 3},
+		"request":          {"GET /abcd1 HTTP/1.1\r\nA: b\r\n\r\n\n\n", 29, 3},
+		"lines without CR": {"GET /abcd1 HTTP/1.1\nA: b\n\n\n\n", 26, 3},
 	} {
 		t.Run(name, func(t *testing.T) {
-			whole, parts := headMeter{response: c.response}, headMeter{response: c.response}
+			whole, parts := headMeter{}, headMeter{}
 			whole.observe([]byte(c.message))
 			for i := range c.message {
 				parts.observe([]byte(c.message[i : i+1]))
--- a/internal/relayer/responselimit.go
+++ b/internal/relayer/responselimit.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net"
+
+	"github.com/egretwall/egretwall/internal/verifier"
 )
 
 // Limits of what an upstream may send. A faulty one may send bytes without end.
@@ -51,19 +53,20 @@
 	return err
 }
 
-// headerLimiter reads from a connection. While it is limited, it counts headers of responses
-// and fails after too many.
+// headerLimiter reads from a connection. While it is limited, it checks and counts headers of
+// responses, and fails after too many.
 type headerLimiter struct {
 	conn    net.Conn
 	limited bool
-	meter   headMeter
+	head    verifier.Head
 	intake  *intake // takes what the headers cost
 	cost    int     // of the headers so far
 }
 
-// limit begins to count the headers of a response.
-func (l *headerLimiter) limit(in *intake) {
-	l.limited, l.meter, l.intake, l.cost = true, headMeter{response: true}, in, 0
+// limit begins to check and count the headers of a response, whose first bytes have been read.
+func (l *headerLimiter) limit(in *intake, begin []byte) {
+	l.limited, l.head, l.intake, l.cost = true, verifier.Head{}, in, 0
+	l.head.Observe(begin)
 }
 
 // unlimit allows any number of bytes.
@@ -75,12 +78,15 @@
 	if !l.limited {
 		return l.conn.Read(p)
 	}
-	if l.meter.bytes >= maxResponseHeader || l.meter.lines >= maxResponseLines {
+	if err := l.head.Err(); err != nil {
+		return 0, err
+	}
+	if l.head.Bytes >= maxResponseHeader || l.head.Lines >= maxResponseLines {
 		return 0, errResponseHeader
 	}
-	n, err := l.conn.Read(p[:min(len(p), maxResponseHeader-l.meter.bytes)])
-	l.meter.observe(p[:n])
-	if cost := l.meter.cost(); cost > l.cost {
+	n, err := l.conn.Read(p[:min(len(p), maxResponseHeader-l.head.Bytes)])
+	l.head.Observe(p[:n])
+	if cost := headCost(l.head.Bytes, l.head.Lines); cost > l.cost {
 		if takeErr := l.intake.take(cost - l.cost); takeErr != nil {
 			return n, takeErr
 		}
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -59,7 +59,6 @@
 	errNoAttempt        = errors.New("response names no attempt, on a connection that was used before")
 	errAmbiguous        = errors.New("response names several attempts")
 	errNoSeal           = errors.New("response lacks the seal of the upstream's application")
-	errVersion          = errors.New("response is not of HTTP/1.1")
 	errProtocolSwitched = errors.New("upstream switched protocols unasked")
 	errNotRunStatus     = errors.New("response says that the request did not run, but is no refusal")
 	errEncodedBody      = errors.New("response has a Content-Encoding")
@@ -183,19 +182,22 @@
 }
 
 // readResponseHeader reads the headers of the next response that is not
-// informational (1xx).
+// informational (1xx). It believes nothing of a response unless all of these are valid.
 func readResponseHeader(c *upstreamConn, method string, taken *intake) (*http.Response, error) {
-	c.source.limit(taken)
+	begin, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.source.limit(taken, begin)
 	defer c.source.unlimit()
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if broken := c.source.head.Err(); broken != nil {
+			return nil, broken
+		}
 		if err != nil {
 			return nil, taken.cause(err)
 		}
-		// In HTTP/1.0 chunks are no framing, but may be part of the body.
-		if resp.ProtoMajor != 1 || resp.ProtoMinor != 1 {
-			return nil, errVersion
-		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
