Take responses whose fields have malformed names for no answers

Callers got answers of runners whose heads had a blank in the name of a field: the line was passed over, so that "Content-Length : 4" gave a body that was not the runner's, and a refusal or a success with such a line was believed.

Cause: net/textproto keeps names with blanks as they are, and nothing looked them up or refused them. A blank before a name makes the line a part of the value before it. Control bytes and empty names were refused already.

Change: verifier.Head checks the names and values of fields, also of interim responses.

Before, on: TestResponseWithABrokenFieldIsNoAnswer failed in 68 of 144 cases, those with blanks, as a success, a stream, a refusal, a failure, a misdirected request and a continuation; TestBrokenHeadBehindAnotherResponseIsNoAnswer in 8 of 16. The cases with control bytes held before. After: both packages pass under the race detector.

--- a/internal/relayer/brokenhead_test.go
+++ b/internal/relayer/brokenhead_test.go
@@ -115,3 +115,55 @@
 		}
 	}
 }
+
+// brokenFields are field lines whose names hold a blank or a control byte, or nothing.
+var brokenFields = []string{
+	"Content-Length : 4", "Content-Length\t: 4", "Content Length: 4", " Content-Length: 4", "\tContent-Length: 4", "Transfer-Encoding : chunked",
+	"Note\x01: 4", "\x00: 4", "No\x7fte: 4", "No\rte: 4", "Note : 4", ": 4", "Not-Run : 1", "Seal : s", "Note", "Note: a\x00b",
+}
+
+// Callers got responses with the names of such fields passed on, or with a part of what an upstream
+// had sent for its body.
+func TestResponseWithABrokenFieldIsNoAnswer(t *testing.T) {
+	for _, line := range brokenFields {
+		for kind, head := range statusHeads {
+			for _, kept := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%q/%s/kept=%t", line, kind, kept), func(t *testing.T) {
+					t.Parallel()
+					status, body := "HTTP/1.1 200 OK", "id: 0\ndata: body\n\n"
+					if kind == "refusal" {
+						status = "HTTP/1.1 503 Full"
+					}
+					first, last := status+"\r\n"+line, fmt.Sprintf(head, status)+line+"\r\n"
+					for _, f := range framings {
+						requireNoAnswer(t, frame(f, fmt.Sprintf(head, first), body), kept)
+						requireNoAnswer(t, frame(f, last, body), kept)
+					}
+					requireNoAnswer(t, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n"+line+"\r\n\r\n"+frame(framedByLength, fmt.Sprintf(head, status), body), kept)
+				})
+			}
+		}
+		t.Run(fmt.Sprintf("%q/failure", line), func(t *testing.T) {
+			t.Parallel()
+			requireNoAnswer(t, frame(framedByLength, "HTTP/1.1 500 Oops\r\nTry: n1\r\nSeal: s\r\n"+line+"\r\n", "body"), false)
+		})
+		t.Run(fmt.Sprintf("%q/misdirected", line), func(t *testing.T) {
+			t.Parallel()
+			requireNoAnswer(t, frame(framedByLength, "HTTP/1.1 421 No Model\r\nTry: n1\r\n"+line+"\r\n", "body"), false)
+		})
+		t.Run(fmt.Sprintf("%q/continuation", line), func(t *testing.T) {
+			t.Parallel()
+			requireNoContinuation(t, frame(framedByClose, sealedStream+line+"\r\n", streamRest))
+		})
+	}
+}
+
+// The head of a response that came together with a response to another request.
+func TestBrokenHeadBehindAnotherResponseIsNoAnswer(t *testing.T) {
+	for _, line := range brokenFields {
+		t.Run(line, func(t *testing.T) {
+			t.Parallel()
+			requireNoAnswer(t, okResponse("old", "body")+frame(framedByLength, fmt.Sprintf(statusHeads["success"], "HTTP/1.1 200 OK")+line+"\r\n", "body"), true)
+		})
+	}
+}
--- a/internal/verifier/head.go
+++ b/internal/verifier/head.go
@@ -1,6 +1,10 @@
 package verifier
 
-import "fmt"
+import (
+	"fmt"
+
+	"golang.org/x/net/http/httpguts"
+)
 
 // statusPrefix begins the status line of a response, before its status.
 const statusPrefix = "HTTP/1.1 "
@@ -24,14 +28,25 @@
 type Head struct {
 	Bytes, Lines int // of the heads so far
 
-	inFields bool // the status line is over
-	column   int  // number of bytes of the line so far
+	inFields bool     // the status line is over
+	part     linePart // of a field line
+	folds    bool     // a field line came before, which the present line may continue
+	column   int      // number of bytes of the line so far
 	afterCR  bool
 	interim  bool // another response follows
 	done     bool
 	err      error
 }
 
+// linePart is a part of the field lines of a head.
+type linePart string
+
+const (
+	partName  linePart = "name"
+	partValue linePart = "value"
+	partFold  linePart = "fold" // a line that begins with a blank and continues a value
+)
+
 // Done reports whether the final head is complete.
 func (h *Head) Done() bool { return h.done }
 
@@ -54,6 +69,7 @@
 		case b == '\r':
 			h.afterCR = true
 		case h.inFields:
+			h.observeField(b)
 			h.column++
 		default:
 			h.observeStatus(b)
@@ -62,6 +78,32 @@
 	}
 }
 
+// observeField checks the next byte of a field line. A colon in a continued value would make
+// the line a field whose name begins with a blank.
+func (h *Head) observeField(b byte) {
+	if h.column == 0 {
+		h.part = partName
+		if h.folds && (b == ' ' || b == '\t') {
+			h.part = partFold
+		}
+	}
+	switch {
+	case h.part == partName && b == ':' && h.column > 0:
+		h.part = partValue
+	case h.part == partName && !httpguts.IsTokenRune(rune(b)):
+		h.fail(fmt.Sprintf("name of a field holds %q", b))
+	case h.part == partFold && b == ':':
+		h.fail("continued value holds a colon")
+	case !isTextByte(b):
+		h.fail(fmt.Sprintf("value of a field holds %q", b))
+	}
+}
+
+// isTextByte reports whether b may stand in a value or a reason.
+func isTextByte(b byte) bool {
+	return b >= ' ' && b != 0x7f || b == '\t'
+}
+
 // observeStatus checks the next byte of a status line.
 func (h *Head) observeStatus(b byte) {
 	digit := h.column - len(statusPrefix)
@@ -77,6 +119,8 @@
 		h.interim = b == '1'
 	case digit == statusDigits && b != ' ':
 		h.fail("malformed status")
+	case !isTextByte(b):
+		h.fail(fmt.Sprintf("reason holds %q", b))
 	}
 }
 
@@ -86,7 +130,11 @@
 	case !h.inFields && h.column < len(statusPrefix)+statusDigits:
 		h.fail("malformed status line")
 		return
+	case h.inFields && h.column > 0 && h.part == partName:
+		h.fail("field line without a colon")
+		return
 	case h.column > 0:
+		h.folds = h.inFields
 		h.inFields = true
 	case h.interim:
 		h.inFields = false
