Take refusals whose ends are broken for no refusals

A refusal that was cut or reset within its body was believed, so that a request that must not run twice was sent to another upstream on the word of a response that had not come whole.

Cause: handleNotRun read the body only to use the connection again, and ignored the error. Change: the error makes the send unknown, as for other responses.

--- a/internal/relayer/cutresponse_test.go
+++ b/internal/relayer/cutresponse_test.go
@@ -112,6 +112,36 @@
 	}
 }
 
+// A refusal that was cut in its body was believed, and the request sent again.
+func TestRefusalThatIsCutInItsBodyIsNoRefusal(t *testing.T) {
+	for name, head := range map[string]string{
+		"full":        "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nTry: n1\r\n",
+		"misdirected": "HTTP/1.1 421 No Model\r\nTry: n1\r\n",
+	} {
+		for _, f := range framings {
+			for _, reset := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/reset=%t", name, f, reset), func(t *testing.T) {
+					t.Parallel()
+					all := frame(f, head, "busy")
+					for n := strings.Index(all, "\r\n\r\n") + len("\r\n\r\n"); n <= len(all); n++ {
+						d := newFakeDispatcher(answerOnce(t, all[:n], reset))
+						_, gateway := startGateway(t, d)
+						_, _, err := post(t, gateway, "n1", "")
+						require.NoError(t, err)
+						whole := n == len(all) || f == framedByClose
+						switch {
+						case whole && !reset:
+							require.NotContains(t, d.outcomes(), dispatcher.Unknown, "after %d bytes", n)
+						case !whole || f == framedByClose:
+							require.Equal(t, []dispatcher.Outcome{dispatcher.Unknown}, d.outcomes(), "after %d bytes", n)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
 // The same in a stream that goes on at another upstream, and on a connection that has served
 // a request before.
 func TestContinuationThatIsCutAnywhereIsNotWhole(t *testing.T) {
--- a/internal/relayer/earlyresponse_test.go
+++ b/internal/relayer/earlyresponse_test.go
@@ -63,8 +63,12 @@
 	"empty":   {"HTTP/1.1 200 OK\r\nTry: n1\r\nSeal: s\r\n", ""},
 	"stream":  {sealedStream, streamBegin},
 	"failure": {"HTTP/1.1 500 Oops\r\nTry: n1\r\nSeal: s\r\n", "part"},
+	"refusal": {"HTTP/1.1 503 Full\r\nTry: n1\r\nNot-Run: 1\r\n", "part"},
 }
 
+// noSuccess are the outcomes of earlyResponses that don't complete their requests.
+var noSuccess = map[string]dispatcher.Outcome{"failure": dispatcher.Failed, "refusal": dispatcher.NotRun}
+
 // Callers got a part of a response as the whole of it when its upstream reset the connection
 // while the request was still being written.
 func TestResponseThatIsResetDuringTheUploadIsNotWhole(t *testing.T) {
@@ -111,8 +115,8 @@
 					d := newFakeDispatcher(earlyUpstream(t, frame(framedByClose, response.head, response.body), end))
 					status, body, err := upload(t, d)
 					require.NoError(t, err)
-					if name == "failure" {
-						require.Equal(t, []dispatcher.Outcome{dispatcher.Failed}, d.outcomes())
+					if outcome, ok := noSuccess[name]; ok {
+						require.Equal(t, []dispatcher.Outcome{outcome}, d.outcomes())
 						return
 					}
 					require.Equal(t, []dispatcher.Outcome{dispatcher.Completed}, d.outcomes())
@@ -131,11 +135,12 @@
 			t.Run(name+"/"+string(f), func(t *testing.T) {
 				d := newFakeDispatcher(earlyUpstream(t, frame(f, response.head, response.body), endReset))
 				_, body, err := upload(t, d)
-				if outcome := d.outcomes()[0]; outcome != dispatcher.Completed {
-					require.NotEqual(t, "part", body) // the reset overtook it
+				require.NoError(t, err)
+				if outcome, ok := noSuccess[name]; ok {
+					require.Equal(t, []dispatcher.Outcome{outcome}, d.outcomes())
 					return
 				}
-				require.NoError(t, err)
+				require.Equal(t, []dispatcher.Outcome{dispatcher.Completed}, d.outcomes())
 				require.Equal(t, response.body, body)
 			})
 		}
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -290,7 +290,7 @@
 		return connFailureOutcome(ctx, out), errNotRunStatus.Error() + " (status " + strconv.Itoa(status) + ")"
 	}
 	if up.info.NotRun || status == http.StatusMisdirectedRequest {
-		return g.handleNotRun(up, e)
+		return g.handleNotRun(ctx, up, out, e)
 	}
 	if !up.info.HasSeal || resp.Header.Get("Content-Encoding") != "" {
 		up.conn.abort()
@@ -336,14 +336,15 @@
 	return false
 }
 
-// handleNotRun handles a response that says that the request did not run.
-func (g *Gateway) handleNotRun(up *upstreamResponse, e dispatcher.Send) (dispatcher.Outcome, string) {
+// handleNotRun handles a response that says that the request did not run, which counts only if
+// it is whole.
+func (g *Gateway) handleNotRun(ctx context.Context, up *upstreamResponse, out *callerResponse, e dispatcher.Send) (dispatcher.Outcome, string) {
 	cause := "status " + strconv.Itoa(up.response.StatusCode)
 	if err := discardBody(up.response.Body); err != nil {
 		up.conn.abort()
-	} else {
-		up.release(g.pool)
+		return connFailureOutcome(ctx, out), cause + ": " + err.Error()
 	}
+	up.release(g.pool)
 	switch {
 	case up.response.StatusCode != http.StatusMisdirectedRequest:
 		return dispatcher.NotRun, cause
