--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -29,6 +29,7 @@
 
 	"github.com/egretwall/egretwall/internal/puller"
 	"github.com/egretwall/egretwall/internal/registrar"
+	"github.com/egretwall/egretwall/internal/verifier"
 )
 
 // CallTimeout is the longest time for which a client or a Server waits without any progress.
@@ -188,7 +189,7 @@
 	if err != nil {
 		return Record{}, err
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}} // decompresses the body
+	client := verifier.NewClient(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}) // decompresses the body
 	p := puller.New(puller.Config{Client: client, Timeout: CallTimeout, MaxBytes: maxRecordBytes})
 	resp, err := p.Pull(req, puller.Options{Progress: func([]byte) {
 		if r.Progress != nil {
--- a/internal/exchanger/odd_test.go
+++ b/internal/exchanger/odd_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"io"
 	"math"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,18 @@
 	"github.com/stretchr/testify/require"
 )
 
+// writeRaw returns a handler that writes bytes to its connection and closes it.
+func writeRaw(response string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, response)
+		_ = c.Close()
+	}
+}
+
 func TestOddAnswersOfAPeerAreErrors(t *testing.T) {
 	var bomb bytes.Buffer
 	w := gzip.NewWriter(&bomb)
@@ -19,6 +32,7 @@
 		_, _ = w.Write(make([]byte, 1<<20))
 	}
 	require.NoError(t, w.Close())
+	const sound = `{"value":"AAAA"}`
 	for name, answer := range map[string]http.HandlerFunc{
 		"empty": func(http.ResponseWriter, *http.Request) {},
 		"no CBOR": func(w http.ResponseWriter, _ *http.Request) {
@@ -46,14 +60,18 @@
 			w.Header().Set("Content-Length", "9000000000000000000")
 			_, _ = w.Write([]byte("x"))
 		},
-		"status":   func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) },
-		"redirect": func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/elsewhere", http.StatusFound) },
+		"status":                        func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) },
+		"redirect":                      func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/elsewhere", http.StatusFound) },
+		"status of zero":                writeRaw("HTTP/1.1 000 Oops\r\nContent-Length: 16\r\n\r\n" + sound),
+		"blank in a name":               writeRaw("HTTP/1.1 200 OK\r\nContent-Length : 16\r\n\r\n" + sound),
+		"blank in a name, and no newer": writeRaw("HTTP/1.1 204 No Content\r\nNo te: x\r\n\r\n"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := httptest.NewServer(answer)
 			defer s.Close()
 			r, err := Fetch(t.Context(), Request{Address: strings.TrimPrefix(s.URL, "http://"), After: math.MaxInt64})
 			require.Error(t, err)
+			require.NotErrorIs(t, err, ErrNotNewer)
 			require.Empty(t, r.Value)
 		})
 	}
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -14,6 +14,7 @@
 
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/puller"
+	"github.com/egretwall/egretwall/internal/verifier"
 	"github.com/egretwall/egretwall/pkg/configurator"
 )
 
@@ -55,7 +56,7 @@
 
 // NewClient returns a client. It connects on the first request.
 func NewClient(cfg Config) *Client {
-	client := &http.Client{Transport: &http.Transport{}}
+	client := verifier.NewClient(&http.Transport{})
 	return &Client{cfg: cfg, client: client, puller: puller.New(puller.Config{Client: client, Timeout: listTimeout, MaxBytes: maxListBytes})}
 }
 
@@ -71,6 +72,9 @@
 		c.client.CloseIdleConnections()
 		return nil, 0, classifier.Wrap(classifier.Lost, err, "list instances")
 	}
+	if res.Status != http.StatusOK {
+		return nil, 0, classifier.New(classifier.Lost, "list instances: status %d", res.Status)
+	}
 	var instances []Instance
 	if err := json.Unmarshal(res.Body, &instances); err != nil {
 		return nil, 0, classifier.Wrap(classifier.Lost, err, "read list of instances")
--- a/internal/lister/lister_test.go
+++ b/internal/lister/lister_test.go
@@ -1,6 +1,7 @@
 package lister_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -8,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/faker"
 	"github.com/egretwall/egretwall/internal/lister"
 )
@@ -29,3 +31,23 @@
 	require.Len(t, all, 40_000)
 	require.Equal(t, len(entries)+1, size)
 }
+
+// Failures and broken responses whose bodies read as a list were taken for the list.
+func TestOnlyWholeListsCount(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 500 Oops\r\n", "HTTP/1.1 503 Full\r\n", "HTTP/1.1 000 Oops\r\n", "HTTP/1.1 200 OK\r\nNo te: x\r\n"} {
+		t.Run(head, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err == nil {
+					_, _ = io.WriteString(c, head+"Content-Length: 2\r\n\r\n[]")
+					_ = c.Close()
+				}
+			}))
+			defer server.Close()
+			client := lister.NewClient(lister.Config{Address: strings.TrimPrefix(server.URL, "http://")})
+			defer client.Close()
+			_, _, err := client.List(t.Context())
+			require.Equal(t, classifier.Lost, classifier.KindOf(err))
+		})
+	}
+}
--- a/internal/recorder/client.go
+++ b/internal/recorder/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/puller"
+	"github.com/egretwall/egretwall/internal/verifier"
 )
 
 // Timeouts and limits of the client.
@@ -30,19 +31,19 @@
 // Client reads and appends to the log over HTTP. After a request that failed or timed
 // out, the next one uses a new connection.
 type Client struct {
-	cfg       Config
-	transport *http.Transport
-	puller    *puller.Puller
+	cfg    Config
+	client *http.Client
+	puller *puller.Puller
 }
 
 // NewClient returns a client. It connects on the first request.
 func NewClient(cfg Config) *Client {
-	transport := &http.Transport{
+	client := verifier.NewClient(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConnsPerHost: 4,
-	}
-	return &Client{cfg: cfg, transport: transport, puller: puller.New(puller.Config{
-		Client: &http.Client{Transport: transport}, Timeout: callTimeout, MaxBytes: maxResponseBytes,
+	})
+	return &Client{cfg: cfg, client: client, puller: puller.New(puller.Config{
+		Client: client, Timeout: callTimeout, MaxBytes: maxResponseBytes,
 	})}
 }
 
@@ -114,14 +115,14 @@
 
 // Close closes the idle connections.
 func (c *Client) Close() {
-	c.transport.CloseIdleConnections()
+	c.client.CloseIdleConnections()
 }
 
 // do sends a request, which the log may hold for wait, and decodes the JSON response.
 func (c *Client) do(req *http.Request, wait time.Duration, response any) error {
 	res, err := c.puller.Pull(req, puller.Options{Wait: wait})
 	if err != nil {
-		c.transport.CloseIdleConnections()
+		c.client.CloseIdleConnections()
 		return classifier.Wrap(classifier.Lost, err, "send request to log")
 	}
 	if res.Status != http.StatusOK {
