--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -191,7 +191,7 @@
 	}
 	client := verifier.NewClient(&http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}) // decompresses the body
 	p := puller.New(puller.Config{Client: client, Timeout: CallTimeout, MaxBytes: maxRecordBytes})
-	resp, err := p.Pull(req, puller.Options{Progress: func([]byte) {
+	resp, err := p.Pull(req, puller.Options{Progress: func(puller.Response) {
 		if r.Progress != nil {
 			r.Progress()
 		}
--- a/internal/puller/puller.go
+++ b/internal/puller/puller.go
@@ -60,9 +60,9 @@
 // Options are the options of a call.
 type Options struct {
 	Wait time.Duration // longest time for which the server holds a long poll
-	// Progress is called with what has come of the body after each part, and once with none
-	// when the header has come. It may be nil.
-	Progress func(body []byte)
+	// Progress is called with what has come of the response after each part of its body, and
+	// once when the header has come. It may be nil.
+	Progress func(part Response)
 }
 
 // Response is a response with its whole body.
@@ -117,7 +117,7 @@
 	body = make([]byte, 0, first)
 	for {
 		if o.Progress != nil {
-			o.Progress(body)
+			o.Progress(Response{resp.StatusCode, resp.Header, body})
 		}
 		left := p.cfg.Timeout + time.Duration(len(body))*time.Second/minRate - time.Since(headerAt)
 		timer.Reset(min(p.cfg.Timeout, left))
--- a/internal/puller/puller_test.go
+++ b/internal/puller/puller_test.go
@@ -84,7 +84,7 @@
 				req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://server/", nil)
 				require.NoError(t, err)
 				seen, startedAt := -1, time.Now()
-				resp, err := p.Pull(req, Options{Wait: tc.hold, Progress: func(body []byte) { seen = len(body) }})
+				resp, err := p.Pull(req, Options{Wait: tc.hold, Progress: func(part Response) { seen = len(part.Body) }})
 				switch {
 				case tc.stalls > 0:
 					var stall *StallError
