Take broken responses of an upstream for lost where agents forward

On the product's own interface callers got the same: responses with the status 000 or 600, or with a blank in the name of a field. Refusals that were broken in their heads or cut in their bodies were believed, so that requests were sent again that may have run; so were reports of engines that were cut behind their JSON value.

Cause: the forwarder uses the client of net/http, which passes such responses on, and read no more of refusals and reports than it needed. Change: it uses verifier.Transport and reads refusals, reports and the answers to orders to their ends.

--- a/internal/forwarder/engine.go
+++ b/internal/forwarder/engine.go
@@ -82,5 +82,9 @@
 		return 0, err
 	}
 	defer func() { _ = res.Body.Close() }()
-	return res.StatusCode, json.NewDecoder(res.Body).Decode(out)
+	data, err := readBody(res)
+	if err != nil {
+		return 0, err
+	}
+	return res.StatusCode, json.Unmarshal(data, out)
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -29,6 +29,7 @@
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/linkpb"
 	"github.com/egretwall/egretwall/internal/reducer"
+	"github.com/egretwall/egretwall/internal/verifier"
 )
 
 // Limits of requests to an upstream.
@@ -37,8 +38,11 @@
 	streamSilenceTimeout = 750 * time.Millisecond // engines send heartbeats on a stream more often than this
 	chunkBytes           = 32 << 10
 	maxLineBytes         = 1 << 20
+	maxBodyBytes         = 1 << 20 // of a response that is not forwarded
 )
 
+var errBodySize = errors.New("body of the response exceeds the size limit")
+
 // ranHeader is set to "no" by an upstream that refuses a request without running it.
 const ranHeader = "Egretwall-Ran"
 
@@ -51,8 +55,8 @@
 // Forwarder is the HTTP client of one upstream.
 type Forwarder struct {
 	cfg      Config
-	pooled   *http.Transport // keeps connections alive and reuses them
-	unpooled *http.Transport // opens a connection for each request
+	pooled   *verifier.Transport // keeps connections alive and reuses them
+	unpooled *verifier.Transport // opens a connection for each request
 
 	mu       sync.Mutex
 	attempts map[reducer.AttemptID]*attempt
@@ -70,12 +74,12 @@
 
 // New returns a forwarder to the upstream at cfg.Address.
 func New(cfg Config) *Forwarder {
-	transport := func() *http.Transport {
-		return &http.Transport{
+	transport := func() *verifier.Transport {
+		return verifier.NewTransport(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}).DialContext,
 			MaxIdleConnsPerHost: 64,
 			DisableCompression:  true,
-		}
+		})
 	}
 	f := &Forwarder{cfg: cfg, pooled: transport(), unpooled: transport(), attempts: map[reducer.AttemptID]*attempt{}}
 	f.unpooled.DisableKeepAlives = true
@@ -162,15 +166,11 @@
 		return classifier.Lost, ranAfterError(err)
 	}
 	defer func() { _ = res.Body.Close() }()
-	// In HTTP/1.0 chunks are no framing, but may be part of the body.
-	if res.ProtoMajor != 1 || res.ProtoMinor != 1 {
-		return classifier.Lost, classifier.RanUnknown
-	}
-	if res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(ranHeader) == string(classifier.RanNo) {
-		return classifier.Leaving, classifier.RanNo
-	}
-	if res.StatusCode == http.StatusNotFound && a.forward.Submit.Model != "" {
-		return classifier.Loading, classifier.RanNo // unloaded since the agent checked
+	if kind := a.refusalKind(res); kind != classifier.None {
+		if _, err := readBody(res); err != nil {
+			return classifier.Lost, classifier.RanUnknown
+		}
+		return kind, classifier.RanNo
 	}
 	hasEvents := a.forward.Submit.Model != "" && isEventStream(res.Header)
 	if a.forward.Submit.Tokens > 0 && (res.StatusCode != http.StatusOK || !hasEvents) {
@@ -188,6 +188,27 @@
 	return classifier.None, classifier.RanYes
 }
 
+// refusalKind returns the error kind of a response by which the upstream refuses to run the
+// request, None for others.
+func (a *attempt) refusalKind(res *http.Response) classifier.Kind {
+	switch {
+	case res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(ranHeader) == string(classifier.RanNo):
+		return classifier.Leaving
+	case res.StatusCode == http.StatusNotFound && a.forward.Submit.Model != "":
+		return classifier.Loading // unloaded since the agent checked
+	}
+	return classifier.None
+}
+
+// readBody returns the whole body of a response that is not forwarded.
+func readBody(res *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxBodyBytes+1))
+	if err == nil && len(body) > maxBodyBytes {
+		err = errBodySize
+	}
+	return body, err
+}
+
 // isEventStream reports whether h belongs to a stream of server-sent events.
 func isEventStream(h http.Header) bool {
 	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -22,9 +22,9 @@
 	finished reducer.ResponseFinished
 }
 
-// forward sends a submission to an upstream that answers each request with response and
-// closes the connection.
-func forward(t *testing.T, response string, s *linkpb.Submit) answered {
+// answer starts an upstream that answers each request with response and closes the connection,
+// and returns its address.
+func answer(t *testing.T, response string) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
@@ -46,8 +46,13 @@
 			}()
 		}
 	}()
+	return l.Addr().String()
+}
+
+// forward sends a submission to an upstream that answers with response.
+func forward(t *testing.T, response string, s *linkpb.Submit) answered {
 	events := make(chan reducer.Event, 100)
-	f := New(Config{Address: l.Addr().String(), Post: func(ev reducer.Event) { events <- ev }})
+	f := New(Config{Address: answer(t, response), Post: func(ev reducer.Event) { events <- ev }})
 	t.Cleanup(f.Close)
 	f.Forward(reducer.Forward{Attempt: "a1", Submit: s, Window: 1 << 20})
 	var got answered
@@ -138,3 +143,47 @@
 		}
 	}
 }
+
+// Callers got broken responses, and requests were sent again on the word of broken refusals.
+func TestBrokenResponseIsLost(t *testing.T) {
+	const refused = "HTTP/1.1 503 Leaving\r\nEgretwall-Ran: no\r\n"
+	for name, response := range map[string]string{
+		"status of zero":                "HTTP/1.1 000 Oops\r\nContent-Length: 4\r\n\r\nbody",
+		"status out of range":           "HTTP/1.1 600 Oops\r\nContent-Length: 4\r\n\r\nbody",
+		"interim status of zero":        "HTTP/1.1 000 Oops\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+		"blank in a name":               "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody",
+		"blank in a name of a refusal":  refused + "No te: x\r\nContent-Length: 4\r\n\r\nbody",
+		"refusal that is cut":           refused + "Content-Length: 5\r\n\r\nbody",
+		"refusal in chunks that is cut": refused + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+		"missing model that is cut":     "HTTP/1.1 404 Not Found\r\nContent-Length: 5\r\n\r\nbody",
+	} {
+		for _, repeatable := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/repeatable=%t", name, repeatable), func(t *testing.T) {
+				t.Parallel()
+				got := forward(t, response, &linkpb.Submit{Request: "r1", Method: http.MethodPost, Path: "/v1/completions", Model: "m", Repeatable: repeatable, Body: []byte("{}")})
+				require.False(t, got.started)
+				require.Empty(t, got.body)
+				require.Equal(t, classifier.Lost, got.finished.Kind)
+				require.Equal(t, classifier.RanUnknown, got.finished.Ran)
+			})
+		}
+	}
+	for name, response := range map[string]string{"length": refused + "Content-Length: 4\r\n\r\nbody", "close": refused + "\r\nbody"} {
+		got := forward(t, response, &linkpb.Submit{Request: "r1", Method: http.MethodPost, Path: "/v1/completions", Model: "m", Body: []byte("{}")})
+		require.Equal(t, classifier.Leaving, got.finished.Kind, name)
+		require.Equal(t, classifier.RanNo, got.finished.Ran, name)
+	}
+}
+
+// A report counted although its response was cut behind the JSON value.
+func TestCutReportOfAnEngineDoesNotCount(t *testing.T) {
+	for response, whole := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}": true, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}": false,
+		"HTTP/1.1 200 OK\r\nNo te: x\r\nContent-Length: 2\r\n\r\n{}": false, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n": false,
+	} {
+		f := New(Config{Address: answer(t, response), Post: func(reducer.Event) {}})
+		t.Cleanup(f.Close)
+		_, err := f.PollEngine(t.Context())
+		require.Equal(t, whole, err == nil, response)
+	}
+}
