Check the dumps that egretwall status reads, and cut answers to orders

The command read dumps of processes with the default client of net/http, the last reader of responses in the product that passed broken ones on.

--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -12,12 +12,12 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/driver"
 	"github.com/egretwall/egretwall/internal/follower"
 	"github.com/egretwall/egretwall/internal/lister"
 	"github.com/egretwall/egretwall/internal/registrar"
+	"github.com/egretwall/egretwall/internal/verifier"
 )
 
 // dumpTimeout bounds the fetch of one dump.
@@ -152,7 +152,7 @@
 	if err != nil {
 		return nil, classifier.Wrap(classifier.Invalid, err, "invalid address %s", address)
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := verifier.NewClient(&http.Transport{DisableKeepAlives: true}).Do(req)
 	if err != nil {
 		return nil, classifier.Wrap(classifier.Lost, err, "fetch dump of %s", address)
 	}
