Take responses with malformed trailers for no answers

A response in chunks was whole although the names of fields behind its last chunk held a blank, the one part of a response that was still read without a check.

Change: a body in chunks fails at its end if a name in its trailer is not valid.

--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+
 	"github.com/egretwall/egretwall/internal/classifier"
 	"github.com/egretwall/egretwall/internal/driver"
 	"github.com/egretwall/egretwall/internal/follower"
--- a/internal/relayer/brokenhead_test.go
+++ b/internal/relayer/brokenhead_test.go
@@ -31,9 +31,15 @@
 	d.endedSends, d.notices = nil, nil
 }
 
-// requireNoAnswer requires that a response to the request n1 is taken for nothing. If kept is true, it comes
-// on a connection that has carried a request before.
+// requireNoAnswer requires that a response to the request n1 is taken for nothing, and tells nothing. If
+// kept is true, it comes on a connection that has carried a request before.
 func requireNoAnswer(t *testing.T, response string, kept bool) {
+	t.Helper()
+	require.Empty(t, requireUnknown(t, response, kept).receivedNotices())
+}
+
+// requireUnknown is requireNoAnswer for a response whose headers are valid.
+func requireUnknown(t *testing.T, response string, kept bool) *fakeDispatcher {
 	t.Helper()
 	d := newFakeDispatcher(startUpstream(t, func(c net.Conn, r *bufio.Reader) {
 		if req, _ := readRequest(r); kept && req != nil {
@@ -53,10 +59,10 @@
 	require.Equal(t, http.StatusBadGateway, status)
 	require.NotContains(t, body, "body")
 	require.Equal(t, []dispatcher.Outcome{dispatcher.Unknown}, d.outcomes())
-	require.Empty(t, d.receivedNotices())
 	for _, idle := range g.pool.idle {
 		require.Empty(t, idle, "the connection is not used again")
 	}
+	return d
 }
 
 // requireNoContinuation requires that a response does not go on with a stream.
@@ -167,3 +173,29 @@
 		})
 	}
 }
+
+// A response that ends in a malformed trailer was whole.
+func TestResponseWithABrokenTrailerIsNoAnswer(t *testing.T) {
+	for _, line := range []string{"No te: x", "Note : x", "Content-Length : 4"} {
+		for kind, head := range map[string]string{
+			"success": "HTTP/1.1 200 OK\r\nTry: n1\r\nSeal: s\r\n", "failure": "HTTP/1.1 500 Oops\r\nTry: n1\r\nSeal: s\r\n",
+			"refusal": "HTTP/1.1 503 Full\r\nTry: n1\r\nNot-Run: 1\r\n", "misdirected": "HTTP/1.1 421 No Model\r\nTry: n1\r\n",
+		} {
+			for _, kept := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/kept=%t", line, kind, kept), func(t *testing.T) {
+					t.Parallel()
+					requireUnknown(t, strings.TrimSuffix(frame(framedByChunks, head, "body"), "\r\n")+line+"\r\n\r\n", kept)
+				})
+			}
+		}
+		t.Run(line+"/stream", func(t *testing.T) {
+			t.Parallel()
+			d := newFakeDispatcher(answerOnce(t, strings.TrimSuffix(frame(framedByChunks, sealedStream, streamBegin), "\r\n")+line+"\r\n\r\n", false))
+			_, gateway := startGateway(t, d)
+			_, body, err := post(t, gateway, "n1", "")
+			require.Error(t, err, "the stream must not look complete")
+			require.Equal(t, streamBegin, body)
+			require.Equal(t, []dispatcher.Outcome{dispatcher.Interrupted}, d.outcomes())
+		})
+	}
+}
--- a/internal/relayer/send.go
+++ b/internal/relayer/send.go
@@ -14,6 +14,7 @@
 	"github.com/egretwall/egretwall/internal/dispatcher"
 	"github.com/egretwall/egretwall/internal/isolator"
 	"github.com/egretwall/egretwall/internal/registrar"
+	"github.com/egretwall/egretwall/internal/verifier"
 )
 
 // Limits of sends.
@@ -199,6 +200,7 @@
 			return nil, taken.cause(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
+			verifier.CheckTrailer(resp)
 			return resp, nil
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
--- a/internal/verifier/head.go
+++ b/internal/verifier/head.go
@@ -12,14 +12,17 @@
 // statusDigits is the number of digits of a status.
 const statusDigits = 3
 
-// BrokenError says that the head of a response is not valid.
+// BrokenError says that the head or the trailer of a response is not valid.
 type BrokenError struct {
-	Line   int // from 1 on, of all heads of the response
+	Line   int // from 1 on, of all heads of the response; zero for the trailer
 	Reason string
 }
 
 // Error returns the message.
 func (e *BrokenError) Error() string {
+	if e.Line == 0 {
+		return "broken response: " + e.Reason
+	}
 	return fmt.Sprintf("broken response: line %d: %s", e.Line, e.Reason)
 }
 
--- a/internal/verifier/transport.go
+++ b/internal/verifier/transport.go
@@ -49,7 +49,12 @@
 
 // RoundTrip makes a request.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	return t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), expectation)))
+	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), expectation)))
+	if err != nil {
+		return nil, err
+	}
+	CheckTrailer(resp)
+	return resp, nil
 }
 
 // headConn is a Conn that fails reads of a head that is not valid.
--- a/internal/verifier/transport_test.go
+++ b/internal/verifier/transport_test.go
@@ -151,3 +151,16 @@
 	require.Equal(t, http.StatusFound, status)
 	require.Equal(t, "moved", body)
 }
+
+func TestClientFailsForBrokenTrailers(t *testing.T) {
+	for trailer, valid := range map[string]bool{"": true, "Note: x\r\n": true, "No te: x\r\n": false, "Note : x\r\n": false} {
+		url := serve(t, func(c net.Conn, r *bufio.Reader) {
+			if readRequest(r) {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"+trailer+"\r\n")
+			}
+		})
+		_, body, err := post(NewClient(&http.Transport{}), url, "request")
+		require.Equal(t, "body", body)
+		require.Equal(t, valid, err == nil, trailer)
+	}
+}
