Fuzz the check of response heads against net/http

Head checks bytes that net/http parses after it, so both must agree on where a head ends. `make decoders` runs it.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 
 # Fuzzes the decoders of what others send, a while each.
 decoders:
-	for t in decoder:FuzzDecode generator:FuzzGenerate loader:FuzzSettings acceptor:FuzzParseCall forwarder:FuzzReadEvent forwarder:FuzzEngineBody recorder:FuzzDecode messenger:FuzzDecode; do \
+	for t in decoder:FuzzDecode generator:FuzzGenerate loader:FuzzSettings acceptor:FuzzParseCall forwarder:FuzzReadEvent forwarder:FuzzEngineBody recorder:FuzzDecode messenger:FuzzDecode verifier:FuzzHead; do \
 		go test -run '^$$' -fuzz $${t#*:}'$$' -fuzztime 10s ./internal/$${t%:*} || exit 1; done
 	for t in FuzzDecodeServer FuzzDecodeConfiguration FuzzSplitRecords FuzzDecodeReport FuzzCall; do \
 		go test -run '^$$' -fuzz $$t'$$' -fuzztime 10s ./platform || exit 1; done
--- a/internal/verifier/head_test.go
+++ b/internal/verifier/head_test.go
@@ -1,10 +1,14 @@
 package verifier
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
+	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -17,7 +21,7 @@
 func observe(t *testing.T, response string) *Head {
 	var whole, parts Head
 	whole.Observe([]byte(response))
-	for i := range response {
+	for i := range len(response) {
 		parts.Observe([]byte(response[i : i+1]))
 	}
 	require.Equal(t, whole, parts)
@@ -122,3 +126,33 @@
 		})
 	}
 }
+
+// Head and net/http must agree on where a head ends, or the rest of it would go unchecked.
+func FuzzHead(f *testing.F) {
+	for _, response := range []string{
+		finalHead + "body", interimHead + interimHead + finalHead, "HTTP/1.1 200 OK\nA: b\n\n\n", "HTTP/1.1 200 OK\r\nNote: a\r\n b\r\n \r\n\r\n",
+		"HTTP/1.1 000 Oops\r\n\r\n" + finalHead, "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n\r\nbody", "HTTP/1.1 204\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		f.Add([]byte(response))
+	}
+	f.Fuzz(func(t *testing.T, response []byte) {
+		h := observe(t, string(response))
+		source := bytes.NewReader(response)
+		reader := bufio.NewReader(source)
+		for {
+			resp, err := http.ReadResponse(reader, nil)
+			if err != nil || h.Err() != nil {
+				return
+			}
+			if resp.StatusCode >= http.StatusOK {
+				require.LessOrEqual(t, resp.StatusCode, 599)
+				for name := range resp.Header {
+					require.True(t, httpguts.ValidHeaderFieldName(name), name)
+				}
+				require.True(t, h.Done())
+				require.Equal(t, len(response)-source.Len()-reader.Buffered(), h.Bytes)
+				return
+			}
+		}
+	})
+}
