review: parts of prompts with long ids are never isolated

Case 14 (BUDGET): clients name the parts of prompts by 64 hexadecimal digits; the gateway drops ids of more than 32, so that a part which crashes runners goes on crashing them: 27 or 28 requests reach runners after the bound, where 3 may.

--- a/review/rig3/record.go
+++ b/review/rig3/record.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"time"
 )
@@ -47,3 +48,8 @@
 	_ = r.w.Flush()
 	_ = r.file.Close()
 }
+
+// nth returns the n-th of some times in their order, from 1 on.
+func nth(times []time.Duration, n int) time.Duration {
+	return slices.Sorted(slices.Values(times))[n-1]
+}
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -47,7 +48,10 @@
 	hold                 func(op, name string) (wait int) // how long an order is kept without an answer and then carried out, in ms; may be nil
 	weights              float64                          // memory in MB
 	models               map[string]model
-	backMs               int // from a crash to the next start
+	backMs               int    // from a crash to the next start
+	version              string // of its software, v1 if it is empty
+	events               int    // of its answers, which are streams then
+	gapMs                int    // between two events
 
 	mu       sync.Mutex
 	server   *http.Server
@@ -63,7 +67,8 @@
 	running  map[string]int // body bytes by attempt
 	arrivals []arrival
 	crashes  []time.Duration
-	overload []string // orders beyond the memory
+	overload []string        // orders beyond the memory
+	deadlyAt []time.Duration // when deadly requests came
 }
 
 // start begins a lifetime with these models resident.
@@ -94,7 +99,7 @@
 func (u *runner) announce() {
 	u.ping++
 	entry := map[string]any{
-		"Service": u.service, "Address": u.address, "Zone": "z1", "Version": "v1", "Slots": u.slots, "State": "ready",
+		"Service": u.service, "Address": u.address, "Zone": "z1", "Version": cmp.Or(u.version, "v1"), "Slots": u.slots, "State": "ready",
 		wire("coldLeft"): 0, "Sequence": u.ping, "born": u.born,
 	}
 	if u.models != nil {
@@ -190,6 +195,9 @@
 	if !missing && !full {
 		u.running[attempt] = len(body)
 		u.arrivals = append(u.arrivals, arrival{u.rec.now(), attempt, true})
+		if u.deadly != nil && u.deadly(r) {
+			u.deadlyAt = append(u.deadlyAt, u.rec.now())
+		}
 	}
 	u.mu.Unlock()
 	switch {
@@ -206,6 +214,10 @@
 		delete(u.running, attempt)
 		u.mu.Unlock()
 	}()
+	if u.events > 0 {
+		u.serveStream(w, r, attempt)
+		return
+	}
 	select {
 	case <-time.After(time.Duration(u.workMs(r)) * time.Millisecond):
 	case <-r.Context().Done():
@@ -219,6 +231,28 @@
 	_, _ = fmt.Fprintf(w, "answer to %s of %d bytes\n", attempt, len(body))
 }
 
+// serveStream answers with a stream of events, from the one after the last that the client has.
+func (u *runner) serveStream(w http.ResponseWriter, r *http.Request, attempt string) {
+	next := 0
+	if last, err := strconv.Atoi(r.Header.Get(wire("lastEvent"))); err == nil {
+		next = last + 1
+	}
+	w.Header().Set(wire("seal"), "seal-"+attempt)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for ; next < u.events; next++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s\n\n", next, u.service, cmp.Or(u.version, "v1")); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(time.Duration(u.gapMs) * time.Millisecond):
+		case <-r.Context().Done():
+			u.rec.add("runner %s: the channel of %s is gone after event %d", u.id, attempt, next)
+			return
+		}
+	}
+}
+
 func (u *runner) serveReport(w http.ResponseWriter) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
