--- a/review/rig3/denied.go
+++ b/review/rig3/denied.go
@@ -39,7 +39,7 @@
 	crashed := 0
 	for limit := time.Now().Add(5 * time.Second); r.trouble && crashed < 2 && time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
 		for _, u := range runners {
-			if n, _ := u.atWork(); n == 1 && len(u.crashes) == 0 && crashed < 2 {
+			if n, _ := u.atWork(); n == 1 && u.crashCount() == 0 && crashed < 2 {
 				u.crash("disruption")
 				crashed++
 			}
--- a/review/rig3/deployment.go
+++ b/review/rig3/deployment.go
@@ -24,6 +24,7 @@
 	budgetSlack  = 56
 	budgetWindow = 10000
 	loadWindow   = 5000
+	gatewayMb    = 284
 )
 
 // deployment runs the project's processes on stand-ins. Each process has a loopback address of
@@ -84,7 +85,7 @@
 	return g, d.startProcess("gateway", name, map[string]any{
 		"name": name, "domain": "z1", "callers": g.callers, "health": g.health, "peer": fmt.Sprint(ip, ":", d.port),
 		"admin": fmt.Sprint(ip, ":", freePort(ip)), "store": storeAddress, "grace": graceMs, "drain": drainMs, "apply": applyMs,
-		"memory": 284, "descriptors": 4100, "ratio": budgetRatio, "slack": budgetSlack, "window": budgetWindow,
+		"memory": gatewayMb, "descriptors": 4100, "ratio": budgetRatio, "slack": budgetSlack, "window": budgetWindow,
 	})
 }
 
@@ -120,6 +121,7 @@
 		return err
 	}
 	cmd := exec.Command(d.program, role, "--settings", path)
+	cmd.Env = append(os.Environ(), "GOGC=50") // as the deploy file sets it
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -53,22 +53,24 @@
 	events               int    // of its answers, which are streams then
 	gapMs                int    // between two events
 
-	mu       sync.Mutex
-	server   *http.Server
-	born     int64
-	ping     int64
-	up       bool
-	silent   time.Time // since when it is down
-	removed  bool      // its entry
-	resident map[string][]string
-	onDisk   []string
-	sequence int
-	busy     bool
-	running  map[string]int // body bytes by attempt
-	arrivals []arrival
-	crashes  []time.Duration
-	overload []string        // orders beyond the memory
-	deadlyAt []time.Duration // when deadly requests came
+	mu         sync.Mutex
+	server     *http.Server
+	born       int64
+	ping       int64
+	up         bool
+	silent     time.Time // since when it is down
+	leaving    bool      // its entry is removed, and it serves on
+	removed    bool      // its entry
+	resident   map[string][]string
+	onDisk     []string
+	sequence   int
+	busy       bool
+	running    map[string]int // body bytes by attempt
+	arrivals   []arrival
+	crashes    []time.Duration
+	overload   []string        // orders beyond the memory
+	storeLoads []time.Duration // when loads from the weight store began
+	deadlyAt   []time.Duration // when deadly requests came
 }
 
 // start begins a lifetime with these models resident.
@@ -126,6 +128,7 @@
 	for range time.Tick(pingPeriod) {
 		u.mu.Lock()
 		switch {
+		case u.leaving:
 		case u.up:
 			u.announce()
 		case !u.removed && time.Since(u.silent) >= silentPings*pingPeriod:
@@ -157,10 +160,24 @@
 	})
 }
 
+// leave removes the entry. The runner serves on and says in its answers that it leaves.
+func (u *runner) leave() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.leaving = true
+	u.store.put(wire("topicServers"), u.id, nil)
+	u.rec.say("the entry of %s is removed; it serves on", u.id)
+}
+
 func (u *runner) serve(w http.ResponseWriter, r *http.Request) {
 	if u.limit > 0 {
 		w.Header().Set(wire("limit"), strconv.FormatFloat(u.limit, 'f', -1, 64))
 	}
+	u.mu.Lock()
+	if u.leaving {
+		w.Header().Set(wire("leaving"), "1")
+	}
+	u.mu.Unlock()
 	switch {
 	case r.URL.Path == wire("report") && u.models != nil:
 		u.serveReport(w)
@@ -332,6 +349,8 @@
 	took, born := u.models[o.Model].loadMs, u.born
 	if slices.Contains(u.onDisk, o.Model) {
 		took = u.models[o.Model].diskMs
+	} else {
+		u.storeLoads = append(u.storeLoads, u.rec.now())
 	}
 	time.AfterFunc(time.Duration(took)*time.Millisecond, func() {
 		u.mu.Lock()
@@ -357,3 +376,10 @@
 	}
 	return len(u.running), bytes
 }
+
+// crashCount returns the number of crashes so far.
+func (u *runner) crashCount() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.crashes)
+}
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,6 +20,58 @@
 	topics     map[string][][]byte
 	changed    chan struct{} // closed and replaced when a record is added
 	turnedAway map[string]bool
+	channels   []*channel
+}
+
+// channel is a connection to the store, which may go silent: what is written to it is lost.
+type channel struct {
+	net.Conn
+	silent atomic.Bool
+}
+
+// Write writes to the process.
+func (c *channel) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Close closes the channel, unless it is silent.
+func (c *channel) Close() error {
+	if c.silent.Load() {
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// channelListener keeps the channels that it accepts.
+type channelListener struct {
+	net.Listener
+	store *store
+}
+
+// Accept waits for the next channel.
+func (l channelListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &channel{Conn: conn}
+	l.store.mu.Lock()
+	defer l.store.mu.Unlock()
+	l.store.channels = append(l.store.channels, c)
+	return c, nil
+}
+
+// silence makes all open channels silent.
+func (s *store) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.channels {
+		c.silent.Store(true)
+	}
+	s.channels = nil
 }
 
 func newStore() *store {
@@ -48,7 +101,7 @@
 			w.WriteHeader(http.StatusNotFound)
 		}
 	})
-	go func() { _ = http.Serve(l, handler) }()
+	go func() { _ = http.Serve(channelListener{l, s}, handler) }()
 	return l.Addr().String(), nil
 }
 
