--- a/review/rig3/gone.go
+++ b/review/rig3/gone.go
@@ -10,18 +10,19 @@
 
 // gone: clients of a plain service come in batches, one each 5 s. The open channels of the gateways
 // to the store go silent, while new ones work. One of eight runners is taken away meanwhile, without
-// a report that it drains; it serves for some seconds more.
+// a report that it drains; it serves for DrainMs and a second more.
 func gone(r *rig) (string, error) {
 	const (
 		period  = 5 * time.Second // between batches
 		batch   = 48              // requests in each
 		batches = 6
-		taken   = 800 * time.Millisecond // after the silence
+		taken   = 800 * time.Millisecond  // after the silence
+		exit    = 2950 * time.Millisecond // of the runner, after its entry was removed
 	)
-	r.configure(1, []map[string]any{route("reads", "/reads/", "idempotent", "archive", 4000, 1000, 2)}, []map[string]any{{"Name": "archive", "Engine": nil}})
+	r.configure(1, []map[string]any{route("bookings", "/bookings/", "non_idempotent", "archive", 4000, 1000, 1)}, []map[string]any{{"Name": "archive", "Engine": nil}})
 	var runners []*runner
 	for i := range 8 {
-		u := &runner{id: fmt.Sprint("i-archive-", i), service: "archive", slots: 6, backMs: 4500, workMs: func(*http.Request) int { return 60 }}
+		u := &runner{id: fmt.Sprint("i-archive-", i), service: "archive", slots: 6, workMs: func(*http.Request) int { return 400 }}
 		if err := r.addRunner(u, nil); err != nil {
 			return "", err
 		}
@@ -47,7 +48,7 @@
 		var sent sync.WaitGroup
 		for i := range batch {
 			sent.Go(func() {
-				r.send(gateways[i%2], request{method: http.MethodGet, path: fmt.Sprint("/reads/", r.number.Load()), budget: 4 * time.Second})
+				r.send(gateways[i%2], request{method: http.MethodPost, path: fmt.Sprint("/bookings/", r.number.Load()), body: []byte("booking"), budget: 4 * time.Second})
 			})
 		}
 		sent.Wait()
@@ -63,24 +64,28 @@
 		time.Sleep(taken)
 		ackAt = r.rec.now()
 		leaver.leave()
+		time.AfterFunc(exit, leaver.exit)
 	}
-	late := 0
+	late, lost := 0, 0
 	from := max(silentAt+stableWindow, ackAt+drainMs*time.Millisecond)
 	leaver.mu.Lock()
 	defer leaver.mu.Unlock()
-	sentAt := map[string]time.Duration{}
+	answers := map[string]answer{}
 	for _, a := range r.all() {
-		sentAt[a.attempt] = a.at
+		answers[a.attempt] = a
 	}
 	for _, a := range leaver.arrivals {
-		if a.at > from && sentAt[a.attempt] > silentAt+stableWindow {
+		if got := answers[a.attempt]; a.at > from && got.at > silentAt+stableWindow {
 			late++
+			if !got.sealed {
+				lost++
+			}
 		}
 	}
 	if len(leaver.arrivals) == 0 || !slices.ContainsFunc(r.all(), func(a answer) bool { return a.at > from && a.status == http.StatusOK }) {
 		return "", fmt.Errorf("no request arrived")
 	}
-	r.rec.say("the store acknowledged at %v that the runner is gone; %d requests reached it later than %v", ackAt, late, from)
+	r.rec.say("the store acknowledged at %v that the runner is gone; %d requests reached it later than %v, %d of them lost their answers", ackAt, late, from, lost)
 	if late > 0 {
 		return fmt.Sprintf("DRAIN: %d requests reached a runner later than %d ms after the store had acknowledged that it is gone", late, drainMs), nil
 	}
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -169,6 +169,16 @@
 	u.rec.say("the entry of %s is removed; it serves on", u.id)
 }
 
+// exit ends the runner for good, with what it still runs.
+func (u *runner) exit() {
+	u.mu.Lock()
+	u.up = false
+	server, held := u.server, len(u.running)
+	u.mu.Unlock()
+	u.rec.say("runner %s exits, with %d requests at work", u.id, held)
+	_ = server.Close()
+}
+
 func (u *runner) serve(w http.ResponseWriter, r *http.Request) {
 	if u.limit > 0 {
 		w.Header().Set(wire("limit"), strconv.FormatFloat(u.limit, 'f', -1, 64))
