--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -8,4 +8,4 @@
 		exit 2
 	fi
 done
-exec target/review-3/rig3 limited target/egretwall review/12/record.txt
+exec target/review-3/rig3 split target/egretwall review/12/record.txt
--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -8,4 +8,4 @@
 		exit 2
 	fi
 done
-exec target/review-3/rig3 deadly target/egretwall review/14/record.txt
+exec target/review-3/rig3 denied target/egretwall review/14/record.txt
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -25,13 +25,11 @@
 
 // cases by name. Each returns what broke the rule, empty if it held.
 var cases = map[string]func(*rig) (string, error){
-	"ceiling":  ceiling,
-	"gone":     gone,
-	"split":    split,
-	"deadly":   deadly,
-	"denied":   denied,
-	"limited":  limited,
-	"overload": overload,
+	"gone":    gone,
+	"split":   split,
+	"deadly":  deadly,
+	"denied":  denied,
+	"limited": limited,
 }
 
 func run() int {
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -42,35 +42,32 @@
 	rec                  *record
 	store                *store
 	slots                int
-	limit                float64                          // requests per second that it names, zero for none
-	workMs               func(r *http.Request) int        // how long a request takes
-	deadly               func(r *http.Request) bool       // whether a request crashes it when its answer begins; may be nil
-	hold                 func(op, name string) (wait int) // how long an order is kept without an answer and then carried out, in ms; may be nil
-	weights              float64                          // memory in MB
+	limit                float64                    // requests per second that it names, zero for none
+	workMs               func(r *http.Request) int  // how long a request takes
+	deadly               func(r *http.Request) bool // whether a request crashes it when its answer begins; may be nil
+	weights              float64                    // memory in MB
 	models               map[string]model
 	backMs               int    // from a crash to the next start
 	version              string // of its software, v1 if it is empty
 	events               int    // of its answers, which are streams then
 	gapMs                int    // between two events
 
-	mu         sync.Mutex
-	server     *http.Server
-	born       int64
-	ping       int64
-	up         bool
-	silent     time.Time // since when it is down
-	leaving    bool      // its entry is removed, and it serves on
-	removed    bool      // its entry
-	resident   map[string][]string
-	onDisk     []string
-	sequence   int
-	busy       bool
-	running    map[string]int // body bytes by attempt
-	arrivals   []arrival
-	crashes    []time.Duration
-	overload   []string        // orders beyond the memory
-	storeLoads []time.Duration // when loads from the weight store began
-	deadlyAt   []time.Duration // when deadly requests came
+	mu       sync.Mutex
+	server   *http.Server
+	born     int64
+	ping     int64
+	up       bool
+	silent   time.Time // since when it is down
+	leaving  bool      // its entry is removed, and it serves on
+	removed  bool      // its entry
+	resident map[string][]string
+	onDisk   []string
+	sequence int
+	busy     bool
+	running  map[string]int // body bytes by attempt
+	arrivals []arrival
+	crashes  []time.Duration
+	deadlyAt []time.Duration // when deadly requests came
 }
 
 // start begins a lifetime with these models resident.
@@ -304,17 +301,6 @@
 		return
 	}
 	instance := r.Header.Get(wire("instance"))
-	if u.hold != nil {
-		if wait := u.hold(o.Operation, o.Model); wait > 0 {
-			u.rec.say("runner %s keeps the order %s %s, expect %d, fence %d, from %s without an answer", u.id, o.Operation, o.Model, *o.Expect, o.Fence, o.Holder)
-			time.AfterFunc(time.Duration(wait)*time.Millisecond, func() {
-				status := u.carryOut(o, instance)
-				u.rec.say("runner %s carries the kept order out: %s %s, expect %d: %d", u.id, o.Operation, o.Model, *o.Expect, status)
-			})
-			<-r.Context().Done()
-			panic(http.ErrAbortHandler)
-		}
-	}
 	status := u.carryOut(o, instance)
 	u.rec.say("runner %s gets the order %s %s %s, expect %d, fence %d, from %s: %d", u.id, o.Operation, o.Model, o.Adapter, *o.Expect, o.Fence, o.Holder, status)
 	w.WriteHeader(status)
@@ -351,7 +337,6 @@
 		total += u.models[m].mb
 	}
 	if total > u.weights {
-		u.overload = append(u.overload, fmt.Sprintf("%s beside %v: %.0f MB of %.0f", o.Model, u.listModels(), total, u.weights))
 		go u.crash("it was ordered to load more than it holds: " + o.Model)
 		return http.StatusAccepted
 	}
@@ -359,8 +344,6 @@
 	took, born := u.models[o.Model].loadMs, u.born
 	if slices.Contains(u.onDisk, o.Model) {
 		took = u.models[o.Model].diskMs
-	} else {
-		u.storeLoads = append(u.storeLoads, u.rec.now())
 	}
 	time.AfterFunc(time.Duration(took)*time.Millisecond, func() {
 		u.mu.Lock()
