--- a/review/rig3/split.go
+++ b/review/rig3/split.go
@@ -67,10 +67,10 @@
 // others. With SPLIT=0 the route has one service.
 func split(r *rig) (string, error) {
 	const (
-		events, gapMs = 40, 100
+		events, gapMs = 60, 100
 		perS          = 9.0 // at each gateway
-		killAt        = 8 * time.Second
-		length        = 18 * time.Second
+		killAt        = 9 * time.Second
+		length        = 19 * time.Second
 	)
 	models := map[string]model{"m1": {"m1", 72700, 5800, 1200}}
 	var services, destinations []map[string]any
