Stewards that issue permits of one limit keep it together

Cause: the issuer was the first steward in rendezvous order of a gateway's own list. Gateways with different lists chose different ones, and each issued the whole limit.

Change: permits come from the issuer of quotas, in the parts of the gateways that claim there. Gateways tell it the largest number of gateways that a steward reports, since no roster may name those that it does not hear; shares that gateways take of other things are divided by that number too, and not by the one in the last report. A gateway that stops leaves the roster in every deployment.

Ruled out: a bucket lost by a restart (none happened), gateways on their own parts (all heard a steward).

Evidence: TestStewardsThatIssuePermitsOfOneLimitKeepItTogether failed on (81 in 4 s in two of its four cases, 65 allowed; the constructor of the issuer adapted) and passes.

--- a/internal/apportioner/account.go
+++ b/internal/apportioner/account.go
@@ -61,6 +61,8 @@
 	version  registrar.Version
 	balances map[registrar.WorkspaceName]*balance
 	order    []registrar.WorkspaceName // of balances
+	limited  bool                      // an upstream has a limit
+	told     int                       // the largest number of gateways that a steward reports
 	settled  []Settled
 
 	issuer      string // empty before the first
@@ -133,6 +135,33 @@
 	return len(a.order) > 0
 }
 
+// Polls reports whether the gateway needs an issuer that counts it.
+func (a *Account) Polls() bool {
+	return a.Active() || a.limited
+}
+
+// SetLimited tells whether an upstream has a limit. If so, the gateway needs an issuer that
+// counts it even without quotas.
+func (a *Account) SetLimited(limited bool) {
+	a.limited = limited
+}
+
+// SetGateways tells the largest number of gateways that a steward reports.
+func (a *Account) SetGateways(n int) {
+	a.told = n
+}
+
+// Issuer returns the issuer that the gateway asks, empty without one.
+func (a *Account) Issuer() string {
+	return a.issuer
+}
+
+// Gateways returns the largest number of gateways that share the quotas and limits, as far as
+// issuers and reports tell, zero if none has told.
+func (a *Account) Gateways() int {
+	return max(a.gateways, a.told)
+}
+
 // Take decides on a caller's request, which costs tokens of its workspace's quota.
 func (a *Account) Take(now time.Duration, id uint64, workspace registrar.WorkspaceName, cost float64) Decision {
 	b := a.balances[workspace]
@@ -145,7 +174,7 @@
 	case len(b.pending) == 0 && b.tokens >= cost:
 		b.spend(now, cost)
 		return a.granted(false)
-	case a.alone(now):
+	case a.Alone(now):
 		return a.takeOwn(now, b, cost)
 	case now < b.roomAt || len(b.pending) >= maxPendingRows:
 		return a.refused(now, b, max(0, b.roomAt-now))
@@ -170,15 +199,15 @@
 	b.decay(now)
 	spread := minSpread
 	if b.quota.Rate > 0 {
-		excess := b.demand * float64(max(1, a.gateways)) / b.quota.Rate
+		excess := b.demand * float64(max(1, a.Gateways())) / b.quota.Rate
 		spread = max(minSpread, min(maxSpread, converter.Seconds(excess*minSpread.Seconds())))
 	}
 	return Decision{Outcome: Refused, RetryAfter: wait + time.Duration(a.rng.Float64()*float64(spread))}
 }
 
-// alone reports whether the gateway uses its own part of the quotas: no issuer answers, and
-// none can count it any more.
-func (a *Account) alone(now time.Duration) bool {
+// Alone reports whether the gateway uses its own part of the quotas and limits: no issuer
+// answers, and none can count it any more.
+func (a *Account) Alone(now time.Duration) bool {
 	return a.free(now) && !a.hears(now)
 }
 
@@ -194,7 +223,7 @@
 
 // takeOwn decides on a request by the gateway's own part of the quota.
 func (a *Account) takeOwn(now time.Duration, b *balance, cost float64) Decision {
-	gateways := float64(a.gateways)
+	gateways := float64(a.Gateways())
 	if a.gateways == 0 {
 		gateways = unknownRosterSize
 	}
@@ -260,7 +289,7 @@
 		case b.tokens >= p.cost:
 			b.spend(now, p.cost)
 			a.settle(p.id, a.granted(false))
-		case a.alone(now):
+		case a.Alone(now):
 			a.settle(p.id, a.takeOwn(now, b, p.cost))
 		case now-p.since < maxPendingTime:
 			return
--- a/internal/apportioner/dump.go
+++ b/internal/apportioner/dump.go
@@ -50,12 +50,12 @@
 	Denied    float64                 `json:"denied"`
 }
 
-// Dump returns a snapshot, nil without quotas.
+// Dump returns a snapshot, nil without quotas and limits.
 func (a *Account) Dump(now time.Duration) *AccountDump {
-	if !a.Active() {
+	if !a.Polls() {
 		return nil
 	}
-	dump := &AccountDump{Issuer: a.issuer, Counted: a.counted, Gateways: a.gateways, AgeMs: (now - a.answeredAt).Milliseconds(), Counters: a.Counters}
+	dump := &AccountDump{Issuer: a.issuer, Counted: a.counted, Gateways: a.Gateways(), AgeMs: (now - a.answeredAt).Milliseconds(), Counters: a.Counters}
 	for _, name := range a.order {
 		b := a.balances[name]
 		b.decay(now)
@@ -70,10 +70,10 @@
 // Dump returns a snapshot, nil unless gateways ask this ledger.
 func (l *Ledger) Dump(now time.Duration) *LedgerDump {
 	l.advance(now)
-	if len(l.buckets) == 0 {
+	if len(l.buckets) == 0 && l.counted == 0 {
 		return nil
 	}
-	dump := &LedgerDump{Counted: l.counted, Gateways: l.roster.size}
+	dump := &LedgerDump{Counted: l.counted, Gateways: l.gateways()}
 	for name, b := range l.buckets {
 		dump.Buckets = append(dump.Buckets, DumpBucket{
 			Workspace: name, Version: b.version, Rate: b.rate, Burst: b.burst, Saved: b.saved, Held: b.heldSum, Issued: b.issued, Denied: b.denied,
--- a/internal/apportioner/ledger.go
+++ b/internal/apportioner/ledger.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/converter"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -24,15 +25,16 @@
 // maxBuckets bounds the workspaces of a ledger.
 const maxBuckets = 10_000
 
-// Ledger issues the tokens of all quotas. Every steward has one, but gateways ask only one
-// steward. A new ledger has saved up nothing, since another issuer may have issued tokens
-// just before.
+// Ledger issues the tokens of all quotas. Every steward has one, and a gateway asks only one
+// steward at a time; gateways that know of different stewards may ask different ones. A new
+// ledger has saved up nothing, since another issuer may have issued tokens just before.
 type Ledger struct {
 	roster     *roster
 	customers  map[netip.AddrPort]*customer
 	buckets    map[registrar.WorkspaceName]*bucket
 	counted    int
 	countedAt  time.Duration // when counted last rose from zero
+	told       int           // the largest number of gateways that customers have named lately
 	advancedAt time.Duration
 	sweptAt    time.Duration
 	served     float64 // integral of the share of gateways counted over time, in seconds
@@ -45,6 +47,7 @@
 	answer       Answer // to it
 	askedAt      time.Duration
 	claimedUntil time.Duration // the gateway is counted until then
+	told         int           // number of gateways that it named in the last request
 	rosterSentAt time.Duration // zero if it has never been
 }
 
@@ -65,9 +68,27 @@
 	l.roster.learn(now, Member{Address: gateway, Left: true})
 }
 
-// share returns the part of the quotas that belongs to the gateways that this ledger counts.
+// Share returns the part of all quotas and limits that belongs to the gateways that this
+// ledger counts, from 0 to 1.
+func (l *Ledger) Share(now time.Duration) float64 {
+	l.advance(now)
+	return l.share()
+}
+
+// Served returns the integral of Share over time. It runs as fast as a clock while the ledger
+// counts all gateways.
+func (l *Ledger) Served(now time.Duration) time.Duration {
+	l.advance(now)
+	return converter.Seconds(l.served)
+}
+
 func (l *Ledger) share() float64 {
-	return min(1, float64(l.counted)/float64(max(1, l.roster.size)))
+	return min(1, float64(l.counted)/float64(max(1, l.gateways())))
+}
+
+// gateways returns the number of gateways that share the quotas.
+func (l *Ledger) gateways() int {
+	return max(l.roster.size, l.told)
 }
 
 // advance moves the ledger on to now. If it has not been called for a while, as in a frozen
@@ -84,11 +105,14 @@
 
 func (l *Ledger) recount(now time.Duration) {
 	before := l.counted
-	l.counted = 0
+	l.counted, l.told = 0, 0
 	for _, c := range l.customers {
 		if now < c.claimedUntil {
 			l.counted++
 		}
+		if now-c.askedAt < toldMemory {
+			l.told = max(l.told, c.told)
+		}
 	}
 	if before == 0 {
 		l.countedAt = now
@@ -137,7 +161,7 @@
 	case request.Epoch > c.epoch:
 		l.release(gateway)
 	}
-	c.epoch, c.number, c.askedAt = request.Epoch, request.Number, now
+	c.epoch, c.number, c.askedAt, c.told = request.Epoch, request.Number, now, min(request.Gateways, maxMembers)
 	for _, m := range request.Roster {
 		l.roster.learn(now, m)
 	}
@@ -149,7 +173,7 @@
 		c.claimedUntil = now + claimTTL
 	}
 	l.recount(now)
-	c.answer = Answer{Epoch: request.Epoch, Number: request.Number, Counted: now < c.claimedUntil, Gateways: l.roster.size}
+	c.answer = Answer{Epoch: request.Epoch, Number: request.Number, Counted: now < c.claimedUntil, Gateways: l.gateways()}
 	for _, row := range request.Rows {
 		if b := l.bucketFor(now, row, request.Version); b != nil {
 			c.answer.Rows = append(c.answer.Rows, l.issue(b, gateway, row))
--- a/internal/apportioner/ledger_test.go
+++ b/internal/apportioner/ledger_test.go
@@ -115,6 +115,27 @@
 	require.InDelta(t, 0.5, other.share(), 0.01)
 }
 
+// An issuer that other gateways don't know never hears from them, and no roster names them.
+func TestIssuerLeavesThePartOfGatewaysThatItDoesNotHear(t *testing.T) {
+	l, now := NewLedger(), time.Duration(0)
+	for n := range uint64(10) {
+		now += 100 * time.Millisecond
+		for _, g := range []netip.AddrPort{gatewayA, gatewayB} {
+			answer, ok := l.Answer(now, g, Request{Epoch: 1, Number: 1 + n, Claim: true, Gateways: 8})
+			require.True(t, ok)
+			require.Equal(t, 8, answer.Gateways)
+		}
+	}
+	require.InDelta(t, 0.25, l.Share(now), 0.01)
+	served := l.Served(now)
+	l.Answer(now, gatewayA, Request{Epoch: 1, Number: 11, Claim: true, Gateways: 8})
+	l.Answer(now, gatewayB, Request{Epoch: 1, Number: 11, Claim: true, Gateways: 8})
+	require.Equal(t, served+100*time.Millisecond, l.Served(now+400*time.Millisecond))
+	now += toldMemory
+	l.Answer(now, gatewayA, Request{Epoch: 1, Number: 12, Claim: true})
+	require.InDelta(t, 0.5, l.Share(now), 0.01, "the others are gone")
+}
+
 func TestReleasedGatewayIsNotCounted(t *testing.T) {
 	l, now := steadyLedger(t, gatewayA, gatewayB)
 	a, ok := l.Answer(now, gatewayA, Request{Epoch: 1, Number: 1000, Release: true})
--- a/internal/apportioner/message.go
+++ b/internal/apportioner/message.go
@@ -1,5 +1,6 @@
-// Package apportioner keeps what a workspace's callers send through all gateways within
-// the workspace's quota.
+// Package apportioner keeps what all gateways send within limits that they share: what a
+// workspace's callers send within the workspace's quota, and what an upstream gets within
+// the rate that it asks for.
 //
 // Usage:
 //
@@ -17,7 +18,8 @@
 // on requests. A token stands for a unit of the quota. The issuer issues the part of each
 // rate that belongs to the gateways that it counts, among all that were known lately; a
 // gateway that no issuer counts has its own part. So the parts of a deployment that don't
-// hear each other keep to the quota together.
+// hear each other keep to the quota together. The same parts bound the permits for an
+// upstream with a limit, which package limiter issues by a Ledger's Served and Share.
 //
 // Ledger and Account are deterministic functions of their calls: they have no clock, no
 // I/O and no goroutines. They are not safe for concurrent use.
@@ -44,6 +46,7 @@
 	balanceTTL              = 3 * time.Second        // of tokens at a gateway that hears no issuer
 	rosterPeriod            = 4 * time.Second        // between answers with the roster
 	rosterMemory            = 5 * time.Minute        // of gateways that have not been heard
+	toldMemory              = 2 * time.Second        // of the number of gateways that a gateway told; several of its requests, some of which may be lost
 )
 
 // Member is a gateway among those that share the quotas.
@@ -63,6 +66,9 @@
 	Version registrar.Version `json:"configuration,omitempty" cbor:"5,keyasint,omitempty"` // that the quotas in Rows are from
 	Rows    []RequestRow      `json:"rows,omitempty" cbor:"6,keyasint,omitempty"`
 	Roster  []Member          `json:"roster,omitempty" cbor:"7,keyasint,omitempty"` // that the gateway knows, for a new issuer
+	// Gateways is the largest number of gateways that a steward has told the gateway. Some of
+	// them may not know the issuer, and so never send it anything.
+	Gateways int `json:"gateways,omitempty" cbor:"8,keyasint,omitempty"`
 }
 
 // RequestRow is the part of a Request for one workspace; numbers are tokens.
--- a/internal/apportioner/polling.go
+++ b/internal/apportioner/polling.go
@@ -8,13 +8,13 @@
 
 // period returns the time between requests to the issuer.
 func (a *Account) period() time.Duration {
-	return max(minRequestPeriod, min(maxRequestPeriod, time.Duration(a.gateways)*requestPeriodPerGateway))
+	return max(minRequestPeriod, min(maxRequestPeriod, time.Duration(a.Gateways())*requestPeriodPerGateway))
 }
 
 // Poll returns a request to send to an issuer, and false if none is due. Issuers are the
 // addresses of those that can be heard, the one to prefer first.
 func (a *Account) Poll(now time.Duration, issuers []string) (Request, string, bool) {
-	if !a.Active() {
+	if !a.Polls() {
 		return Request{}, "", false
 	}
 	a.choose(now, issuers)
@@ -49,7 +49,7 @@
 func (a *Account) compose(now time.Duration) Request {
 	a.number++
 	a.askedAt, a.sentAt, a.underWay, a.needed = now, now, true, false
-	request := Request{Epoch: a.cfg.Epoch, Number: a.number, Version: a.version}
+	request := Request{Epoch: a.cfg.Epoch, Number: a.number, Version: a.version, Gateways: a.told}
 	leaving := a.better != "" && now-a.betterSince >= settleTime
 	switch {
 	case leaving:
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -56,6 +56,8 @@
 	answeredSweptAt    time.Duration                               // when forgotten ones were last removed from it
 	trialTurn          float64                                     // of this gateway among all, from 0 to 1
 	gatewayCount       int
+	gatewaysCounted    bool // a report has given the number
+	gatewaysCountedAt  time.Duration
 	account            *apportioner.Account // of workspaces' quotas
 	quotas             quotaState
 	refuseAt, endAt    time.Duration // of Stopping, zero before it
--- a/internal/dispatcher/limit.go
+++ b/internal/dispatcher/limit.go
@@ -6,7 +6,6 @@
 
 	"github.com/egretwall/egretwall/internal/converter"
 	"github.com/egretwall/egretwall/internal/limiter"
-	"github.com/egretwall/egretwall/internal/placer"
 )
 
 // Timing of permits for upstreams that have named a limit.
@@ -14,7 +13,6 @@
 	permitLifetime         = 500 * time.Millisecond // of permits that are not used; the limit counts them as requests
 	permitRetryPeriod      = 50 * time.Millisecond  // before permits for an upstream are requested again
 	permitPeriodPerGateway = 5 * time.Millisecond   // lengthens that period with the number of gateways, which all ask one steward
-	issuerPeriod           = 100 * time.Millisecond // between choices of the steward that issues permits
 	announcePeriod         = 500 * time.Millisecond // between announcements of an unchanged limit
 )
 
@@ -28,14 +26,9 @@
 	requestedAt time.Duration // when permits were last requested
 	announcedAt time.Duration // when the limit was last announced
 	reserved    []queueKey    // whose adapters are being loaded to use these permits
-	// share is this gateway's part of the limit, which it uses while no steward issues
-	// permits.
+	// share is this gateway's part of the limit, which it uses while no steward counts it.
 	share        limiter.Bucket
 	shareStarted bool
-
-	issuer         string // of issuerOf
-	issuerChosen   bool   // issuer is set
-	issuerChosenAt time.Duration
 }
 
 // handleLimits records the limits that a steward knows.
@@ -98,7 +91,7 @@
 		return
 	}
 	u.permits.announcedAt = d.now
-	if issuer := d.issuerOf(u); issuer != "" {
+	if issuer := d.permitIssuer(); issuer != "" {
 		d.emit(RequestPermits{Address: issuer, Request: limiter.Request{Limit: l}})
 	}
 }
@@ -127,14 +120,18 @@
 	if rate == 0 || u.permits.count > 0 && d.now < u.permits.expire {
 		return true
 	}
-	if d.issuerOf(u) != "" {
+	if !d.account.Alone(d.now) {
 		u.permits.shareStarted = false
 		return false
 	}
 	if !u.permits.shareStarted {
 		u.permits.share, u.permits.shareStarted = limiter.NewBucket(d.now), true
 	}
-	u.permits.share.Fill(d.now, rate/float64(max(1, d.gatewayCount)), 1)
+	gateways := d.account.Gateways()
+	if gateways == 0 {
+		gateways = max(d.gatewayCount, defaultGatewayCount)
+	}
+	u.permits.share.Fill(d.now, rate/float64(gateways), 1)
 	return u.permits.share.Has()
 }
 
@@ -170,26 +167,27 @@
 	return true
 }
 
-// issuerOf returns the address of the runner whose steward issues the permits for an
-// upstream: the first in rendezvous order among those whose stewards report, so that all
-// gateways choose the same. It is empty if no steward reports.
-func (d *Dispatcher) issuerOf(u *upstream) string {
-	p := &u.permits
-	if p.issuerChosen && d.now < p.issuerChosenAt+issuerPeriod {
-		return p.issuer
-	}
-	p.issuer, p.issuerChosen, p.issuerChosenAt = "", true, d.now
-	var highest uint64
-	for _, other := range d.upstreams {
-		if !other.reported || d.now-other.reportedAt >= reportTimeout {
-			continue
-		}
-		score := placer.Score(string(u.info.ID), other.info.Address)
-		if p.issuer == "" || score > highest || score == highest && other.info.Address < p.issuer {
-			p.issuer, highest = other.info.Address, score
+// permitIssuer returns the address of the runner whose steward issues this gateway's permits:
+// the one that counts the gateway, or the one to ask first. It is empty if no steward reports.
+func (d *Dispatcher) permitIssuer() string {
+	if issuer := d.account.Issuer(); issuer != "" {
+		return issuer
+	}
+	if issuers := d.quotaIssuers(); len(issuers) > 0 {
+		return issuers[0]
+	}
+	return ""
+}
+
+// claimLimits makes the gateway be counted by an issuer while an upstream has a limit.
+func (d *Dispatcher) claimLimits() {
+	limited := false
+	if d.limits.Any() {
+		for _, u := range d.upstreams {
+			limited = limited || d.limitOf(u) > 0
 		}
 	}
-	return p.issuer
+	d.account.SetLimited(limited)
 }
 
 // requestPermits asks for permits for one upstream that could run the request but for its
@@ -223,14 +221,14 @@
 		Upstream: next.info.ID, Incarnation: next.info.Incarnation, Rate: d.limitOf(next), Age: d.now - d.limits.NamedAt(next.info.ID),
 	}
 	count := min(maxPermits, max(1, len(d.queues[queueKeyOf(r)])))
-	d.emit(RequestPermits{Address: d.issuerOf(next), Request: limiter.Request{Limit: l, Count: count}})
+	d.emit(RequestPermits{Address: d.permitIssuer(), Request: limiter.Request{Limit: l, Count: count}})
 }
 
 // permitsDue reports whether permits for an upstream may be requested now. The chosen one
 // for the request at hand may be nil.
 func (d *Dispatcher) permitsDue(u, chosen *upstream) bool {
 	rate := d.limitOf(u)
-	if rate == 0 || d.issuerOf(u) == "" {
+	if rate == 0 || d.permitIssuer() == "" {
 		return false
 	}
 	period := max(permitRetryPeriod, time.Duration(d.gatewayCount)*permitPeriodPerGateway)
--- a/internal/dispatcher/limit_test.go
+++ b/internal/dispatcher/limit_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/egretwall/egretwall/internal/apportioner"
 	"github.com/egretwall/egretwall/internal/limiter"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
@@ -22,20 +24,64 @@
 )
 
 // limitedFleet is a fleet of gateways before a plain upstream that names a limit in all
-// answers, and a runner whose steward issues the permits, on a virtual clock.
+// answers, and runners whose stewards issue the permits, on a virtual clock.
 type limitedFleet struct {
 	rng      *rand.Rand
 	now      time.Duration
-	rate     float64
-	gateways []*harness
-	told     []time.Duration // when each gateway got the first answer, zero before
+	rate     float64 // zero while the upstream names no limit
+	gateways []*limitedGateway
+	told     []time.Duration // when each gateway got the first answer with the limit, zero before
 	arrivals []time.Duration // from gateways that have known the limit for limitDelay
 	served   int
-	steward  *limiter.Issuer // nil while no steward runs
-	limits   *limiter.Table
+	stewards []*permitSteward // by number of the runner
 	pending  []pendingAnswer
 }
 
+// limitedGateway is a gateway whose list holds some of the runners.
+type limitedGateway struct {
+	*harness
+	address netip.AddrPort
+	lists   []int // numbers of runners
+}
+
+// permitSteward is the part of a steward that issues permits.
+type permitSteward struct {
+	down    bool
+	limits  *limiter.Table
+	quotas  *apportioner.Ledger
+	permits *limiter.Issuer
+	heardAt map[netip.AddrPort]time.Duration
+}
+
+func newPermitSteward() *permitSteward {
+	s := &permitSteward{limits: limiter.NewTable(), quotas: apportioner.NewLedger(), heardAt: map[netip.AddrPort]time.Duration{}}
+	s.permits = limiter.NewIssuer(s.limits, s.quotas)
+	return s
+}
+
+// gatewayCount returns the number of gateways that the steward hears.
+func (s *permitSteward) gatewayCount(now time.Duration) int {
+	n := 0
+	for _, at := range s.heardAt {
+		if now-at < 3*time.Second {
+			n++
+		}
+	}
+	return n
+}
+
+func runnerAddress(runner int) string { return fmt.Sprintf("10.0.0.%d:80", 2+runner) }
+
+// permitStewardAt returns the number of the steward beside a runner.
+func (f *limitedFleet) permitStewardAt(address string) int {
+	for i := range f.stewards {
+		if runnerAddress(i) == address {
+			return i
+		}
+	}
+	return -1
+}
+
 // pendingAnswer is an answer that a gateway gets at a time.
 type pendingAnswer struct {
 	at      time.Duration
@@ -45,13 +91,24 @@
 
 func newLimitedFleet(t *testing.T, gateways int, rate float64) *limitedFleet {
 	f := &limitedFleet{rng: rand.New(rand.NewPCG(1, 2)), rate: rate, told: make([]time.Duration, gateways)}
-	f.startSteward()
-	for range gateways {
-		f.gateways = append(f.gateways, newLimitedGateway(t))
+	f.stewards = []*permitSteward{newPermitSteward()}
+	for i := range gateways {
+		f.gateways = append(f.gateways, &limitedGateway{newLimitedGateway(t), netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i / 256), byte(i)}), 7), []int{0}})
 	}
 	return f
 }
 
+// list gives a gateway a list with some of the runners.
+func (f *limitedFleet) list(gateway int, runners ...int) {
+	g := f.gateways[gateway]
+	g.lists, g.now = runners, f.now
+	all := []*registrar.Upstream{{ID: "limited", Service: plainService, Address: "10.0.0.1:80", State: registrar.Ready, Slots: 64}}
+	for _, r := range runners {
+		all = append(all, &registrar.Upstream{ID: registrar.UpstreamID(fmt.Sprint("runner", r)), Service: runnerService, Address: runnerAddress(r), State: registrar.Ready, Slots: 64})
+	}
+	f.carryOut(gateway, g.reduce(UpstreamsListed{all}))
+}
+
 func newLimitedGateway(t *testing.T) *harness {
 	h := newHarness(t)
 	h.reduce(UpstreamsListed{[]*registrar.Upstream{
@@ -61,20 +118,14 @@
 	return h
 }
 
-func (f *limitedFleet) startSteward() {
-	f.limits = limiter.NewTable()
-	f.steward = limiter.NewIssuer(f.limits)
-}
-
 // run passes time and lets load requests per second arrive at random gateways.
 func (f *limitedFleet) run(duration time.Duration, load float64) {
 	const step = 10 * time.Millisecond
 	for end := f.now + duration; f.now < end; f.now += step {
 		for g, h := range f.gateways {
 			h.now = f.now
-			if f.now%(200*time.Millisecond) == 0 && f.steward != nil {
-				f.carryOut(g, h.reduce(Reported{Report{Address: "10.0.0.2:80", Gateways: len(f.gateways)}}))
-				f.carryOut(g, h.reduce(LimitsReported{f.limits.Recent(f.now, time.Minute)}))
+			if f.now%(200*time.Millisecond) == 0 {
+				f.report(g)
 			}
 			f.carryOut(g, h.reduce(Tick{}))
 		}
@@ -87,13 +138,28 @@
 	}
 }
 
+// report lets a gateway and the stewards in its list hear each other.
+func (f *limitedFleet) report(gateway int) {
+	g := f.gateways[gateway]
+	for _, i := range g.lists {
+		s := f.stewards[i]
+		if s.down {
+			continue
+		}
+		s.heardAt[g.address] = f.now
+		s.quotas.Hear(f.now, g.address)
+		f.carryOut(gateway, g.reduce(Reported{Report{Address: runnerAddress(i), Gateways: s.gatewayCount(f.now)}}))
+		f.carryOut(gateway, g.reduce(LimitsReported{s.limits.Recent(f.now, time.Minute)}))
+	}
+}
+
 // answer delivers the answers that are due; each names the limit.
 func (f *limitedFleet) answer() {
 	for len(f.pending) > 0 && f.pending[0].at <= f.now {
 		p := f.pending[0]
 		f.pending = f.pending[1:]
 		h := f.gateways[p.gateway]
-		if f.told[p.gateway] == 0 {
+		if f.told[p.gateway] == 0 && f.rate > 0 {
 			f.told[p.gateway] = f.now
 		}
 		f.served++
@@ -111,12 +177,21 @@
 			}
 			f.pending = append(f.pending, pendingAnswer{f.now + 60*time.Millisecond, g, e})
 		case RequestPermits:
-			if f.steward == nil {
+			s := f.stewards[f.permitStewardAt(e.Address)]
+			if s.down {
 				continue
 			}
-			f.limits.Learn(f.now, e.Request.Limit)
-			permits := f.steward.Issue(f.now, e.Request)
+			s.limits.Learn(f.now, e.Request.Limit)
+			permits := s.permits.Issue(f.now, e.Request)
 			f.carryOut(g, f.gateways[g].reduce(PermitsIssued{permits}))
+		case RequestTokens:
+			s := f.stewards[f.permitStewardAt(e.Address)]
+			if s.down {
+				continue
+			}
+			if answer, ok := s.quotas.Answer(f.now, f.gateways[g].address, e.Request); ok {
+				f.carryOut(g, f.gateways[g].reduce(QuotaAnswered{answer}))
+			}
 		}
 	}
 }
@@ -160,15 +235,70 @@
 		f := newLimitedFleet(t, gateways, 2.4)
 		for _, downtime := range []time.Duration{6 * time.Second, 300 * time.Millisecond, time.Second, 2 * time.Second, 100 * time.Millisecond} {
 			f.run(5*time.Second, 60)
-			f.steward = nil
+			f.stewards[0].down = true
 			f.run(downtime, 60)
-			f.startSteward()
+			f.stewards[0] = newPermitSteward()
 		}
 		f.run(5*time.Second, 60)
 		f.requireLimitKept(t)
 	}
 }
 
+// Two of six gateways don't learn of a runner whose steward the others prefer, so that two
+// stewards issue permits of one limit: before it is named or after, until all know the runner.
+func TestStewardsThatIssuePermitsOfOneLimitKeepItTogether(t *testing.T) {
+	for _, limitedAt := range []time.Duration{0, 5 * time.Second} {
+		for _, known := range [][]int{{0, 1}, {1, 0}} {
+			t.Run(fmt.Sprint("limit named at ", limitedAt, ", runner added ", known[1]), func(t *testing.T) {
+				const rate = 10
+				f := newLimitedFleet(t, 6, 0)
+				f.stewards = append(f.stewards, newPermitSteward())
+				for g := range f.gateways {
+					f.list(g, known[0])
+				}
+				f.run(limitedAt, 60)
+				if limitedAt == 0 {
+					f.rate = rate
+					f.run(5*time.Second, 60)
+				}
+				for g := range f.gateways[:4] {
+					f.list(g, 0, 1)
+				}
+				f.run(500*time.Millisecond, 60)
+				f.rate = rate
+				f.run(time.Second, 60)
+				f.served = 0
+				const duration = 8 * time.Second
+				f.run(duration, 60)
+				require.Greater(t, float64(f.served), 0.7*rate*duration.Seconds())
+				for g := range f.gateways {
+					f.list(g, 0, 1)
+				}
+				f.run(8*time.Second, 60)
+				require.LessOrEqual(t, float64(f.mostInWindow()), rate*limitWindow.Seconds()+limitSlack, "the parts add up to one limit")
+			})
+		}
+	}
+}
+
+// A steward that has just started, or that some gateways don't know, hears few of them.
+func TestStewardThatHearsFewGatewaysDoesNotRaiseTheirShares(t *testing.T) {
+	h := newHarness(t)
+	all := h.listUpstreams(runnerService, 2)
+	for range 10 {
+		h.now += 200 * time.Millisecond
+		h.reduce(Reported{Report{Address: all[0].Address, Gateways: 6}})
+		h.reduce(Reported{Report{Address: all[1].Address, Gateways: 1}})
+		h.reduce(Tick{})
+		require.Equal(t, 6, h.d.gatewayCount)
+		require.Equal(t, 6, h.d.account.Gateways())
+	}
+	h.now += reportTimeout
+	h.reduce(Reported{Report{Address: all[1].Address, Gateways: 1}})
+	h.reduce(Tick{})
+	require.Equal(t, 1, h.d.gatewayCount, "the other steward is gone")
+}
+
 // A gateway that has just started knows of no answer that names the limit.
 func TestLimitBindsAGatewayThatWasNotToldByTheUpstream(t *testing.T) {
 	h := newLimitedGateway(t)
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -188,6 +188,8 @@
 // handleTick answers requests whose time is over, refuses waiting requests that
 // can't be served and sends those that upstreams can take.
 func (d *Dispatcher) handleTick() {
+	d.countGateways()
+	d.claimLimits()
 	d.settleQuotas()
 	d.reportCrashes()
 	d.recordQueueLengths()
--- a/internal/dispatcher/timing.go
+++ b/internal/dispatcher/timing.go
@@ -13,6 +13,7 @@
 	adapterRetryPeriod      = 60 * time.Millisecond  // before an adapter is requested again, in case the datagram or its answer was lost
 	initialAvoidTime        = 200 * time.Millisecond // after a failed send; doubles with each consecutive one
 	maxAvoidTime            = 3 * time.Second        // a crashed upstream restarts within it
+	countPeriod             = 100 * time.Millisecond // between counts of gateways
 	reportDelay             = 200 * time.Millisecond // from a request's send until a report counts it
 	maxStartSpacing         = time.Second            // longest pause between sends to a runner whose answers begin late
 	fullBackoff             = 40 * time.Millisecond  // after an upstream refused a request; a short request frees its slot within it
--- a/internal/dispatcher/upstream.go
+++ b/internal/dispatcher/upstream.go
@@ -66,8 +66,9 @@
 // handleReport stores a report unless it is of another incarnation or older than the
 // last one.
 func (d *Dispatcher) handleReport(report Report) {
-	if report.Gateways > 0 {
-		d.gatewayCount = report.Gateways
+	if report.Gateways > d.gatewayCount || report.Gateways > 0 && !d.gatewaysCounted {
+		d.gatewayCount, d.gatewaysCounted = report.Gateways, true
+		d.account.SetGateways(report.Gateways)
 	}
 	for _, u := range d.upstreams {
 		if u.info.Address == report.Address && u.info.Incarnation > 0 {
@@ -92,6 +93,25 @@
 	}
 }
 
+// countGateways takes the largest number of gateways that a steward reports: one that has just
+// started, or that some gateways don't know, hears only a part of them.
+func (d *Dispatcher) countGateways() {
+	if d.now < d.gatewaysCountedAt+countPeriod {
+		return
+	}
+	d.gatewaysCountedAt = d.now
+	most := 0
+	for _, u := range d.upstreams {
+		if u.reported && d.now-u.reportedAt < reportTimeout {
+			most = max(most, u.report.Gateways)
+		}
+	}
+	if most > 0 {
+		d.gatewayCount = most
+		d.account.SetGateways(most)
+	}
+}
+
 // sameModels reports whether a and b list the same models in the same order.
 func sameModels(a, b []registrar.ResidentModel) bool {
 	return slices.EqualFunc(a, b, func(x, y registrar.ResidentModel) bool { return x.Model == y.Model })
--- a/internal/dispatcher/workspace.go
+++ b/internal/dispatcher/workspace.go
@@ -13,9 +13,10 @@
 
 // Timing of quotas.
 const (
-	costLifetime  = time.Second // after a request was admitted, for which its cost is given back if it is refused; later its tokens may have been issued anew
-	maxIssuers    = 8           // stewards from which a gateway chooses one; more than fail to answer at the same time
-	quotaLogDelay = time.Second // between log lines about refusals of one workspace's requests
+	costLifetime  = time.Second            // after a request was admitted, for which its cost is given back if it is refused; later its tokens may have been issued anew
+	maxIssuers    = 8                      // stewards from which a gateway chooses one; more than fail to answer at the same time
+	quotaLogDelay = time.Second            // between log lines about refusals of one workspace's requests
+	issuerPeriod  = 100 * time.Millisecond // between listings of the stewards that issue tokens and permits
 )
 
 // QuotaAnswered carries an issuer's answer to RequestTokens.
@@ -76,9 +77,6 @@
 
 // settleQuotas admits or refuses the requests that have waited for an issuer.
 func (d *Dispatcher) settleQuotas() {
-	if !d.account.Active() && !d.account.Unsettled() {
-		return
-	}
 	for _, s := range slices.Clone(d.account.Settled(d.now)) {
 		r := d.requests[RequestID(s.ID)]
 		if r == nil || !r.quotaPending {
@@ -97,7 +95,7 @@
 
 // requestTokens sends the request to the issuer that is due, if any.
 func (d *Dispatcher) requestTokens() {
-	if !d.account.Active() {
+	if !d.account.Polls() {
 		return
 	}
 	if request, address, ok := d.account.Poll(d.now, d.quotaIssuers()); ok {
@@ -108,7 +106,7 @@
 // quotaIssuers returns the addresses of the runners whose stewards report, in an order on
 // which all gateways agree.
 func (d *Dispatcher) quotaIssuers() []string {
-	if d.quotas.issuers != nil && d.now < d.quotas.issuersListedAt+issuerPeriod {
+	if len(d.quotas.issuers) > 0 && d.now < d.quotas.issuersListedAt+issuerPeriod {
 		return d.quotas.issuers
 	}
 	type candidate struct {
--- a/internal/driver/malformed_test.go
+++ b/internal/driver/malformed_test.go
@@ -60,7 +60,7 @@
 		reconciler: reconciler.New(reconciler.Config{Address: address}), limits: limiter.NewTable(), origins: newOriginKeeper("llm", syncer, nil, log.Logger), verdicts: newVerdictKeeper(nil), quotas: apportioner.NewLedger(),
 		gatewaySeenAt: map[netip.AddrPort]time.Duration{},
 	}
-	s.issuer = limiter.NewIssuer(s.limits)
+	s.issuer = limiter.NewIssuer(s.limits, s.quotas)
 	s.apply(reconciler.ConfigurationChanged{Configuration: configuration})
 	s.apply(reconciler.RunnersListed{Upstreams: []*registrar.Upstream{upstream}})
 	g := &Gateway{
--- a/internal/driver/quotas.go
+++ b/internal/driver/quotas.go
@@ -15,16 +15,12 @@
 	g.send(stewardAddress(r.Address, g.peerPort), messenger.Message{TokenRequest: &r.Request, Version: g.syncer.version()})
 }
 
-// leave tells stewards that this gateway uses no quota any more.
+// leave tells stewards that this gateway has no part of quotas and limits any more.
 func (g *Gateway) leave() {
-	c := g.configuration.Load()
-	if c == nil || !c.HasWorkspaces() {
-		return
-	}
 	g.syncer.mu.Lock()
-	to := g.stewardAddresses
+	to, version := g.stewardAddresses, g.syncer.version()
 	g.syncer.mu.Unlock()
-	g.send(to, messenger.Message{Leaving: true, Version: c.Version})
+	g.send(to, messenger.Message{Leaving: true, Version: version})
 }
 
 // issueTokens notes a message of a gateway and answers its request for tokens, if it is
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -104,10 +104,10 @@
 	setMemoryLimit(cfg.MemoryMB)
 	s.peers = relayer.NewPeerAccount(budgeter.ConfigOf(budgeter.Limits{Memory: budgeter.Bytes(cfg.MemoryMB * (1 << 20))}))
 	s.syncer.fetch = fetchWith(s.peers)
-	s.issuer = limiter.NewIssuer(s.limits)
 	s.origins = newOriginKeeper(cfg.Service, s.syncer, cfg.Origins, cfg.Log.Logger)
 	s.verdicts = newVerdictKeeper(cfg.Verdicts)
 	s.quotas = apportioner.NewLedger()
+	s.issuer = limiter.NewIssuer(s.limits, s.quotas)
 	s.reconciler = reconciler.New(reconciler.Config{Address: cfg.RunnerAddress, Holder: cfg.Name, Window: cfg.LoadWindow})
 	s.syncer.onConfiguration = func(c *registrar.Configuration) { s.apply(reconciler.ConfigurationChanged{Configuration: c}) }
 	s.syncer.onList = s.refreshRunners
@@ -321,9 +321,6 @@
 		s.recordCrash(*m.Crash)
 	}
 	s.verdicts.analyst.Clear(s.syncer.now(), m.Answered)
-	if m.PermitRequest != nil {
-		s.issuePermits(from, *m.PermitRequest)
-	}
 	if m.Origin != nil {
 		s.origins.record(s.syncer.now(), *m.Origin)
 	}
@@ -332,6 +329,9 @@
 	}
 	s.gatewaySeenAt[from] = s.syncer.now()
 	s.issueTokens(from, m)
+	if m.PermitRequest != nil {
+		s.issuePermits(from, *m.PermitRequest)
+	}
 	if ratios := m.Paces.Of(s.cfg.RunnerAddress); len(ratios) > 0 {
 		s.apply(reconciler.PaceObserved{Ratios: ratios})
 		s.logSlowness()
--- a/internal/limiter/issuer.go
+++ b/internal/limiter/issuer.go
@@ -56,19 +56,29 @@
 	return taken
 }
 
+// Portions tells which part of all limits an issuer may issue. Other issuers have the rest.
+type Portions interface {
+	// Share returns the part, from 0 to 1.
+	Share(now time.Duration) float64
+	// Served returns the integral of Share over time.
+	Served(now time.Duration) time.Duration
+}
+
 // Issuer issues the permits for upstreams with a limit. It is not safe for concurrent use.
 type Issuer struct {
-	limits  *Table
-	buckets map[registrar.UpstreamID]*Bucket
+	limits   *Table
+	portions Portions
+	buckets  map[registrar.UpstreamID]*Bucket
 }
 
-// NewIssuer returns an issuer that keeps to the limits of a table.
-func NewIssuer(limits *Table) *Issuer {
-	return &Issuer{limits: limits, buckets: map[registrar.UpstreamID]*Bucket{}}
+// NewIssuer returns an issuer that keeps to its portions of the limits of a table.
+func NewIssuer(limits *Table, portions Portions) *Issuer {
+	return &Issuer{limits: limits, portions: portions, buckets: map[registrar.UpstreamID]*Bucket{}}
 }
 
-// Issue returns the permits for a request, at most as many as the limit has left. The
-// issuer starts with none, since another one may have issued permits just before.
+// Issue returns the permits for a request, at most as many as the issuer's portion of the
+// limit has left. The issuer starts with none, since another one may have issued permits just
+// before.
 func (i *Issuer) Issue(now time.Duration, request Request) Permits {
 	l := request.Limit
 	permits := Permits{Upstream: l.Upstream, Incarnation: l.Incarnation}
@@ -76,16 +86,17 @@
 	if rate <= 0 {
 		return permits
 	}
+	share, served := i.portions.Share(now), i.portions.Served(now)
 	b := i.buckets[l.Upstream]
 	if b == nil {
 		if len(i.buckets) >= maxLimits {
 			clear(i.buckets)
 		}
-		bucket := NewBucket(now)
+		bucket := NewBucket(served)
 		b = &bucket
 		i.buckets[l.Upstream] = b
 	}
-	b.Fill(now, rate, max(minBurst, rate*burstTime.Seconds()))
+	b.Fill(served, rate, max(1, share*max(minBurst, rate*burstTime.Seconds())))
 	permits.Count = b.Take(request.Count)
 	return permits
 }
--- a/internal/limiter/limit.go
+++ b/internal/limiter/limit.go
@@ -5,13 +5,14 @@
 //
 //	limits := limiter.NewTable()
 //	changed := limits.Learn(now, limiter.Limit{Upstream: "i-7f3a91c2", Incarnation: born, Rate: 2.5})
-//	issuer := limiter.NewIssuer(limits)
+//	issuer := limiter.NewIssuer(limits, ledger) // an apportioner.Ledger
 //	permits := issuer.Issue(now, limiter.Request{Limit: limit, Count: 3})
 //
 // An upstream names its limit in its answers, and says there that it is leaving. Gateways
 // and stewards tell each other what they heard last, each with its age, and one steward
-// issues the permits for requests to the upstream. All gateways choose the same steward,
-// and another one when that does not report any more.
+// issues the permits for requests to the upstream. Gateways that know of different stewards
+// may ask different ones; each issues only the part of the limit that belongs to the gateways
+// that it counts, as for quotas (package apportioner).
 package limiter
 
 import (
