Streams of a split route are resumed at the service that began them

Cause: the service of a request was drawn before anyone asked where its stream began, and the origin found was used by the name of its release alone.

Change: an origin is a service and its release, and binds a request to both. Recorders are chosen among the stewards of all services by the stream alone. An unknown stream goes on only if the services of its route have one release between them; the origins of split routes are kept in the store. A stream whose route has left its service is refused at once.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -204,7 +204,7 @@
 		d.refuseIsolated(r)
 		return
 	}
-	if d.refuseIfTooLarge(r) {
+	if !r.resumesStream() && d.refuseIfTooLarge(r) {
 		return
 	}
 	if d.passesQuota(r) {
@@ -219,9 +219,11 @@
 		d.refuse(r, classifier.Busy, d.retryDelay(r))
 		return
 	}
-	if d.bindToOrigin(r) {
-		d.admit(r)
+	if r.resumesStream() {
+		d.resume(r)
+		return
 	}
+	d.admit(r)
 }
 
 // admit sends a new request, queues it or refuses it.
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -301,7 +301,8 @@
 // SaveStream writes to the store which release began a stream, since no steward reports.
 type SaveStream struct{ Origin tracker.Origin }
 
-// FindStream asks stewards which release of a service began a stream.
+// FindStream asks stewards which release began a stream and, if that is not known, which
+// releases of a service may have.
 type FindStream struct {
 	Addresses []string // of the stewards' runners
 	Service   registrar.ServiceName
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -11,7 +11,7 @@
 	"github.com/egretwall/egretwall/internal/tracker"
 )
 
-// Timing and numbers of the search for the release that began a stream.
+// Timing and numbers of the search for the origin of a stream.
 const (
 	originTimeout     = 400 * time.Millisecond // for stewards to answer, which may have to read the list first
 	reporterTimeout   = time.Second            // for stewards to report, which a gateway that has just started must wait for
@@ -25,14 +25,15 @@
 	stewardsPerPool   = 24                     // one of so many is in that pool; few, since each of them writes to the store
 )
 
-// originSearch is the search for the release that began the stream that a request resumes.
+// originSearch is the search for the origin of the stream that a request resumes: the service
+// and its release that began it.
 type originSearch struct {
 	until    time.Duration // zero without a search
 	askedAt  time.Duration
-	asks     int  // how often stewards have been asked
-	asked    int  // stewards that were asked last
-	absent   int  // of these, those that don't know the stream
-	answered bool // a steward has told which releases may have begun the stream
+	asks     int                     // how often stewards have been asked
+	asked    int                     // questions in the last round, one for each steward and service
+	absent   int                     // of these, those whose answer is that the stream is not known
+	answered []registrar.ServiceName // of which a steward has told the releases that may have begun the stream
 }
 
 // unknownRelease is that of a stream which no upstream can go on with.
@@ -75,13 +76,10 @@
 // recordersOf returns the addresses of the runners whose stewards know the origin of a
 // request's stream: the first n in rendezvous order for the stream among a pool, the first
 // in rendezvous order for all streams among the runners whose stewards report. Others are
-// the first n beyond the pool. The runners are those of the service or, if none has a steward,
-// of all services.
+// the first n beyond the pool. The runners are those of all services, as a request that
+// resumes a stream does not tell which one began it.
 func (d *Dispatcher) recordersOf(r *request, n int) (recorders, others []string) {
-	addresses := d.reportingAddresses(r.Service)
-	if len(addresses) == 0 {
-		addresses = d.allReportingAddresses()
-	}
+	addresses := d.allReportingAddresses()
 	poolSize := max(minRecorderPool, len(addresses)/stewardsPerPool)
 	pool := firstInRendezvousOrder("recorders", addresses, poolSize)
 	others = firstInRendezvousOrder(string(r.stream()), addresses[len(pool):], n)
@@ -117,30 +115,61 @@
 	return addresses[:min(n, len(addresses))]
 }
 
-// bindToOrigin binds a request that resumes a stream to the release that began it, and
-// reports whether the caller is to admit it. Otherwise the request waits for the end of a
-// search, or endSearch has admitted or refused it already.
-func (d *Dispatcher) bindToOrigin(r *request) bool {
-	if !r.Resumed || r.Route.Kind != registrar.Streaming {
-		return true
+// resumesStream reports whether a request may only run where its stream began.
+func (r *request) resumesStream() bool {
+	return r.Resumed && r.Route.Kind == registrar.Streaming
+}
+
+// services returns the services that may run a request. One of them was drawn for it.
+func (r *request) services() []registrar.ServiceName {
+	services := []registrar.ServiceName{r.Service}
+	for _, destination := range r.Route.Destinations() {
+		if destination.Service != "" && !slices.Contains(services, destination.Service) {
+			services = append(services, destination.Service)
+		}
 	}
-	if release, ok := d.streams.Release(r.stream()); ok {
-		r.release = release
-		return true
+	return services
+}
+
+// resume sends a request that resumes a stream to the origin of the stream, or begins a search
+// for it.
+func (d *Dispatcher) resume(r *request) {
+	if origin, ok := d.streams.Origin(r.stream()); ok {
+		d.admitAt(r, origin)
+		return
 	}
 	r.search.until = min(d.now+reporterTimeout, r.Deadline-answerMargin)
-	if !d.hasStewards(r.Service) {
+	if !d.haveStewards(r.services()) {
 		// A gateway that was cut off may not have seen yet which releases have joined.
 		d.emit(ReadList{})
 	}
 	d.lookUp(r)
-	return false
+}
+
+// admitAt admits a request that resumes a stream at the stream's origin. It refuses the request
+// if that service does not run the requests of the route any more.
+func (d *Dispatcher) admitAt(r *request, origin tracker.Origin) {
+	r.search = originSearch{}
+	if origin.Service != "" && origin.Service != r.Service {
+		if !slices.Contains(r.services(), origin.Service) {
+			r.lastCause = "the service that began the stream does not run the route any more"
+			d.refuse(r, classifier.Orphaned, orphanRetryAfter)
+			return
+		}
+		r.Service = origin.Service
+		r.stats = d.statsOf(r)
+	}
+	r.release = origin.Release
+	if !d.refuseIfTooLarge(r) {
+		d.admit(r)
+	}
 }
 
 // listSuffices reports whether only one release may have begun the stream of a request if the
 // list, read anew, shows no other one.
 func (d *Dispatcher) listSuffices(r *request) bool {
-	return !d.hasStewards(r.Service) && d.releases.Of(r.Service).Only(d.now)
+	services := r.services()
+	return len(services) == 1 && !d.haveStewards(services) && d.releases.Of(r.Service).Only(d.now)
 }
 
 // handleListConfirmed ends the searches for which the list suffices and that began before it
@@ -154,8 +183,8 @@
 	}
 }
 
-// lookUp asks stewards for the release that began the stream of a request, and reads the
-// store if none reports or none answers.
+// lookUp asks stewards for the origin of the stream of a request, and reads the store if none
+// reports or none answers.
 func (d *Dispatcher) lookUp(r *request) {
 	if d.listSuffices(r) {
 		return
@@ -171,13 +200,16 @@
 	if r.search.asks == 0 {
 		r.search.until = min(r.search.until, d.now+originTimeout)
 	}
-	if r.search.asks >= silentAsks && !r.search.answered {
+	if r.search.asks >= silentAsks && len(r.search.answered) == 0 {
 		recorders = slices.Concat(recorders, others)
 		d.readStreams(r)
 	}
 	r.search.asks++
-	r.search.asked, r.search.absent = len(recorders), 0
-	d.emit(FindStream{Addresses: recorders, Service: r.Service, Stream: r.stream()})
+	services := r.services()
+	r.search.asked, r.search.absent = len(recorders)*len(services), 0
+	for _, service := range services {
+		d.emit(FindStream{Addresses: recorders, Service: service, Stream: r.stream()})
+	}
 }
 
 // readStreams reads the origins in the store unless that was done since a request arrived.
@@ -198,9 +230,8 @@
 		if r.search.until == 0 {
 			continue
 		}
-		if release, ok := d.streams.Release(r.stream()); ok {
-			r.search, r.release = originSearch{}, release
-			d.admit(r)
+		if origin, ok := d.streams.Origin(r.stream()); ok {
+			d.admitAt(r, origin)
 		} else if !d.expectsStewards() && !d.listSuffices(r) && r.arrivedAt <= d.streamsReadAt {
 			d.endSearch(r)
 		}
@@ -217,9 +248,11 @@
 	}
 }
 
-// hasStewards reports whether the upstreams of a service have stewards.
-func (d *Dispatcher) hasStewards(service registrar.ServiceName) bool {
-	return d.configuration != nil && d.configuration.Services[service].Engine != nil
+// haveStewards reports whether the upstreams of all these services have stewards.
+func (d *Dispatcher) haveStewards(services []registrar.ServiceName) bool {
+	return d.configuration != nil && !slices.ContainsFunc(services, func(service registrar.ServiceName) bool {
+		return d.configuration.Services[service].Engine == nil
+	})
 }
 
 // expectsStewards reports whether the upstreams of any service have stewards. Otherwise nobody
@@ -240,18 +273,28 @@
 // begun its stream. It refuses the request if there are several, or if there may be: a
 // gateway that has just started, or is cut off, does not see all of them.
 func (d *Dispatcher) endSearch(r *request) {
-	releases := d.releases.Of(r.Service).Recent(d.now)
-	certain := r.search.answered || d.listSuffices(r) && r.arrivedAt <= d.listConfirmedAt
+	var origins []tracker.Origin
+	certain := d.listSuffices(r) && r.arrivedAt <= d.listConfirmedAt
+	answered := 0
+	for _, service := range r.services() {
+		for _, release := range d.releases.Of(service).Recent(d.now) {
+			origins = append(origins, tracker.Origin{Release: release, Service: service})
+		}
+		if slices.Contains(r.search.answered, service) {
+			answered++
+		}
+	}
+	certain = certain || answered == len(r.services())
 	r.search = originSearch{}
-	if len(releases) > 1 || !certain {
+	switch {
+	case len(origins) > 1 || !certain:
 		r.lastCause = "the release that began the stream is unknown"
 		d.refuse(r, classifier.Orphaned, orphanRetryAfter)
-		return
+	case len(origins) == 1:
+		d.admitAt(r, origins[0])
+	default:
+		d.admit(r)
 	}
-	if len(releases) == 1 {
-		r.release = releases[0]
-	}
-	d.admit(r)
 }
 
 // handleStreamFound goes on with the requests that wait for the origin of a stream.
@@ -259,8 +302,7 @@
 	d.streams.Record(d.now, o)
 	for _, r := range d.requestsByID() {
 		if r.search.until > 0 && r.stream() == o.Stream {
-			r.search, r.release = originSearch{}, o.Release
-			d.admit(r)
+			d.admitAt(r, o)
 		}
 	}
 }
@@ -274,8 +316,14 @@
 		if r.search.until == 0 || r.stream() != absence.Stream {
 			continue
 		}
-		d.releases.Of(r.Service).See(d.now, absence.Releases)
-		r.search.answered = true
+		service := absence.Service
+		if service == "" {
+			service = r.Service
+		}
+		d.releases.Of(service).See(d.now, absence.Releases)
+		if !slices.Contains(r.search.answered, service) {
+			r.search.answered = append(r.search.answered, service)
+		}
 		r.search.absent++
 		if r.search.absent >= r.search.asked && (r.search.asks > 1 || r.Resumes == "") {
 			d.endSearch(r)
--- a/internal/driver/origins.go
+++ b/internal/driver/origins.go
@@ -16,14 +16,14 @@
 )
 
 // originKeeper is a steward's knowledge of the streams that gateways have told it about.
-// While a service has several releases it writes those of its streams to the store, and reads
-// there what others have written when it is asked for a stream that it does not know. It is
-// guarded by the steward's syncer.mu.
+// While a service has several releases, or shares a route with others, it writes those of its
+// streams to the store, and reads there what others have written when it is asked for a stream
+// that it does not know. It is guarded by the steward's syncer.mu.
 type originKeeper struct {
 	*tracker.Keeper
 	log     *originLog
 	service registrar.ServiceName          // of the steward's runner
-	saving  map[registrar.ServiceName]bool // services with several releases
+	saving  map[registrar.ServiceName]bool // services whose streams may have begun elsewhere too
 }
 
 func newOriginKeeper(service registrar.ServiceName, s *syncer, store OriginStore, logger zerolog.Logger) *originKeeper {
@@ -52,7 +52,7 @@
 
 // record stores an origin that a gateway told.
 func (k *originKeeper) record(now time.Duration, o tracker.Origin) {
-	if _, known := k.Streams.Release(o.Stream); known {
+	if _, known := k.Streams.Origin(o.Stream); known {
 		return
 	}
 	o.Service = k.serviceOr(o.Service)
@@ -63,13 +63,13 @@
 }
 
 // refreshSaving updates saving, and returns the origins of the streams of services that have
-// got a second release since.
+// been added to it.
 func (k *originKeeper) refreshSaving(now time.Duration) []tracker.Origin {
 	added := map[registrar.ServiceName]bool{}
-	for service, releases := range k.Releases {
-		several := len(releases.Recent(now)) > 1
-		added[service] = several && !k.saving[service]
-		k.saving[service] = several
+	for service := range k.Releases {
+		ambiguous := k.Ambiguous(now, service)
+		added[service] = ambiguous && !k.saving[service]
+		k.saving[service] = ambiguous
 	}
 	return k.originsOf(added)
 }
@@ -84,9 +84,9 @@
 	return slices.DeleteFunc(k.Streams.Origins(), func(o tracker.Origin) bool { return !services[o.Service] })
 }
 
-// tellOrigin tells a gateway which release of a service began a stream, or that this is not
-// known. If the list or the store must be read for that, the gateway asks again. The caller
-// holds syncer.mu.
+// tellOrigin tells a gateway which release began a stream, or that this is not known and which
+// releases of a service may have. If the list or the store must be read for that, the gateway
+// asks again. The caller holds syncer.mu.
 func (s *Steward) tellOrigin(to netip.AddrPort, service registrar.ServiceName, id tracker.StreamID) {
 	answer := s.origins.Ask(s.syncer.now(), s.origins.serviceOr(service), id)
 	if answer.ReadList {
--- a/internal/driver/origins_test.go
+++ b/internal/driver/origins_test.go
@@ -44,6 +44,21 @@
 	require.Empty(t, k.log.takePending(2*time.Minute))
 }
 
+// Where a route is split, a single release of each service does not tell where a stream began.
+func TestOriginsAreWrittenWhileARouteIsSplit(t *testing.T) {
+	k := newOriginKeeper("llm", newSyncer(nil, zerolog.Nop(), stewardPollTiming), nil, zerolog.Nop())
+	k.Releases.List(0, []*registrar.Upstream{{Release: "v1", Service: "llm"}, {Release: "v1", Service: "other"}})
+	a := tracker.Origin{Stream: "a", Release: "v1", Service: "llm"}
+	k.record(0, a)
+	require.Empty(t, k.log.takePending(0))
+	split := registrar.Route{Kind: registrar.Streaming, Resumable: true, Split: []registrar.WeightedService{{Service: "llm"}, {Service: "other"}}}
+	k.SetSplit((&registrar.Configuration{Routes: []registrar.Route{split}}).SplitStreams())
+	require.Equal(t, []tracker.Origin{a}, k.log.takePending(time.Second))
+	b := tracker.Origin{Stream: "b", Release: "v1", Service: "other"}
+	k.record(time.Second, b)
+	require.Equal(t, []tracker.Origin{b}, k.log.takePending(2*time.Second))
+}
+
 // twoReleases are upstreams of a service.
 var twoReleases = []*registrar.Upstream{{Release: "v1", Service: "llm"}, {Release: "v2", Service: "llm"}}
 
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -109,7 +109,10 @@
 	s.quotas = apportioner.NewLedger()
 	s.issuer = limiter.NewIssuer(s.limits, s.quotas)
 	s.reconciler = reconciler.New(reconciler.Config{Address: cfg.RunnerAddress, Holder: cfg.Name, Window: cfg.LoadWindow})
-	s.syncer.onConfiguration = func(c *registrar.Configuration) { s.apply(reconciler.ConfigurationChanged{Configuration: c}) }
+	s.syncer.onConfiguration = func(c *registrar.Configuration) {
+		s.origins.SetSplit(c.SplitStreams())
+		s.apply(reconciler.ConfigurationChanged{Configuration: c})
+	}
 	s.syncer.onList = s.refreshRunners
 	s.syncer.onListConfirmed = s.origins.ConfirmList
 	peer, err := netip.ParseAddrPort(cfg.PeerAddress)
--- a/internal/registrar/configuration.go
+++ b/internal/registrar/configuration.go
@@ -146,6 +146,21 @@
 	return []WeightedService{{r.Service, 1}}
 }
 
+// SplitStreams returns the services that share a route of resumable streams with others.
+func (c *Configuration) SplitStreams() map[ServiceName]bool {
+	split := map[ServiceName]bool{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Kind != Streaming || !r.Repeatable() || len(r.Split) < 2 {
+			continue
+		}
+		for _, d := range r.Split {
+			split[d.Service] = true
+		}
+	}
+	return split
+}
+
 // index builds the indexes of routes and models.
 func (c *Configuration) index() {
 	names := map[ModelName]bool{}
--- a/internal/tracker/keeper.go
+++ b/internal/tracker/keeper.go
@@ -20,10 +20,17 @@
 	Streams  *Tracker
 	Releases Services
 
-	stored          bool          // the origins in the store have been read
-	storedAt        time.Duration // as of which they are known
-	listConfirmedAt time.Duration // as of which the list is known
-	questions       map[StreamID]question
+	split           map[registrar.ServiceName]bool // of SetSplit
+	stored          bool                           // the origins in the store have been read
+	storedAt        time.Duration                  // as of which they are known
+	listConfirmedAt time.Duration                  // as of which the list is known
+	questions       map[questionKey]question
+}
+
+// questionKey identifies a question: which release of a service began a stream.
+type questionKey struct {
+	service registrar.ServiceName
+	stream  StreamID
 }
 
 // question is a question about a stream that is not known.
@@ -33,7 +40,7 @@
 
 // NewKeeper returns a keeper that knows nothing.
 func NewKeeper() *Keeper {
-	return &Keeper{Streams: New(), Releases: Services{}, questions: map[StreamID]question{}}
+	return &Keeper{Streams: New(), Releases: Services{}, questions: map[questionKey]question{}}
 }
 
 // ConfirmList records that Releases tells the list as it was at a time or later.
@@ -41,6 +48,17 @@
 	k.listConfirmedAt = max(k.listConfirmedAt, at)
 }
 
+// SetSplit tells the services that share a route of streams with other services, so that not
+// even a single release of each tells where a stream began.
+func (k *Keeper) SetSplit(services map[registrar.ServiceName]bool) {
+	k.split = services
+}
+
+// Ambiguous reports whether it takes the origin of a service's stream to know where it goes on.
+func (k *Keeper) Ambiguous(now time.Duration, service registrar.ServiceName) bool {
+	return k.split[service] || len(k.Releases.Of(service).Recent(now)) > 1
+}
+
 // Load records origins that the store has. Together with those of earlier calls they are all
 // that it had at a time or later.
 func (k *Keeper) Load(now, at time.Duration, origins []Origin) {
@@ -60,38 +78,39 @@
 	ReadStored bool // the origins in the store must be read
 }
 
-// Ask answers the question which release of a service began a stream. Between several
-// releases, an earlier read of the store does not prove that a stream is unknown: the stewards
+// Ask answers the question which release began a stream. If that is not known, it answers for
+// one of the services that may have begun it. Between several releases or services, an earlier read of the store does not prove that a stream is unknown: the stewards
 // that were told of it may have written it since and be gone. The store is read anew only when
 // the question is repeated, since a steward that knows the stream answers the first one.
 func (k *Keeper) Ask(now time.Duration, service registrar.ServiceName, id StreamID) Answer {
-	if release, known := k.Streams.Release(id); known {
-		delete(k.questions, id)
-		return Answer{Origin: &Origin{Stream: id, Release: release, Service: service}}
+	key := questionKey{service, id}
+	if o, known := k.Streams.Origin(id); known {
+		delete(k.questions, key)
+		return Answer{Origin: &o}
 	}
 	releases := k.Releases.Of(service)
-	q, repeated := k.remember(now, id)
+	q, repeated := k.remember(now, key)
 	a := Answer{ReadList: k.listConfirmedAt < q.askedAt}
 	missing := false
 	switch {
-	case releases.Only(now): // whatever the store holds
+	case releases.Only(now) && !k.split[service]: // whatever the store holds
 	case !k.stored:
 		missing, a.ReadStored = true, true
-	case k.storedAt < q.askedAt && len(releases.Recent(now)) > 1:
+	case k.storedAt < q.askedAt && k.Ambiguous(now, service):
 		missing, a.ReadStored = true, repeated
 	}
 	if !a.ReadList && !missing {
-		a.Absence = &Absence{Stream: id, Releases: releases.Recent(now)}
+		a.Absence = &Absence{Stream: id, Releases: releases.Recent(now), Service: service}
 	}
 	return a
 }
 
 // remember returns a question about an unknown stream, and whether it is repeated.
-func (k *Keeper) remember(now time.Duration, id StreamID) (question, bool) {
-	q, repeated := k.questions[id]
+func (k *Keeper) remember(now time.Duration, key questionKey) (question, bool) {
+	q, repeated := k.questions[key]
 	if repeated && now-q.repeatedAt < questionMemory {
 		q.repeatedAt = now
-		k.questions[id] = q
+		k.questions[key] = q
 		return q, true
 	}
 	if len(k.questions) >= maxQuestions {
@@ -103,6 +122,6 @@
 		}
 	}
 	q = question{askedAt: now, repeatedAt: now}
-	k.questions[id] = q
+	k.questions[key] = q
 	return q, false
 }
--- a/internal/tracker/keeper_test.go
+++ b/internal/tracker/keeper_test.go
@@ -60,3 +60,17 @@
 	k.ConfirmList(time.Second)
 	require.NotNil(t, k.Ask(time.Second, service, "a").Absence)
 }
+
+// One release of each of several services may have begun a stream.
+func TestStoreIsReadAnewForSplitServices(t *testing.T) {
+	k := keeperOf("v1")
+	k.SetSplit(map[registrar.ServiceName]bool{service: true})
+	at := 2 * time.Minute
+	k.ConfirmList(at)
+	require.NotNil(t, k.Ask(at, "other", "a").Absence, "no release of it has been seen")
+	require.Equal(t, Answer{}, k.Ask(at, service, "a"), "another steward may know it")
+	at += 60 * time.Millisecond
+	require.Equal(t, Answer{ReadStored: true}, k.Ask(at, service, "a"))
+	k.Load(at, at, []Origin{{"a", "v1", "other"}})
+	require.Equal(t, Answer{Origin: &Origin{"a", "v1", "other"}}, k.Ask(at, service, "a"))
+}
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -1,11 +1,12 @@
-// Package tracker remembers which software release began each stream, so that a stream
-// that is resumed goes on at the same release.
+// Package tracker remembers which software release of which service began each stream, so
+// that a stream that is resumed goes on there. Releases of two services are never the same,
+// whatever their names.
 //
 // Usage:
 //
 //	t := tracker.New()
-//	t.Record(now, tracker.Origin{Stream: "59f24632afe5ceab", Release: "v1"})
-//	release, ok := t.Release("59f24632afe5ceab")
+//	t.Record(now, tracker.Origin{Stream: "59f24632afe5ceab", Release: "v1", Service: "llm"})
+//	origin, ok := t.Origin("59f24632afe5ceab")
 //
 // A gateway records the streams that it has begun and tells two stewards, which it chooses
 // by rendezvous hashing of the stream, or writes them to the platform's store if no steward
@@ -38,8 +39,9 @@
 
 // Absence says that a steward does not know a stream, and which releases may have begun it.
 type Absence struct {
-	Stream   StreamID            `json:"stream" cbor:"1,keyasint"`
-	Releases []registrar.Release `json:"releases" cbor:"2,keyasint"`
+	Stream   StreamID              `json:"stream" cbor:"1,keyasint"`
+	Releases []registrar.Release   `json:"releases" cbor:"2,keyasint"`                    // of Service
+	Service  registrar.ServiceName `json:"service,omitempty" cbor:"3,keyasint,omitempty"` // that was asked about, empty from earlier builds
 }
 
 // Tracker holds the origins of streams for generationTime. It is not safe for concurrent
@@ -59,18 +61,18 @@
 	if now-t.rotatedAt >= generationTime || len(t.current) >= maxStreams {
 		t.previous, t.current, t.rotatedAt = t.current, map[StreamID]Origin{}, now
 	}
-	if _, known := t.Release(o.Stream); !known {
+	if _, known := t.Origin(o.Stream); !known {
 		t.current[o.Stream] = o
 	}
 }
 
-// Release returns the release that began a stream, and false if it is not known.
-func (t *Tracker) Release(id StreamID) (registrar.Release, bool) {
+// Origin returns the origin of a stream, and false if it is not known.
+func (t *Tracker) Origin(id StreamID) (Origin, bool) {
 	if o, ok := t.current[id]; ok {
-		return o.Release, true
+		return o, true
 	}
 	o, ok := t.previous[id]
-	return o.Release, ok
+	return o, ok
 }
 
 // Origins returns the origins of all streams, those of the current generation last.
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -14,14 +14,14 @@
 	tr := New()
 	tr.Record(0, Origin{Stream: "a", Release: "v1"})
 	tr.Record(time.Second, Origin{Stream: "a", Release: "v2"})
-	release, ok := tr.Release("a")
+	origin, ok := tr.Origin("a")
 	require.True(t, ok)
-	require.EqualValues(t, "v1", release, "a stream has one origin")
+	require.EqualValues(t, "v1", origin.Release, "a stream has one origin")
 	tr.Record(generationTime, Origin{Stream: "b", Release: "v2"})
-	_, ok = tr.Release("a")
+	_, ok = tr.Origin("a")
 	require.True(t, ok)
 	tr.Record(2*generationTime, Origin{Stream: "c", Release: "v2"})
-	_, ok = tr.Release("a")
+	_, ok = tr.Origin("a")
 	require.False(t, ok)
 }
 
