Parts of prompts are isolated whatever their IDs and number

Cause: the gateway dropped IDs of more than 32 bytes and parts beyond the 32nd without a trace, so that no crash could be blamed on them.

Change: all parts count, and a digest stands for a long ID. What the caps kept small is split instead: crashes, lists of suspects, verdicts and limits go in several datagrams. Memories of answered traits drop the oldest and not the newest.

Ruled out: the analysts' decision (the same IDs with 32 digits were isolated).

--- a/internal/dispatcher/crashreport_test.go
+++ b/internal/dispatcher/crashreport_test.go
@@ -107,3 +107,36 @@
 	require.EqualValues(t, 2, h.requireSend(effects).Try)
 	require.Contains(t, h.reduce(VerdictsReported{[]isolator.Verdict{{Trait: "request:r.1"}}}), Abort{1, classifier.Lost})
 }
+
+// A crash whose requests have more traits than are reported says so.
+func TestTraitsBeyondTheBoundOfACrashAreLogged(t *testing.T) {
+	h := newHarness(t)
+	listBothServices(h)
+	many := []isolator.Trait{"request:r", "content:r"}
+	for i := range maxSuspects/2 - len(many) {
+		many = append(many, isolator.Trait(fmt.Sprint("part", i)))
+	}
+	var ids []RequestID
+	for range 3 {
+		id, _ := h.submitWithTraits(many...)
+		ids = append(ids, id)
+	}
+	for _, id := range ids {
+		h.reduce(SendEnded{ID: id, Try: 1, Outcome: Unknown})
+	}
+	var reported isolator.Crash
+	var logged Log
+	for _, e := range h.d.Reduce(h.now, UpstreamProbed{Upstream: "plain", Refused: true}) {
+		switch e := e.(type) {
+		case ReportCrash:
+			reported = e.Crash
+		case Log:
+			if e.Event == UpstreamCrashed {
+				logged = e
+			}
+		}
+	}
+	require.Len(t, reported.Requests, 2)
+	require.Len(t, logged.Traits, maxLoggedTraits)
+	require.Equal(t, len(many), logged.LeftOut)
+}
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -52,9 +52,8 @@
 	verdicts           *isolator.Verdicts
 	breakages          map[registrar.UpstreamID]*breakage
 	bearings           map[registrar.ServiceName]*budgeter.Bearing // what is known of the memory of upstreams
-	answeredAt         map[isolator.Trait]time.Duration            // of traits that were answered lately
-	answeredSweptAt    time.Duration                               // when forgotten ones were last removed from it
-	trialTurn          float64                                     // of this gateway among all, from 0 to 1
+	answers            *isolator.Answers
+	trialTurn          float64 // of this gateway among all, from 0 to 1
 	gatewayCount       int
 	gatewaysCounted    bool // a report has given the number
 	gatewaysCountedAt  time.Duration
@@ -86,7 +85,7 @@
 		verdicts:           isolator.NewVerdicts(),
 		breakages:          map[registrar.UpstreamID]*breakage{},
 		bearings:           map[registrar.ServiceName]*budgeter.Bearing{},
-		answeredAt:         map[isolator.Trait]time.Duration{},
+		answers:            isolator.NewAnswers(answeredMemory, maxAnswered),
 		trialTurn:          rand.New(rand.NewPCG(cfg.Seed, 2)).Float64(),
 		gatewayCount:       defaultGatewayCount,
 		account:            apportioner.NewAccount(apportioner.Config{Epoch: cfg.Epoch, Seed: cfg.Seed}),
--- a/internal/dispatcher/event.go
+++ b/internal/dispatcher/event.go
@@ -346,6 +346,7 @@
 	Limit        float64          // requests per second that the upstream takes from all gateways together, zero if it does not say
 	Analysts     int              // stewards that a crash is reported to
 	Traits       []isolator.Trait // of a request whose send was broken off, or the one that is isolated
+	LeftOut      int              // traits that are not reported, since the crash has too many
 	Workspace    registrar.WorkspaceName
 	Cost         float64       // of the request
 	Balance      float64       // of the workspace at this gateway
--- a/internal/dispatcher/isolation.go
+++ b/internal/dispatcher/isolation.go
@@ -19,9 +19,9 @@
 	crashRepeats     = 3                      // reports of each crash, in case datagrams are lost
 	crashRepeatDelay = 100 * time.Millisecond // between them
 	answeredMemory   = 30 * time.Second       // for which a trait counts as answered
-	answeredSweep    = time.Second            // between searches for traits to forget while there is no room for others
 	maxAnswered      = 50_000                 // traits that are remembered
-	maxSuspects      = 1000                   // traits reported of a crash, which must fit into a datagram
+	maxSuspects      = 20_000                 // traits reported of a crash, in several datagrams
+	maxLoggedTraits  = 1000                   // of a crash
 	analystCount     = 8                      // stewards that crashes are reported to, some of which may be gone or cut off
 	isolatedDelay    = time.Minute            // longest Retry-After of requests with an isolated trait
 	trialPeriod      = time.Second            // shortest one, and pause between gateways that send a request on trial
@@ -35,7 +35,8 @@
 	address     string
 	since       time.Duration
 	suspects    [][]isolator.Trait // of requests
-	traits      int                // of all requests
+	traits      int                // of these requests
+	leftOut     int                // traits of further requests
 	probedAt    time.Duration      // when the last probe began
 	alive       bool               // a probe has reached the upstream
 	reports     int                // since suspects last grew
@@ -58,9 +59,12 @@
 		b = &breakage{incarnation: u.info.Incarnation, address: u.info.Address, since: d.now, probedAt: d.now - crashProbePeriod, service: u.info.Service, heldBytes: u.heldBytes + r.Size, heldRequests: u.inFlight + 1}
 		d.breakages[u.info.ID] = b
 	}
-	if b.traits += len(r.Traits); b.traits <= maxSuspects {
-		b.suspects, b.reports = append(b.suspects, r.Traits), 0
+	if b.traits+len(r.Traits) > maxSuspects {
+		b.leftOut += len(r.Traits)
+		return
 	}
+	b.traits += len(r.Traits)
+	b.suspects, b.reports = append(b.suspects, r.Traits), 0
 }
 
 // probe asks whether an upstream still listens, since one without a steward may have ended
@@ -86,14 +90,8 @@
 	if !r.sendBegan && !completed || !completed && d.now-r.beganAt < crashLatency {
 		return
 	}
-	if len(d.answeredAt) >= maxAnswered && d.now-d.answeredSweptAt >= answeredSweep {
-		d.answeredSweptAt = d.now
-		maps.DeleteFunc(d.answeredAt, func(_ isolator.Trait, at time.Duration) bool { return d.now-at >= answeredMemory })
-	}
 	for _, t := range r.Traits {
-		if _, known := d.answeredAt[t]; known || len(d.answeredAt) < maxAnswered {
-			d.answeredAt[t] = d.now
-		}
+		d.answers.Record(d.now, t)
 	}
 }
 
@@ -110,8 +108,7 @@
 	}
 	var answered []isolator.Trait
 	for _, t := range traits {
-		at, ok := d.answeredAt[t]
-		if being[t] || ok && now-at < answeredMemory {
+		if being[t] || d.answers.Recent(now, t) {
 			answered = append(answered, t)
 		}
 	}
@@ -149,7 +146,9 @@
 		d.recordCrash(id, b)
 	}
 	if b.reports == 0 {
-		d.emit(Log{Event: UpstreamCrashed, Upstream: id, Traits: slices.Concat(b.suspects...), Analysts: len(analysts), Waiting: d.waitingCount})
+		traits := slices.Concat(b.suspects...)
+		logged := min(len(traits), maxLoggedTraits)
+		d.emit(Log{Event: UpstreamCrashed, Upstream: id, Traits: traits[:logged], LeftOut: b.leftOut, Analysts: len(analysts), Waiting: d.waitingCount})
 	}
 	b.reports++
 	b.reportedAt = d.now
--- a/internal/dispatcher/resume.go
+++ b/internal/dispatcher/resume.go
@@ -48,9 +48,9 @@
 // stream returns the id of the stream that the request begins or resumes.
 func (r *request) stream() tracker.StreamID {
 	if r.Resumes != "" {
-		return tracker.StreamID(r.Resumes)
+		return tracker.NewStreamID(r.Resumes)
 	}
-	return tracker.StreamID(r.AttemptID)
+	return tracker.NewStreamID(r.AttemptID)
 }
 
 // recordOrigin binds a request whose first event has reached its caller to the release of
--- a/internal/driver/gatewaymessages.go
+++ b/internal/driver/gatewaymessages.go
@@ -19,13 +19,13 @@
 // send sends a message to each address.
 func (g *Gateway) send(to []netip.AddrPort, m messenger.Message) {
 	m.Sender = g.cfg.Name
-	data, err := messenger.Encode(m)
+	datagrams, err := messenger.Encode(m)
 	if err != nil {
 		g.cfg.Log.Logger.Error().Err(err).Msg("cannot encode message")
 		return
 	}
 	for _, address := range to {
-		g.messenger.Send(address, data)
+		g.messenger.Send(address, datagrams...)
 	}
 }
 
--- a/internal/driver/isolation.go
+++ b/internal/driver/isolation.go
@@ -138,21 +138,21 @@
 // stewards if peers is true. The caller holds syncer.mu.
 func (s *Steward) tellGateways(m messenger.Message, peers bool) {
 	m.Sender, m.Version = s.cfg.Name, s.syncer.version()
-	data, err := messenger.Encode(m)
+	datagrams, err := messenger.Encode(m)
 	if err != nil {
 		s.cfg.Log.Logger.Error().Err(err).Msg("cannot encode verdicts")
 		return
 	}
 	for gateway, seenAt := range s.gatewaySeenAt {
 		if s.syncer.now()-seenAt <= gatewayTTL {
-			s.messenger.Send(gateway, data)
+			s.messenger.Send(gateway, datagrams...)
 		}
 	}
 	if !peers {
 		return
 	}
 	for _, p := range s.peerStewards {
-		s.messenger.Send(p, data)
+		s.messenger.Send(p, datagrams...)
 	}
 }
 
--- a/internal/driver/limits.go
+++ b/internal/driver/limits.go
@@ -41,12 +41,12 @@
 	if permits.Count == 0 {
 		return
 	}
-	data, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, Permits: &permits, Version: s.syncer.version()})
+	datagrams, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, Permits: &permits, Version: s.syncer.version()})
 	if err != nil {
 		s.cfg.Log.Logger.Error().Err(err).Msg("cannot encode permits")
 		return
 	}
-	s.messenger.Send(to, data)
+	s.messenger.Send(to, datagrams...)
 }
 
 // limitsToSend returns the limits to send with a report, which are none unless they have
--- a/internal/driver/observability.go
+++ b/internal/driver/observability.go
@@ -133,7 +133,7 @@
 		ev = ev.Strs("traits", names(entry.Traits))
 	}
 	if entry.Event == dispatcher.UpstreamCrashed {
-		ev = ev.Int("analysts", entry.Analysts)
+		ev = ev.Int("analysts", entry.Analysts).Int("left_out", entry.LeftOut)
 	}
 	if entry.Event == dispatcher.BeyondQuota {
 		ev = addQuota(ev, entry)
--- a/internal/driver/origins.go
+++ b/internal/driver/origins.go
@@ -98,12 +98,12 @@
 	if answer.Origin == nil && answer.Absence == nil {
 		return
 	}
-	data, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, Version: s.syncer.version(), Origin: answer.Origin, Absence: answer.Absence})
+	datagrams, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, Version: s.syncer.version(), Origin: answer.Origin, Absence: answer.Absence})
 	if err != nil {
 		s.cfg.Log.Logger.Error().Err(err).Msg("cannot encode origin of a stream")
 		return
 	}
-	s.messenger.Send(to, data)
+	s.messenger.Send(to, datagrams...)
 }
 
 // newGatewayOrigins returns the log of the streams that a gateway can tell no steward of, and
--- a/internal/driver/quotas.go
+++ b/internal/driver/quotas.go
@@ -39,12 +39,12 @@
 	if !ok {
 		return
 	}
-	data, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, TokenAnswer: &answer, Version: s.syncer.version()})
+	datagrams, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, TokenAnswer: &answer, Version: s.syncer.version()})
 	if err != nil {
 		s.cfg.Log.Logger.Error().Err(err).Msg("cannot encode tokens")
 		return
 	}
-	s.messenger.Send(gateway, data)
+	s.messenger.Send(gateway, datagrams...)
 }
 
 // addQuota adds what a gateway knew when it refused a request beyond a quota.
--- a/internal/driver/steward.go
+++ b/internal/driver/steward.go
@@ -317,7 +317,7 @@
 	if m.Report != nil {
 		s.apply(reconciler.PeerReported{Report: *m.Report})
 	}
-	if m.Report != nil || len(m.Verdicts) > 0 {
+	if m.Report != nil || len(m.Verdicts) > 0 || len(m.Limits) > 0 || len(m.Suspects) > 0 {
 		return // of another steward
 	}
 	if m.Crash != nil {
@@ -376,7 +376,7 @@
 // broadcastReport sends a report to the gateways seen within gatewayTTL and, unless it is
 // partial, to the other stewards. The caller holds syncer.mu.
 func (s *Steward) broadcastReport(r reconciler.BroadcastReport) {
-	data, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, Report: &r.Report, Version: s.syncer.version(), Limits: s.limitsToSend(), Verdicts: s.verdicts.toSend(s.syncer.now())})
+	datagrams, err := messenger.Encode(messenger.Message{Sender: s.cfg.Name, Report: &r.Report, Version: s.syncer.version(), Limits: s.limitsToSend(), Verdicts: s.verdicts.toSend(s.syncer.now())})
 	if err != nil {
 		s.cfg.Log.Logger.Error().Err(err).Msg("cannot encode report")
 		return
@@ -386,13 +386,13 @@
 			delete(s.gatewaySeenAt, gateway)
 			continue
 		}
-		s.messenger.Send(gateway, data)
+		s.messenger.Send(gateway, datagrams...)
 	}
 	if r.Report.Partial {
 		return
 	}
 	for _, p := range s.peerStewards {
-		s.messenger.Send(p, data)
+		s.messenger.Send(p, datagrams...)
 	}
 }
 
--- a/internal/isolator/analyst.go
+++ b/internal/isolator/analyst.go
@@ -17,7 +17,8 @@
 	minCrashes    = 3                      // that have a trait in common before it is suspected
 	maxCrashes    = 2 * minCrashes         // from which on all parts with the most crashes are isolated
 	maxRecorded   = 500                    // crashes that are remembered
-	maxCleared    = 20_000                 // traits whose answers are remembered
+	maxTraits     = 200_000                // of these crashes together, beyond which the oldest are forgotten
+	maxCleared    = 50_000                 // traits whose answers are remembered
 )
 
 // Crash says that an upstream crashed and which traits the requests had that it was about to
@@ -62,14 +63,14 @@
 type Analyst struct {
 	verdicts    *Verdicts
 	crashes     map[crashKey]*recordedCrash
-	clearedAt   map[Trait]time.Duration // when the last answer to the trait was known
+	cleared     *Answers                // as gateways tell
 	suspectedAt map[Trait]time.Duration // since when Suspects has named the trait
 	askedAt     time.Duration           // of the last call of Suspects
 }
 
 // NewAnalyst returns an analyst that knows of no crash and adds its verdicts to those given.
 func NewAnalyst(verdicts *Verdicts) *Analyst {
-	return &Analyst{verdicts: verdicts, crashes: map[crashKey]*recordedCrash{}, clearedAt: map[Trait]time.Duration{}, suspectedAt: map[Trait]time.Duration{}}
+	return &Analyst{verdicts: verdicts, crashes: map[crashKey]*recordedCrash{}, cleared: NewAnswers(answerMemory, maxCleared), suspectedAt: map[Trait]time.Duration{}}
 }
 
 // Record adds what a gateway saw of a crash.
@@ -87,31 +88,41 @@
 	for _, traits := range c.Requests {
 		crash.add(traits)
 	}
+	a.makeRoom(key)
+}
+
+// makeRoom forgets the oldest crashes except one while there are too many traits.
+func (a *Analyst) makeRoom(kept crashKey) {
+	total := 0
+	for _, c := range a.crashes {
+		total += len(c.traits)
+	}
+	for total > maxTraits && len(a.crashes) > 1 {
+		var oldest crashKey
+		found := false
+		for key, c := range a.crashes {
+			if key != kept && (!found || c.at < a.crashes[oldest].at) {
+				oldest, found = key, true
+			}
+		}
+		total -= len(a.crashes[oldest].traits)
+		delete(a.crashes, oldest)
+	}
 }
 
 // forget drops what is too old to matter.
 func (a *Analyst) forget(now time.Duration) {
 	maps.DeleteFunc(a.crashes, func(_ crashKey, c *recordedCrash) bool { return now-c.at >= crashMemory })
-	if len(a.clearedAt) >= maxCleared {
-		maps.DeleteFunc(a.clearedAt, func(_ Trait, at time.Duration) bool { return now-at >= answerMemory })
-	}
 }
 
 // Clear records that requests with these traits have been answered.
 func (a *Analyst) Clear(now time.Duration, traits []Trait) {
 	for _, t := range traits {
-		if len(a.clearedAt) < maxCleared {
-			a.clearedAt[t] = now
-		}
+		a.cleared.Record(now, t)
 		delete(a.suspectedAt, t)
 	}
 }
 
-func (a *Analyst) cleared(now time.Duration, t Trait) bool {
-	at, ok := a.clearedAt[t]
-	return ok && now-at < answerMemory
-}
-
 // Suspects returns the traits that have enough crashes in common, in their order. Gateways
 // are to be asked whether they have seen an answer to them, and are asked anew after a pause.
 func (a *Analyst) Suspects(now time.Duration) []Trait {
--- a/internal/isolator/analyst_test.go
+++ b/internal/isolator/analyst_test.go
@@ -113,11 +113,27 @@
 	for i := range 2 * maxCleared {
 		a.Clear(0, []Trait{Trait(fmt.Sprint(i))})
 	}
-	require.Len(t, a.clearedAt, maxCleared)
+	require.LessOrEqual(t, a.cleared.Len(), maxCleared)
 	a.Record(crashMemory, crash(1, "p"))
 	require.Len(t, a.crashes, 1)
 }
 
+// Crashes of requests with thousands of parts must not fill the memory; the latest tell most.
+func TestOldestCrashesAreForgottenWhenTheyHaveTooManyTraits(t *testing.T) {
+	a := NewAnalyst(NewVerdicts())
+	many := make([]Trait, maxTraits/4)
+	for i := range many {
+		many[i] = Trait(fmt.Sprint("part", i))
+	}
+	for i := range 10 {
+		a.Record(time.Duration(i)*time.Second, crash(i, many...))
+	}
+	require.Len(t, a.crashes, 4)
+	for _, c := range a.crashes {
+		require.GreaterOrEqual(t, c.at, 6*time.Second)
+	}
+}
+
 func TestRequestIsBlamedBeforeItsParts(t *testing.T) {
 	a := NewAnalyst(NewVerdicts())
 	for i := range 3 {
@@ -279,3 +295,18 @@
 	a.Clear(0, []Trait{"request:s.1", "content:s"})
 	require.Equal(t, []Verdict{{Trait: "request:r.1"}}, decide(a, 0))
 }
+
+// Prompts of hundreds of parts, of which gateways have seen all others answered.
+func TestPartIsFoundAmongMany(t *testing.T) {
+	a := NewAnalyst(NewVerdicts())
+	var shared []Trait
+	for i := range 500 {
+		shared = append(shared, Trait(fmt.Sprint("shared", i)))
+	}
+	for i := range 3 {
+		a.Record(0, crash(i, append([]Trait{Trait(fmt.Sprintf("request:r%d.c", i)), Trait(fmt.Sprintf("content:r%d", i)), "poison"}, shared...)...))
+	}
+	require.Len(t, a.Suspects(0), 501)
+	a.Clear(0, shared)
+	require.Equal(t, []Verdict{{Trait: "poison"}}, decide(a, 0))
+}
--- a/internal/isolator/evidence.go
+++ b/internal/isolator/evidence.go
@@ -87,7 +87,7 @@
 		}
 		explanation, explained := a.explanation(now, c)
 		for t := range c.traits {
-			if a.cleared(now, t) || explained && !explanation.leavesOpen(c, t) && !a.verdicts.brief(now, t) {
+			if a.cleared.Recent(now, t) || explained && !explanation.leavesOpen(c, t) && !a.verdicts.brief(now, t) {
 				continue
 			}
 			if all[t] == nil {
--- a/internal/isolator/trait.go
+++ b/internal/isolator/trait.go
@@ -10,8 +10,8 @@
 )
 
 // Trait is what requests may have in common that crashes upstreams: a shared part of their
-// prompts, written as its ID, or digests with their kind as prefix. IDs of parts contain no
-// colon.
+// prompts, written as its ID if that is short, or digests with their kind as prefix. IDs of
+// parts contain no colon.
 type Trait string
 
 // TraitKind is a kind of trait.
@@ -21,14 +21,16 @@
 const (
 	RequestTrait TraitKind = "request" // the content and the caller: request:CONTENT.CALLER
 	ContentTrait TraitKind = "content" // method, host, path, query and body: content:CONTENT
-	PartTrait    TraitKind = "part"    // one shared part of the prompt
+	PartTrait    TraitKind = "part"    // one shared part of the prompt: ID, or part:DIGEST
 )
 
-// Lengths of digests; the traits of all requests of some seconds are kept and told to other
-// processes.
+// Lengths of digests and of IDs that stand for themselves; the traits of all requests of some
+// seconds are kept and told to other processes.
 const (
 	contentDigestBytes = 12
 	callerDigestBytes  = 6
+	partDigestBytes    = 12
+	maxPlainID         = 32
 )
 
 // Content is what a request asks for, and who asks. An attempt's ID and deadline are not
@@ -46,11 +48,21 @@
 	traits := make([]Trait, 0, 2+len(parts))
 	traits = append(traits, newTrait(RequestTrait, content+"."+encodeDigest(caller[:callerDigestBytes])), newTrait(ContentTrait, content))
 	for _, p := range parts {
-		traits = append(traits, Trait(p))
+		traits = append(traits, partTrait(p))
 	}
 	return traits
 }
 
+// partTrait returns the trait of a part. Longer IDs, and those that are no text, are replaced
+// by a digest, so that every trait fits into a message and the key of a record.
+func partTrait(id registrar.PartID) Trait {
+	if len(id) <= maxPlainID && !strings.ContainsFunc(string(id), func(r rune) bool { return r <= ' ' || r > '~' || r == ':' }) {
+		return Trait(id)
+	}
+	digest := sha256.Sum256([]byte(id))
+	return newTrait(PartTrait, encodeDigest(digest[:partDigestBytes]))
+}
+
 func newTrait(kind TraitKind, digest string) Trait { return Trait(string(kind) + ":" + digest) }
 
 func encodeDigest(b []byte) string { return base64.RawURLEncoding.EncodeToString(b) }
@@ -72,7 +84,7 @@
 // Kind returns the kind of a trait.
 func (t Trait) Kind() TraitKind {
 	switch kind, _, digest := strings.Cut(string(t), ":"); {
-	case !digest:
+	case !digest || TraitKind(kind) == PartTrait:
 		return PartTrait
 	case TraitKind(kind) == RequestTrait:
 		return RequestTrait
--- a/internal/isolator/trait_test.go
+++ b/internal/isolator/trait_test.go
@@ -1,6 +1,7 @@
 package isolator
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -28,3 +29,18 @@
 		require.NotEqual(t, traits[1], TraitsOf(other, nil)[1], "%+v", other)
 	}
 }
+
+// Traits are told in datagrams and kept under keys of the store, which are short.
+func TestTraitsOfPartsAreShortAndDistinct(t *testing.T) {
+	long := strings.Repeat("f", 64)
+	seen := map[Trait]bool{}
+	for _, id := range []string{"5c1e07a2", long[:32], long[:33], long, long[:63] + "e", strings.Repeat("f", 10_000), "\xff\xfe", "two words"} {
+		trait := TraitsOf(Content{}, []registrar.PartID{registrar.PartID(id)})[2]
+		require.Equal(t, PartTrait, trait.Kind(), id)
+		require.LessOrEqual(t, len(trait), 40, id)
+		require.True(t, strings.ToValidUTF8(string(trait), "") == string(trait), id)
+		require.False(t, seen[trait], id)
+		seen[trait] = true
+	}
+	require.True(t, seen["5c1e07a2"], "short ones are told as they are")
+}
--- a/internal/messenger/datagram.go
+++ b/internal/messenger/datagram.go
@@ -33,10 +33,33 @@
 	jsonData []byte // of peers of earlier builds, nil until it is needed
 }
 
-// Encode encodes a message for Send. It fails if the message exceeds a datagram.
-func Encode(m Message) (*Datagram, error) {
+// Encode encodes a message for Send, in several datagrams if it has long lists. It fails if
+// the rest exceeds a datagram.
+func Encode(m Message) ([]*Datagram, error) {
+	d, err := encodeOne(m)
+	if d == nil || len(d.compact) <= splitBytes {
+		return []*Datagram{d}, err
+	}
+	first, second, ok := m.split()
+	if !ok {
+		return []*Datagram{d}, err
+	}
+	datagrams, err := Encode(first)
+	if err != nil {
+		return nil, err
+	}
+	more, err := Encode(second)
+	return append(datagrams, more...), err
+}
+
+// encodeOne encodes a message as one datagram, which it returns with the error if it is too
+// large.
+func encodeOne(m Message) (*Datagram, error) {
 	data, err := encoder.Marshal(m)
-	if err == nil && len(data) > maxDatagramBytes {
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > maxDatagramBytes {
 		err = fmt.Errorf("message of %d bytes exceeds a datagram", len(data))
 	}
 	return &Datagram{message: m, compact: data}, err
--- a/internal/messenger/demands_test.go
+++ b/internal/messenger/demands_test.go
@@ -53,7 +53,7 @@
 	told, err := demands.Unpack(names)
 	require.NoError(t, err)
 	require.NotZero(t, told[99].Pace, "it has the most work")
-	d, err := Encode(Message{Sender: "front-be-north-a-1", Demands: &demands, Version: 12})
+	d, err := encodeOne(Message{Sender: "front-be-north-a-1", Demands: &demands, Version: 12})
 	require.NoError(t, err)
 	const stewards, periodSeconds, linkBytesPerSecond = 100, 0.8, 10e6 / 8
 	require.Less(t, float64(len(d.compact))*stewards/periodSeconds, 0.3*linkBytesPerSecond)
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -3,12 +3,13 @@
 // Usage:
 //
 //	m, err := messenger.New(messenger.Config{Address: "10.1.0.38:7380", Handle: handle})
-//	d, err := messenger.Encode(messenger.Message{Sender: "side-1", Report: &report})
-//	m.Send(netip.MustParseAddrPort("10.1.0.40:7380"), d)
+//	datagrams, err := messenger.Encode(messenger.Message{Sender: "side-1", Report: &report})
+//	m.Send(netip.MustParseAddrPort("10.1.0.40:7380"), datagrams...)
 //	m.Run(ctx)
 //
-// A message must fit into one datagram. It may be lost or delayed; the next message of
-// its kind supersedes it. Messages are CBOR with numbers for the names of fields. Earlier
+// A message whose lists are long is sent in several datagrams, each a message by itself; the
+// rest must fit into one. A datagram may be lost or delayed; the next message of its kind
+// supersedes it. Messages are CBOR with numbers for the names of fields. Earlier
 // builds send and understand JSON; peers get the format that they send, and both before
 // they have sent any.
 package messenger
@@ -103,7 +104,13 @@
 
 // Send sends an encoded message. A failure is only logged, since datagrams can be lost
 // anyway.
-func (m *Messenger) Send(to netip.AddrPort, d *Datagram) {
+func (m *Messenger) Send(to netip.AddrPort, datagrams ...*Datagram) {
+	for _, d := range datagrams {
+		m.send(to, d)
+	}
+}
+
+func (m *Messenger) send(to netip.AddrPort, d *Datagram) {
 	m.mu.Lock()
 	f := m.formats[to].format
 	m.mu.Unlock()
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -29,7 +29,7 @@
 	to := netip.MustParseAddrPort(receiver.conn.LocalAddr().String())
 	sender.write(to, []byte("{torn"))
 	sender.write(to, []byte{0xa1, 0x04})
-	data, err := Encode(Message{Sender: "a", Report: &dispatcher.Report{Address: "10.0.0.1:80", Running: 3}})
+	data, err := encodeOne(Message{Sender: "a", Report: &dispatcher.Report{Address: "10.0.0.1:80", Running: 3}})
 	require.NoError(t, err)
 	sender.Send(to, data)
 	m := <-got
@@ -49,7 +49,7 @@
 	report := dispatcher.Report{
 		Address: "10.103.200.240:18765", Incarnation: 1793000000000, Sequence: 42, Partial: true, Running: 60, Waiting: 12, KVUsed: 90000, KVTotal: 132258, Gateways: 103, SinceStoreLoad: 73 * time.Second,
 	}
-	d, err := Encode(Message{Sender: "side-be-north-a-101", Report: &report, Version: 1792})
+	d, err := encodeOne(Message{Sender: "side-be-north-a-101", Report: &report, Version: 1792})
 	require.NoError(t, err)
 	require.Less(t, len(d.compact), 110)
 	asJSON, err := d.json()
@@ -89,7 +89,7 @@
 	require.NoError(t, err)
 	defer func() { _ = peer.Close() }()
 	address, own := netip.MustParseAddrPort(peer.LocalAddr().String()), netip.MustParseAddrPort(m.conn.LocalAddr().String())
-	d, err := Encode(Message{Sender: "a", Version: 3})
+	d, err := encodeOne(Message{Sender: "a", Version: 3})
 	require.NoError(t, err)
 	asJSON, err := d.json()
 	require.NoError(t, err)
@@ -111,7 +111,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	d, err := Encode(Message{Sender: "a", Report: &dispatcher.Report{Address: "10.0.0.1:80"}, Demands: &PackedDemands{Rows: [][]float64{{1, 2, 3, 4}}}})
+	d, err := encodeOne(Message{Sender: "a", Report: &dispatcher.Report{Address: "10.0.0.1:80"}, Demands: &PackedDemands{Rows: [][]float64{{1, 2, 3, 4}}}})
 	require.NoError(f, err)
 	asJSON, err := d.json()
 	require.NoError(f, err)
--- a/internal/messenger/tokens_test.go
+++ b/internal/messenger/tokens_test.go
@@ -20,7 +20,7 @@
 		{Workspace: "dues-north-12", Tokens: 20311.25, Plenty: true},
 	}, Roster: []apportioner.Member{{Address: netip.MustParseAddrPort("10.103.200.240:7380"), Age: 90 * time.Millisecond}}}
 	for _, m := range []Message{{Sender: "front-be-north-a-101", TokenRequest: &request, Version: 1792}, {Sender: "side-be-north-a-101", TokenAnswer: &answer, Version: 1792}} {
-		d, err := Encode(m)
+		d, err := encodeOne(m)
 		require.NoError(t, err)
 		t.Logf("%d bytes", len(d.compact))
 		require.Less(t, len(d.compact), 130)
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -5,7 +5,7 @@
 // Usage:
 //
 //	t := tracker.New()
-//	t.Record(now, tracker.Origin{Stream: "59f24632afe5ceab", Release: "v1", Service: "llm"})
+//	t.Record(now, tracker.Origin{Stream: tracker.NewStreamID("59f24632afe5ceab"), Release: "v1", Service: "llm"})
 //	origin, ok := t.Origin("59f24632afe5ceab")
 //
 // A gateway records the streams that it has begun and tells two stewards, which it chooses
@@ -14,8 +14,11 @@
 package tracker
 
 import (
+	"crypto/sha256"
+	"encoding/base64"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/egretwall/egretwall/internal/registrar"
@@ -29,6 +32,23 @@
 // StreamID identifies a stream by the caller's attempt that brought its first event.
 type StreamID string
 
+// maxPlainID is the longest attempt ID that stands for itself; many StreamIDs share a record.
+const maxPlainID = 64
+
+// digestPrefix begins the StreamIDs of other attempts.
+const digestPrefix = "sha256:"
+
+// NewStreamID returns the StreamID of a caller's attempt. An ID that is long or no text is
+// replaced by a digest.
+func NewStreamID(attempt string) StreamID {
+	plain := len(attempt) <= maxPlainID && !strings.HasPrefix(attempt, digestPrefix)
+	if plain && !strings.ContainsFunc(attempt, func(r rune) bool { return r < ' ' || r > '~' }) {
+		return StreamID(attempt)
+	}
+	digest := sha256.Sum256([]byte(attempt))
+	return StreamID(digestPrefix + base64.RawURLEncoding.EncodeToString(digest[:]))
+}
+
 // Origin says which release of a service began a stream. It is sent between processes with
 // the numbers of the cbor tags for names.
 type Origin struct {
--- a/internal/tracker/tracker_test.go
+++ b/internal/tracker/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,3 +41,18 @@
 	require.False(t, r.Complete(time.Hour))
 	require.True(t, r.Complete(time.Hour+releaseMemory))
 }
+
+// Thousands of origins share a record of the store, whatever callers send for IDs.
+func TestStreamIDsAreShortAndDistinct(t *testing.T) {
+	long := strings.Repeat("a", 10_000)
+	seen := map[StreamID]bool{}
+	for _, attempt := range []string{"9c41d07be2a35f68", long[:64], long[:65], long, "\xff", "sha256:x", string(NewStreamID(long))} {
+		id := NewStreamID(attempt)
+		require.LessOrEqual(t, len(id), 64, attempt)
+		require.Equal(t, string(id), strings.ToValidUTF8(string(id), ""))
+		require.False(t, seen[id], attempt)
+		seen[id] = true
+		require.Equal(t, id, NewStreamID(attempt))
+	}
+	require.True(t, seen["9c41d07be2a35f68"], "short ones are told as they are")
+}
