Sizes that upstreams answer are not refused after ordinary crashes

Cause: two ends of upstreams under a single request of 128 KiB or more made its size too large for five minutes, whatever was answered and although both came at one moment. The bound on an upstream's bytes was learned in the same way.

Change: answers count against both.

Ruled out: the runners' memory (the same documents were answered before, and by the other runners meanwhile).

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -242,6 +242,7 @@
 	r.sendBegan = false
 	u.inFlight++
 	u.heldBytes += r.Size
+	r.heldWhenSent = u.heldBytes
 	u.quota.remaining--
 	if r.takesLeftovers(d.now) {
 		u.quota.remainingLate--
--- a/internal/dispatcher/isolation.go
+++ b/internal/dispatcher/isolation.go
@@ -46,6 +46,7 @@
 	// What the upstream held of this gateway when the first send was broken off.
 	heldBytes    budgeter.Bytes
 	heldRequests int
+	sentAt       time.Duration // of that send
 }
 
 // recordBreakage notes a send that its upstream broke off. Unless the answer had been
@@ -56,7 +57,7 @@
 	}
 	b := d.breakages[u.info.ID]
 	if b == nil || b.incarnation != u.info.Incarnation {
-		b = &breakage{incarnation: u.info.Incarnation, address: u.info.Address, since: d.now, probedAt: d.now - crashProbePeriod, service: u.info.Service, heldBytes: u.heldBytes + r.Size, heldRequests: u.inFlight + 1}
+		b = &breakage{incarnation: u.info.Incarnation, address: u.info.Address, since: d.now, probedAt: d.now - crashProbePeriod, service: u.info.Service, heldBytes: u.heldBytes + r.Size, heldRequests: u.inFlight + 1, sentAt: r.sentAt}
 		d.breakages[u.info.ID] = b
 	}
 	if b.traits+len(r.Traits) > maxSuspects {
--- a/internal/dispatcher/notice.go
+++ b/internal/dispatcher/notice.go
@@ -75,7 +75,7 @@
 // newUpstream returns an upstream without a report and statistics, with the restriction
 // that its incarnation has announced.
 func (d *Dispatcher) newUpstream(entry *registrar.Upstream) *upstream {
-	u := &upstream{adapterRequestedAt: map[queueKey]time.Duration{}, backlog: newBacklog(), bearing: d.boundedBearing(entry.Service), restriction: restriction{incarnation: entry.Incarnation}}
+	u := &upstream{adapterRequestedAt: map[queueKey]time.Duration{}, backlog: newBacklog(), restriction: restriction{incarnation: entry.Incarnation}}
 	if r, ok := d.restrictions[entry.ID]; ok && r.incarnation == entry.Incarnation {
 		u.restriction = r
 	}
--- a/internal/dispatcher/retry.go
+++ b/internal/dispatcher/retry.go
@@ -17,6 +17,9 @@
 	r.lastCause = ev.Cause
 	d.endSend(r)
 	d.recordAnswered(r, ev.Outcome == Completed)
+	if ev.Outcome == Completed || ev.Outcome == Failed {
+		d.recordCarried(r)
+	}
 	if ev.Outcome == Completed || ev.Outcome == Failed || ev.Outcome == NotRun {
 		u.answeredAt = d.now
 	}
--- a/internal/dispatcher/upstream.go
+++ b/internal/dispatcher/upstream.go
@@ -11,13 +11,12 @@
 // upstream is what the gateway knows of one incarnation of an upstream.
 type upstream struct {
 	info                registrar.Upstream
-	inFlight            int               // sends of this gateway under way
-	consecutiveFailures int               // failed sends since an answer last began or completed
-	answeredAt          time.Duration     // when it last answered a request completely
-	avoidUntil          time.Duration     // after failed sends; until then it is used only if there is no other upstream
-	fullUntil           time.Duration     // after it refused a request; until then it gets no requests
-	heldBytes           budgeter.Bytes    // of the bodies of these sends
-	bearing             *budgeter.Bearing // of its service, nil while there is no bound
+	inFlight            int            // sends of this gateway under way
+	consecutiveFailures int            // failed sends since an answer last began or completed
+	answeredAt          time.Duration  // when it last answered a request completely
+	avoidUntil          time.Duration  // after failed sends; until then it is used only if there is no other upstream
+	fullUntil           time.Duration  // after it refused a request; until then it gets no requests
+	heldBytes           budgeter.Bytes // of the bodies of these sends
 	report              Report
 	reported            bool          // report is set
 	reportedAt          time.Duration // when report came
