--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -53,10 +53,9 @@
 	breakages          map[registrar.UpstreamID]*breakage
 	bearings           map[registrar.ServiceName]*budgeter.Bearing // what is known of the memory of upstreams
 	answers            *isolator.Answers
-	trialTurn          float64 // of this gateway among all, from 0 to 1
-	gatewayCount       int
-	gatewaysCounted    bool // a report has given the number
-	gatewaysCountedAt  time.Duration
+	trialTurn          float64              // of this gateway among all, from 0 to 1
+	gatewayCount       int                  // in the last report
+	gatewaysCountedAt  time.Duration        // when the account was last told the largest number
 	account            *apportioner.Account // of workspaces' quotas
 	quotas             quotaState
 	refuseAt, endAt    time.Duration // of Stopping, zero before it
--- a/internal/dispatcher/upstream.go
+++ b/internal/dispatcher/upstream.go
@@ -65,9 +65,8 @@
 // handleReport stores a report unless it is of another incarnation or older than the
 // last one.
 func (d *Dispatcher) handleReport(report Report) {
-	if report.Gateways > d.gatewayCount || report.Gateways > 0 && !d.gatewaysCounted {
-		d.gatewayCount, d.gatewaysCounted = report.Gateways, true
-		d.account.SetGateways(report.Gateways)
+	if report.Gateways > 0 {
+		d.gatewayCount = report.Gateways
 	}
 	for _, u := range d.upstreams {
 		if u.info.Address == report.Address && u.info.Incarnation > 0 {
@@ -92,8 +91,8 @@
 	}
 }
 
-// countGateways takes the largest number of gateways that a steward reports: one that has just
-// started, or that some gateways don't know, hears only a part of them.
+// countGateways tells the account the largest number of gateways that a steward reports: one
+// that has just started, or that some gateways don't know, hears only a part of them.
 func (d *Dispatcher) countGateways() {
 	if d.now < d.gatewaysCountedAt+countPeriod {
 		return
@@ -106,7 +105,6 @@
 		}
 	}
 	if most > 0 {
-		d.gatewayCount = most
 		d.account.SetGateways(most)
 	}
 }
