Small requests don't wait behind large ones of a suspected size

Change: requests of 128 KiB or more have queues of their own, and a stream that has begun shows that its size is borne.

Evidence: TestSmallRequestsDoNotWaitBehindSuspectedSizes fails without the queues and passes; TestStreamThatBeginsShowsThatItsSizeIsBorne. Found by reading.

--- a/internal/dispatcher/bearing.go
+++ b/internal/dispatcher/bearing.go
@@ -41,10 +41,11 @@
 	return b
 }
 
-// recordCarried learns from an upstream that has answered a request.
+// recordCarried learns from an upstream that has answered a request, once for each send.
 func (d *Dispatcher) recordCarried(r *request) {
 	if r.heldWhenSent >= budgeter.MinSuspectBytes {
 		d.bearingOf(r.Service).Answered(d.now, r.heldWhenSent, r.Size)
+		r.heldWhenSent = 0
 	}
 }
 
--- a/internal/dispatcher/bearing_test.go
+++ b/internal/dispatcher/bearing_test.go
@@ -26,6 +26,8 @@
 	refused  []classifier.Kind
 }
 
+const megabyte budgeter.Bytes = 1 << 20
+
 type heldRequest struct {
 	send  Send
 	until time.Duration
@@ -170,6 +172,44 @@
 	}
 }
 
+// A request that may be too large for any upstream waits for another one like it. Smaller
+// ones must not wait behind it.
+func TestSmallRequestsDoNotWaitBehindSuspectedSizes(t *testing.T) {
+	f := newMemoryFleet(t, 2<<20)
+	f.submitSized(3 << 20)
+	f.apply(f.reduce(Tick{}))
+	require.Equal(t, 1, f.crashes)
+	f.memory = 100 << 20
+	f.submitSized(3 << 20)
+	f.submitSized(3 << 20)
+	require.Equal(t, 1, f.d.Waiting(), "one at a time")
+	sent := f.d.Counters.Sent
+	f.submitSized(1 << 10)
+	require.Equal(t, sent+1, f.d.Counters.Sent)
+	f.run(f.holdTime+100*time.Millisecond, 50*time.Millisecond, 1<<10)
+	require.Zero(t, f.d.Waiting(), "an answer shows that upstreams bear it")
+}
+
+// A stream may go on for long after its upstream has read the whole request.
+func TestStreamThatBeginsShowsThatItsSizeIsBorne(t *testing.T) {
+	h := newHarness(t)
+	h.listUpstreams(runnerService, 3, "m")
+	arrive := func() []Effect {
+		h.lastID++
+		return h.reduce(Arrived{Request{ID: h.lastID, Route: route(registrar.Streaming, 1), Service: runnerService, Model: "m", Deadline: h.now + 4*time.Second, Size: megabyte}})
+	}
+	crashed := h.requireSend(arrive())
+	h.d.bearingOf(runnerService).Crashed(h.now, budgeter.Crash{Held: megabyte, Requests: 1})
+	h.reduce(SendEnded{ID: crashed.ID, Try: crashed.Try, Outcome: Unknown})
+	h.now += time.Second
+	first := h.requireSend(arrive())
+	require.Empty(t, arrive(), "one at a time")
+	h.reduce(AnswerBegan{ID: first.ID, Try: first.Try})
+	require.Equal(t, 1, h.d.Waiting())
+	h.reduce(Tick{})
+	require.Zero(t, h.d.Waiting())
+}
+
 // Upstreams that crash under the usual load have other reasons.
 func TestCrashesUnderFewBytesBoundNothing(t *testing.T) {
 	f := newMemoryFleet(t, 20<<10)
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -298,6 +298,9 @@
 	if !r.sendBegan {
 		r.sendBegan, r.beganAt = true, d.now
 	}
+	if r.Route.Kind == registrar.Streaming {
+		d.recordCarried(r) // its end may be far
+	}
 	r.answerBegan = true
 	if !ev.Resumed {
 		d.recordStart(r)
--- a/internal/dispatcher/dump.go
+++ b/internal/dispatcher/dump.go
@@ -28,6 +28,7 @@
 	Model    registrar.ModelName   `json:"model"`
 	Adapter  registrar.AdapterName `json:"adapter"`
 	Release  registrar.Release     `json:"release,omitempty"` // the only one that may run them, empty for any
+	Large    bool                  `json:"large,omitempty"`   // with bodies of 128 KiB or more
 	Requests int                   `json:"requests"`
 }
 
@@ -61,7 +62,7 @@
 func (d *Dispatcher) Dump() Dump {
 	dump := Dump{Gateways: d.gatewayCount, Open: len(d.requests), Demands: d.Demands(d.now), Counters: d.Counters, Quotas: d.account.Dump(d.now)}
 	for _, key := range d.queueOrder {
-		dump.Waiting = append(dump.Waiting, DumpQueue{key.service, key.model, key.adapter, key.release, len(d.queues[key])})
+		dump.Waiting = append(dump.Waiting, DumpQueue{key.service, key.model, key.adapter, key.release, key.large, len(d.queues[key])})
 	}
 	dump.Shares = d.shares.dump(d.now)
 	for _, u := range d.upstreams {
--- a/internal/dispatcher/queue.go
+++ b/internal/dispatcher/queue.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/egretwall/egretwall/internal/budgeter"
 	"github.com/egretwall/egretwall/internal/registrar"
 )
 
@@ -14,6 +15,7 @@
 	model   registrar.ModelName
 	adapter registrar.AdapterName
 	release registrar.Release // empty for any
+	large   bool              // bodies may crash upstreams, so that they wait by themselves
 }
 
 // modelKey identifies a model of a service. Requests for its adapters share its
@@ -64,7 +66,7 @@
 }
 
 func queueKeyOf(r *request) queueKey {
-	return queueKey{r.Service, r.Model, r.Adapter, r.release}
+	return queueKey{r.Service, r.Model, r.Adapter, r.release, r.Size >= budgeter.MinSuspectBytes}
 }
 
 // onTime reports whether the request can still meet its target latency, counting
--- a/internal/dispatcher/request.go
+++ b/internal/dispatcher/request.go
@@ -28,7 +28,7 @@
 	mayHaveRun     bool                 // an earlier send may have run
 	avoidUpstream  registrar.UpstreamID // of the last send that failed, was refused or stalled
 	sentAt         time.Duration        // time of the last send
-	heldWhenSent   budgeter.Bytes       // by the upstream, of this gateway's requests, with this one
+	heldWhenSent   budgeter.Bytes       // by the upstream, of this gateway's requests, with this one; zero once recordCarried has seen it
 	release        registrar.Release    // the only one that may run it, empty for any
 	search         originSearch         // for release
 	permitted      bool                 // the last send used a permit of an upstream with a limit
