--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -43,7 +43,7 @@
 // Message is the content of a datagram. Exactly one of Demands, RequestedAdapter, Report,
 // PermitRequest, Permits, Origin, Stream, Absence, Crash, Answered, Suspects, TokenRequest,
 // TokenAnswer and Leaving is set;
-// Verdicts may come alone too.
+// Verdicts may come alone too, as may Limits that were split off a message.
 type Message struct {
 	Sender           string                `json:"name" cbor:"1,keyasint"`                          // name of the sending process
 	Demands          *PackedDemands        `json:"demands,omitempty" cbor:"2,keyasint,omitempty"`   // from a gateway, periodically
