--- a/internal/dispatcher/limit_test.go
+++ b/internal/dispatcher/limit_test.go
@@ -281,6 +281,37 @@
 	}
 }
 
+// Two of six gateways don't learn that a runner was removed, whose steward lives on for a
+// while; then the other steward is killed as well and starts without memory.
+func TestLimitIsKeptWhenARunnerIsRemovedAndAStewardIsLost(t *testing.T) {
+	for removed := range 2 {
+		const rate = 10
+		f := newLimitedFleet(t, 6, rate)
+		f.stewards = append(f.stewards, newPermitSteward())
+		for g := range f.gateways {
+			f.list(g, 0, 1)
+		}
+		f.run(6*time.Second, 60)
+		for g := range f.gateways[:4] {
+			f.list(g, 1-removed)
+		}
+		f.run(6*time.Second, 60)
+		f.stewards[1-removed].down = true
+		f.run(time.Second, 60)
+		f.stewards[1-removed] = newPermitSteward()
+		f.run(6*time.Second, 60)
+		f.stewards[removed].down = true
+		for g := range f.gateways {
+			f.list(g, 1-removed)
+		}
+		f.run(3*time.Second, 60)
+		f.served = 0
+		f.run(6*time.Second, 60)
+		require.Greater(t, f.served, 6*rate*7/10, "all ask one steward again")
+		f.requireLimitKept(t)
+	}
+}
+
 // A steward that has just started, or that some gateways don't know, hears few of them.
 func TestStewardThatHearsFewGatewaysDoesNotRaiseTheirPartsOfLimits(t *testing.T) {
 	h := newHarness(t)
